--- /dev/null
+++ b/camphorrun/core/tests/test_core.py
@@ -0,0 +1,90 @@
+"""Tests of timers and supervision."""
+
+import asyncio
+
+import pytest
+
+from .. import (
+    LoopTimerService,
+    ManualTimerService,
+    PauseDetector,
+    SupervisionError,
+    Supervisor,
+)
+
+
+class TestManualTimerService:
+    """Manual time drives callbacks in order."""
+
+    def test_callbacks_run_in_time_order(self):
+        """Guards against callbacks that run by order of registration."""
+        timers = ManualTimerService()
+        fired = []
+        timers.call_after(2.0, lambda: fired.append("late"))
+        timers.call_after(1.0, lambda: fired.append("early"))
+        timers.advance(5.0)
+        assert fired == ["early", "late"]
+
+    def test_cancelled_subscription_stops(self):
+        """Guards against a periodic callback that survives its cancellation."""
+        timers = ManualTimerService()
+        fired = []
+        subscription = timers.subscribe(1.0, lambda: fired.append(timers.now()))
+        timers.advance(2.5)
+        subscription.cancel()
+        timers.advance(5.0)
+        assert fired == [1.0, 2.0]
+
+
+class TestPauseDetector:
+    """A gap between ticks is reported as a pause."""
+
+    def test_gap_is_reported_once(self):
+        """Guards against a stopped process that resumes unnoticed."""
+        timers = ManualTimerService()
+        gaps = []
+        detector = PauseDetector(timers, gaps.append)
+        timers.advance(10.0)
+        assert gaps == []
+        detector._last -= 60.0
+        timers.advance(1.0)
+        assert len(gaps) == 1
+        assert gaps[0] > 59.0
+
+
+class TestSupervisor:
+    """Children are restarted, and a hopeless child fails the supervisor."""
+
+    def test_failed_child_is_restarted(self):
+        """Guards against a background task that dies silently."""
+        runs = []
+
+        async def scenario():
+            supervisor = Supervisor("test", LoopTimerService())
+
+            async def child():
+                runs.append(1)
+                if len(runs) < 3:
+                    raise ValueError("boom")
+                await supervisor.stop()
+
+            supervisor.add("child", child)
+            await asyncio.wait_for(supervisor.run(), 5)
+
+        asyncio.run(scenario())
+        assert len(runs) == 3
+
+    def test_hopeless_child_fails_the_supervisor(self):
+        """Guards against an endless restart loop."""
+
+        async def scenario():
+            supervisor = Supervisor("test", LoopTimerService(), max_restarts=1)
+
+            async def child():
+                raise ValueError("boom")
+
+            supervisor.add("child", child)
+            await asyncio.wait_for(supervisor.run(), 5)
+
+        with pytest.raises(SupervisionError):
+            asyncio.run(scenario())
--- /dev/null
+++ b/camphorrun/core/timers.py
@@ -0,0 +1,184 @@
+"""Timer service: the only clock of the system.
+
+Daemons use ``LoopTimerService``; tests of decision logic use
+``ManualTimerService``, whose time moves only when the test says so.
+"""
+
+import asyncio
+import heapq
+import itertools
+import time
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+Callback = Callable[[], None]
+
+PAUSE_TICK_SECONDS = 0.25
+PAUSE_THRESHOLD_SECONDS = 2.0
+
+
+class TimerHandle:
+    """A pending callback that can be cancelled."""
+
+    __slots__ = ("_callback", "cancelled", "when")
+
+    def __init__(self, when: float, callback: Callback):
+        self.when = when
+        self._callback = callback
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        """Prevent the callback from running."""
+        self.cancelled = True
+
+    def fire(self) -> None:
+        """Run the callback unless it was cancelled."""
+        if not self.cancelled:
+            self._callback()
+
+
+class Subscription:
+    """A periodic callback of a timer service."""
+
+    __slots__ = ("_callback", "_handle", "_interval_s", "_timers")
+
+    def __init__(self, timers: "TimerService", interval_s: float, callback: Callback):
+        self._timers = timers
+        self._interval_s = interval_s
+        self._callback = callback
+        self._handle: TimerHandle | None = None
+        self._schedule()
+
+    def _schedule(self) -> None:
+        self._handle = self._timers.call_after(self._interval_s, self._run)
+
+    def _run(self) -> None:
+        self._schedule()
+        self._callback()
+
+    def cancel(self) -> None:
+        """Stop the periodic callback."""
+        if self._handle is not None:
+            self._handle.cancel()
+
+
+class TimerService(ABC):
+    """Monotonic time, delayed callbacks and periodic subscriptions."""
+
+    @abstractmethod
+    def now(self) -> float:
+        """Return monotonic time in seconds."""
+
+    @abstractmethod
+    def call_after(self, delay_s: float, callback: Callback) -> TimerHandle:
+        """Run ``callback`` once after ``delay_s`` seconds."""
+
+    @abstractmethod
+    async def sleep(self, delay_s: float) -> None:
+        """Suspend the calling task for ``delay_s`` seconds."""
+
+    def subscribe(self, interval_s: float, callback: Callback) -> Subscription:
+        """Run ``callback`` every ``interval_s`` seconds until cancelled.
+
+        Raises
+        ------
+        ValueError
+            If ``interval_s`` is not positive.
+        """
+        if interval_s <= 0:
+            raise ValueError(
+                f"interval_s: expected a positive number, got {interval_s}"
+            )
+        return Subscription(self, interval_s, callback)
+
+
+class LoopTimerService(TimerService):
+    """Timer service on the running asyncio event loop."""
+
+    def now(self) -> float:
+        """Return the monotonic clock of the host in seconds."""
+        return time.monotonic()
+
+    def call_after(self, delay_s: float, callback: Callback) -> TimerHandle:
+        """Run ``callback`` on the event loop after ``delay_s`` seconds."""
+        handle = TimerHandle(self.now() + delay_s, callback)
+        asyncio.get_running_loop().call_later(max(0.0, delay_s), handle.fire)
+        return handle
+
+    async def sleep(self, delay_s: float) -> None:
+        """Suspend the calling task for ``delay_s`` seconds."""
+        await asyncio.sleep(max(0.0, delay_s))
+
+
+class ManualTimerService(TimerService):
+    """Timer service whose time moves only by ``advance``.
+
+    Examples
+    --------
+    >>> timers = ManualTimerService()
+    >>> fired = []
+    >>> handle = timers.call_after(2.0, lambda: fired.append(timers.now()))
+    >>> timers.advance(3.0)
+    >>> fired, timers.now()
+    ([2.0], 3.0)
+    """
+
+    def __init__(self, start_s: float = 0.0):
+        self._now = start_s
+        self._order = itertools.count()
+        self._queue: list[tuple[float, int, TimerHandle]] = []
+
+    def now(self) -> float:
+        """Return the manual time in seconds."""
+        return self._now
+
+    def call_after(self, delay_s: float, callback: Callback) -> TimerHandle:
+        """Run ``callback`` when the manual time has advanced by ``delay_s``."""
+        handle = TimerHandle(self._now + max(0.0, delay_s), callback)
+        heapq.heappush(self._queue, (handle.when, next(self._order), handle))
+        return handle
+
+    async def sleep(self, delay_s: float) -> None:
+        """Suspend the calling task until the manual time has advanced."""
+        fut = asyncio.get_running_loop().create_future()
+        self.call_after(delay_s, lambda: fut.done() or fut.set_result(None))
+        await fut
+
+    def advance(self, seconds: float) -> None:
+        """Move time forward and run the callbacks that become due, in order."""
+        target = self._now + seconds
+        while self._queue and self._queue[0][0] <= target:
+            when, _, handle = heapq.heappop(self._queue)
+            self._now = max(self._now, when)
+            handle.fire()
+        self._now = target
+
+
+class PauseDetector:
+    """Reports when the process was stopped, by a gap between periodic ticks.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Source of ticks.
+    on_pause : callable
+        Called with the length of the gap in seconds.
+    """
+
+    def __init__(self, timers: TimerService, on_pause: Callable[[float], None]):
+        self._timers = timers
+        self._on_pause = on_pause
+        self._last = timers.now()
+        self._subscription = timers.subscribe(PAUSE_TICK_SECONDS, self.check)
+
+    def check(self) -> None:
+        """Compare the time since the last tick with the threshold."""
+        now = self._timers.now()
+        gap = now - self._last
+        self._last = now
+        if gap >= PAUSE_THRESHOLD_SECONDS:
+            self._on_pause(gap)
+
+    def cancel(self) -> None:
+        """Stop the detector."""
+        self._subscription.cancel()
