--- /dev/null
+++ b/camphorrun/metrics/registry.py
@@ -0,0 +1,101 @@
+"""Collectors of a daemon with bounded label sets.
+
+Each daemon owns one registry, so that several daemons can run in one process.
+"""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+_LATENCY_BUCKETS_SECONDS = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.0,
+    4.0,
+    10.0,
+    60.0,
+)
+
+
+class Metrics:
+    """Counters, gauges and histograms of one daemon.
+
+    Attributes are collectors; label values come from code constants, services and
+    templates only, never from callers.
+    """
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self.outcomes = self._counter(
+            "outcomes",
+            "Requests ended, by status, code and template.",
+            ("status", "code", "template"),
+        )
+        self.refusals = self._counter(
+            "refusals", "Work refused, by reason.", ("reason",)
+        )
+        self.retries = self._counter(
+            "retries", "Attempts repeated, by reason.", ("reason",)
+        )
+        self.drops = self._counter(
+            "drops", "Messages and replies dropped, by reason.", ("reason",)
+        )
+        self.reconnects = self._counter(
+            "reconnects", "Links replaced, by reason.", ("reason",)
+        )
+        self.config_records = self._counter(
+            "config_records", "Configuration records read, by result.", ("result",)
+        )
+        self.claims = self._counter(
+            "claims", "Claim decisions and appends, by result.", ("result",)
+        )
+        self.orders = self._counter(
+            "orders", "Endpoint orders, by result.", ("result",)
+        )
+        self.attempts = self._counter(
+            "attempts", "Attempts ended, by service and result.", ("service", "result")
+        )
+        self.request_seconds = Histogram(
+            "camphorrun_request_seconds",
+            "Time from acceptance to outcome.",
+            ("template",),
+            buckets=_LATENCY_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self.stage_seconds = Histogram(
+            "camphorrun_stage_seconds",
+            "Time of one stage, with its queue.",
+            ("service",),
+            buckets=_LATENCY_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self.in_flight = self._gauge("in_flight", "Work in flight now.")
+        self.queued = self._gauge("queued", "Work queued now.")
+        self.limit = self._gauge("concurrency_limit", "Concurrency limit now.")
+        self.links = self._gauge("links_up", "Links that answer heartbeats.")
+        self.position = Gauge(
+            "camphorrun_stream_position",
+            "Next offset to read, by stream.",
+            ("stream",),
+            registry=self.registry,
+        )
+
+    def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
+        return Counter(f"camphorrun_{name}", text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"camphorrun_{name}", text, registry=self.registry)
+
+    def render(self) -> bytes:
+        """Return the text exposition of all collectors."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/camphorrun/settings/__init__.py
@@ -0,0 +1,32 @@
+"""Settings of each role, decoded from JSON into checked types."""
+
+from .decoding import SettingsError, check_address, decode_settings, load_settings
+from .roles import (
+    AgentSettings,
+    EndpointSettings,
+    EntrySettings,
+    HostSettings,
+    KeySettings,
+    OperatorSettings,
+    PlatformSettings,
+    PolicySettings,
+    check_settings,
+    key_ring,
+)
+
+__all__ = [
+    "AgentSettings",
+    "EndpointSettings",
+    "EntrySettings",
+    "HostSettings",
+    "KeySettings",
+    "OperatorSettings",
+    "PlatformSettings",
+    "PolicySettings",
+    "SettingsError",
+    "check_address",
+    "check_settings",
+    "decode_settings",
+    "key_ring",
+    "load_settings",
+]
--- /dev/null
+++ b/camphorrun/settings/roles.py
@@ -0,0 +1,159 @@
+"""Settings of the daemons and of the operator commands."""
+
+from dataclasses import dataclass, field
+from functools import singledispatch
+from typing import Literal
+
+from ..messages import KeyRing, SharedKey
+from .decoding import SettingsError, check_address
+
+MIN_SECRET_BYTES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class KeySettings:
+    """One shared key; ``secret`` is hexadecimal, at least 16 bytes."""
+
+    key_id: int
+    secret: str
+
+    def __post_init__(self):
+        if not 0 <= self.key_id <= 255:
+            raise ValueError(f"key_id: expected 0 to 255, got {self.key_id}")
+        try:
+            secret = bytes.fromhex(self.secret)
+        except ValueError:
+            raise ValueError("secret: expected hexadecimal digits") from None
+        if len(secret) < MIN_SECRET_BYTES:
+            raise ValueError(f"secret: expected {MIN_SECRET_BYTES} bytes or more")
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Base URLs of the platform's services; empty when a role does not use one."""
+
+    log_url: str
+    host_list_url: str = ""
+    weight_store_url: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """Identity and addresses of a daemon (``ip:port``)."""
+
+    name: str
+    availability_zone: str
+    region: str
+    listen: str
+    relay_listen: str = ""
+
+    def __post_init__(self):
+        if not self.name or not self.availability_zone or not self.region:
+            raise ValueError("host: name, availability_zone and region must be set")
+        check_address(self.listen, "host.listen")
+        if self.relay_listen:
+            check_address(self.relay_listen, "host.relay_listen")
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointSettings:
+    """The endpoint beside an agent."""
+
+    url: str
+    service: str
+    kind: Literal["engine", "pool", "plain"] = "plain"
+    reports_load: bool = True
+    checks_fencing: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PolicySettings:
+    """Selectable decision policies; the defaults are the recommended ones."""
+
+    routing: str = "balanced"
+    queue: str = "least_laxity"
+    admission: str = "predictive"
+    retries: str = "budgeted"
+    seed: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Settings of the ``entry`` role.
+
+    ``max_body_bytes`` bounds one request and ``max_requests`` the requests in
+    flight. ``operator_credential`` authorises the drain call.
+    """
+
+    host: HostSettings
+    platform: PlatformSettings
+    keys: tuple[KeySettings, ...]
+    operator_credential: str
+    policy: PolicySettings = field(default_factory=PolicySettings)
+    max_body_bytes: int = 4 * 1024 * 1024
+    max_requests: int = 2000
+    drain_grace_s: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class AgentSettings:
+    """Settings of the ``agent`` role."""
+
+    host: HostSettings
+    platform: PlatformSettings
+    endpoint: EndpointSettings
+    keys: tuple[KeySettings, ...]
+    operator_credential: str
+    policy: PolicySettings = field(default_factory=PolicySettings)
+    initial_limit: int = 8
+    max_queue: int = 256
+    result_keep_s: float = 30.0
+    result_keep_bytes: int = 16 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorSettings:
+    """Settings of ``ctl``."""
+
+    platform: PlatformSettings
+    operator: str
+    operator_credential: str
+
+
+def key_ring(keys: tuple[KeySettings, ...]) -> KeyRing:
+    """Return the key ring for the configured keys, the first one active."""
+    return KeyRing(
+        tuple(SharedKey(key.key_id, bytes.fromhex(key.secret)) for key in keys)
+    )
+
+
+@singledispatch
+def check_settings(settings: object) -> None:
+    """Check what the types alone cannot express.
+
+    Raises
+    ------
+    SettingsError
+        Naming the field at fault.
+    """
+
+
+@check_settings.register
+def _check_entry(settings: EntrySettings) -> None:
+    _check_keys(settings.keys)
+    if not settings.platform.host_list_url:
+        raise SettingsError(
+            "platform.host_list_url: must be set", field="platform.host_list_url"
+        )
+
+
+@check_settings.register
+def _check_agent(settings: AgentSettings) -> None:
+    _check_keys(settings.keys)
+    if settings.initial_limit < 1:
+        raise SettingsError("initial_limit: expected 1 or more", field="initial_limit")
+
+
+def _check_keys(keys: tuple[KeySettings, ...]) -> None:
+    if not keys:
+        raise SettingsError("keys: expected at least one key", field="keys")
--- /dev/null
+++ b/camphorrun/settings/tests/test_settings.py
@@ -0,0 +1,53 @@
+"""Tests of settings: every mistake is refused with the path of the field."""
+
+import msgspec
+import pytest
+
+from .. import AgentSettings, SettingsError, check_settings, decode_settings
+
+_GOOD = {
+    "host": {
+        "name": "agent-1",
+        "availability_zone": "a",
+        "region": "r",
+        "listen": "127.0.0.1:9000",
+    },
+    "platform": {"log_url": "http://127.0.0.1:9100"},
+    "endpoint": {"url": "http://127.0.0.1:9200", "service": "generate"},
+    "keys": [{"key_id": 1, "secret": "00" * 16}],
+    "operator_credential": "secret",
+}
+
+
+def _decode(**changes) -> object:
+    settings = decode_settings(msgspec.json.encode({**_GOOD, **changes}), AgentSettings)
+    check_settings(settings)
+    return settings
+
+
+class TestDecodeSettings:
+    """Wrong settings are refused before the daemon starts."""
+
+    def test_good_settings_are_accepted(self):
+        """Guards against checks that refuse correct settings."""
+        assert _decode().endpoint.service == "generate"
+
+    @pytest.mark.parametrize(
+        ("changes", "field"),
+        [
+            ({"surprise": 1}, "$.surprise"),
+            ({"initial_limit": "many"}, "$.initial_limit"),
+            ({"host": {**_GOOD["host"], "listen": "nowhere"}}, "listen"),
+            ({"host": {**_GOOD["host"], "availability_zone": ""}}, "host"),
+            ({"host": {"name": "x"}}, "$.host"),
+            ({"keys": []}, "keys"),
+            ({"keys": [{"key_id": 1, "secret": "zz"}]}, "keys"),
+            ({"endpoint": {**_GOOD["endpoint"], "kind": "x"}}, "$.endpoint.kind"),
+            ({"endpoint": {**_GOOD["endpoint"], "extra": 1}}, "$.endpoint.extra"),
+        ],
+    )
+    def test_mistake_is_refused_with_its_field(self, changes, field):
+        """Guards against a daemon that starts with settings it ignores."""
+        with pytest.raises(SettingsError) as caught:
+            _decode(**changes)
+        assert field in caught.value.field
