--- a/camphorrun/core/__init__.py
+++ b/camphorrun/core/__init__.py
@@ -2,11 +2,14 @@
 
 Public: ``CamphorrunError``, ``TimerService``, ``LoopTimerService``,
 ``ManualTimerService``, ``PauseDetector``, ``Supervisor``, ``SupervisionError``,
-``new_identifier``.
+``new_identifier``, ``LogStore``, ``LogRecord``,
+``LogPage``, ``LogError``, ``MemoryLog``, ``AppendFault``.
 """
 
 from .errors import CamphorrunError
 from .identifiers import new_identifier
+from .log import LogError, LogPage, LogRecord, LogStore
+from .memory_log import AppendFault, MemoryLog
 from .supervision import SupervisionError, Supervisor
 from .timers import (
     LoopTimerService,
@@ -18,9 +21,15 @@
 )
 
 __all__ = [
+    "AppendFault",
     "CamphorrunError",
+    "LogError",
+    "LogPage",
+    "LogRecord",
+    "LogStore",
     "LoopTimerService",
     "ManualTimerService",
+    "MemoryLog",
     "PauseDetector",
     "Subscription",
     "SupervisionError",
