--- /dev/null
+++ b/camphorrun/platform/__init__.py
@@ -0,0 +1,32 @@
+"""Clients of outside systems: log service, host list, weight store, endpoints."""
+
+from .endpoint_client import (
+    FENCING_HEADER,
+    KEY_HEADER,
+    EndpointCall,
+    EndpointClient,
+    EndpointLoad,
+    EndpointReply,
+    StreamPart,
+)
+from .errors import EndpointError, PlatformError
+from .host_list import HostEntry, HostList, HostListClient
+from .log_client import AppendReply, AppendRequest, LogClient
+
+__all__ = [
+    "FENCING_HEADER",
+    "KEY_HEADER",
+    "AppendReply",
+    "AppendRequest",
+    "EndpointCall",
+    "EndpointClient",
+    "EndpointError",
+    "EndpointLoad",
+    "EndpointReply",
+    "HostEntry",
+    "HostList",
+    "HostListClient",
+    "LogClient",
+    "PlatformError",
+    "StreamPart",
+]
--- /dev/null
+++ b/camphorrun/platform/endpoint_client.py
@@ -0,0 +1,185 @@
+"""Client of the endpoint beside an agent, over HTTP."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from .errors import EndpointError
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+CONTROL_TIMEOUT_SECONDS = 2.0
+FENCING_HEADER = "X-Fencing-Token"
+KEY_HEADER = "Idempotency-Key"
+MAX_LINE_BYTES = 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointCall:
+    """One call of an endpoint.
+
+    ``call_id`` identifies the call for cancellation and resumption. ``priority`` is 0
+    for the highest. ``fencing_token`` and ``key`` are sent as headers when set.
+    """
+
+    call_id: str
+    operation: str
+    model: str
+    input: msgspec.Raw
+    priority: int = 2
+    stream: bool = False
+    output_units: int = 0
+    from_sequence: int = 0
+    key: str = ""
+    fencing_token: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointReply:
+    """Whole result of a call; ``output`` is JSON."""
+
+    output: msgspec.Raw
+    input_units: int = 0
+    output_units: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StreamPart:
+    """One line of a streamed result; the last one has ``end`` set."""
+
+    sequence: int
+    text: str = ""
+    units: int = 0
+    end: bool = False
+    input_units: int = 0
+    output_units: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointLoad:
+    """Load as the endpoint reports it, which may lag."""
+
+    in_flight: int = 0
+    queued: int = 0
+
+
+_PART = msgspec.json.Decoder(StreamPart)
+_REPLY = msgspec.json.Decoder(EndpointReply)
+_BODY_FIELDS = (
+    "call_id",
+    "operation",
+    "model",
+    "input",
+    "priority",
+    "stream",
+    "output_units",
+    "from_sequence",
+)
+
+
+class EndpointClient:
+    """Calls one endpoint."""
+
+    def __init__(self, session: aiohttp.ClientSession, base_url: str):
+        self._session = session
+        self._base_url = base_url.rstrip("/")
+
+    async def call(self, call: EndpointCall, timeout_s: float) -> EndpointReply:
+        """Run a call and return its whole result.
+
+        Raises
+        ------
+        EndpointError
+            With ``executed`` telling whether it may have taken effect.
+        """
+        try:
+            async with self._post(call, timeout_s) as resp:
+                await self._check(resp)
+                return _REPLY.decode(await resp.read())
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as exc:
+            raise _converted(exc) from exc
+
+    async def stream(
+        self, call: EndpointCall, timeout_s: float
+    ) -> AsyncIterator[StreamPart]:
+        """Run a call and yield the parts of its result.
+
+        Raises
+        ------
+        EndpointError
+            If the stream fails; it can be resumed with ``from_sequence``.
+        """
+        ended = False
+        try:
+            async with self._post(call, timeout_s) as resp:
+                await self._check(resp)
+                async for line in resp.content:
+                    part = _PART.decode(line)
+                    ended = part.end
+                    yield part
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as exc:
+            raise _converted(exc) from exc
+        if not ended:
+            raise EndpointError("stream ended early", code="stream_cut")
+
+    async def cancel(self, call_id: str) -> None:
+        """Cancel a call; errors are ignored because the call may have ended."""
+        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_SECONDS)
+        try:
+            async with self._session.delete(
+                f"{self._base_url}/v1/calls/{call_id}", timeout=timeout
+            ):
+                return
+        except (aiohttp.ClientError, TimeoutError):
+            return
+
+    async def load(self) -> EndpointLoad:
+        """Return the reported load or raise ``EndpointError``."""
+        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_SECONDS)
+        try:
+            async with self._session.get(
+                f"{self._base_url}/v1/load", timeout=timeout
+            ) as resp:
+                resp.raise_for_status()
+                return msgspec.json.decode(await resp.read(), type=EndpointLoad)
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as exc:
+            raise _converted(exc) from exc
+
+    def _post(self, call: EndpointCall, timeout_s: float):
+        headers = {"Content-Type": "application/json"}
+        if call.key:
+            headers[KEY_HEADER] = call.key
+        if call.fencing_token:
+            headers[FENCING_HEADER] = str(call.fencing_token)
+        body = {name: getattr(call, name) for name in _BODY_FIELDS}
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=CONNECT_TIMEOUT_SECONDS
+        )
+        return self._session.post(
+            f"{self._base_url}/v1/calls",
+            data=msgspec.json.encode(body),
+            headers=headers,
+            timeout=timeout,
+            read_bufsize=MAX_LINE_BYTES,
+        )
+
+    @staticmethod
+    async def _check(resp: aiohttp.ClientResponse) -> None:
+        if resp.status == 200:
+            return
+        code = resp.headers.get("X-Error-Code", f"status_{resp.status}")
+        # Endpoints answer 429 and 503 before they execute anything.
+        executed = resp.status not in (429, 503)
+        raise EndpointError(
+            f"endpoint: status {resp.status}", code=code, executed=executed
+        )
+
+
+def _converted(exc: Exception) -> EndpointError:
+    """Return the endpoint error for an HTTP client error."""
+    if isinstance(exc, aiohttp.ClientConnectorError):
+        return EndpointError(str(exc), code="connect_failed", executed=False)
+    if isinstance(exc, TimeoutError):
+        return EndpointError("no answer in time", code="endpoint_timeout")
+    return EndpointError(repr(exc), code="endpoint_broken")
