--- /dev/null
+++ b/camphorrun/agent/daemon.py
@@ -0,0 +1,210 @@
+"""The agent daemon: one endpoint, its queue, and links from entries."""
+
+import asyncio
+
+import aiohttp
+from aiohttp import web
+
+from ..claims import ClaimAppender, ClaimFollower, ClaimLedger, StartCoordinator
+from ..core import LoopTimerService, Supervisor, TimerService, new_identifier
+from ..daemon import (
+    AdminRoutes,
+    ConfigurationSync,
+    HostWatcher,
+    Lifecycle,
+    start_server,
+)
+from ..limits import ConcurrencyLimit, StageQueue, queue_policy_by_name
+from ..messages import DrainNotice, Hello, Ping, Pong
+from ..metrics import Metrics
+from ..platform import EndpointClient, HostEntry, HostListClient, LogClient
+from ..settings import AgentSettings, key_ring
+from ..transport import LINK_PATH, Link, LinkListener
+from .attempts import AttemptStore
+from .endpoint_runner import EndpointRunner
+from .outcome_store import OutcomeStore
+from .worker import AgentWorker, send_part
+
+DRAIN_POLL_SECONDS = 0.05
+CLAIMS_DRAIN_SECONDS = 10.0
+FLEET_STREAM = "fleet"
+
+
+class AgentDaemon:
+    """Builds and runs the parts of an agent.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+        Checked settings.
+    timers : TimerService, optional
+        Clock.
+    """
+
+    def __init__(self, settings: AgentSettings, timers: TimerService | None = None):
+        self.settings = settings
+        self.incarnation = new_identifier("agent")
+        self.timers = timers or LoopTimerService()
+        self.metrics = Metrics()
+        self.lifecycle = Lifecycle(settings.host.name)
+        self._supervisor = Supervisor(settings.host.name, self.timers)
+
+    async def run(self) -> None:
+        """Serve until a drain has ended."""
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            self._build(session)
+            runner = await start_server(self._application(), self.settings.host.listen)
+            supervised = asyncio.ensure_future(self._supervisor.run())
+            try:
+                self.lifecycle.serve()
+                await self._serve_until_drained(supervised)
+            finally:
+                await self._supervisor.stop()
+                await self._listener.close()
+                await runner.cleanup()
+
+    def drain(self, reason: str) -> None:
+        """Start the graceful shutdown."""
+        self.lifecycle.drain(reason)
+
+    def _build(self, session: aiohttp.ClientSession) -> None:
+        settings = self.settings
+        log = LogClient(session, settings.platform.log_url)
+        follower = ClaimFollower(log, ClaimLedger(), self.timers)
+        self._claims = StartCoordinator(
+            ClaimAppender(log, self.timers),
+            follower,
+            self.timers,
+            host=settings.host.name,
+            incarnation=self.incarnation,
+        )
+        self._sync = ConfigurationSync(
+            log,
+            (FLEET_STREAM,),
+            follower,
+            None,
+            timers=self.timers,
+            metrics=self.metrics,
+        )
+        self._worker = self._build_worker(session)
+        self._listener = self._build_listener()
+        self._sync.subscribe(self._check_drain)
+        self._sync.start(self._supervisor)
+        if settings.platform.host_list_url:
+            hosts = HostListClient(session, settings.platform.host_list_url)
+            watcher = HostWatcher(hosts, self.timers, self._on_hosts)
+            self._supervisor.add("host-list", watcher.run)
+        self.lifecycle.subscribe_drain(self._on_drain)
+
+    def _build_worker(self, session: aiohttp.ClientSession) -> AgentWorker:
+        settings = self.settings
+        endpoint = EndpointClient(session, settings.endpoint.url)
+        policy = queue_policy_by_name(settings.policy.queue)
+        return AgentWorker(
+            self.incarnation,
+            EndpointRunner(endpoint, self.timers, send_part),
+            self._claims,
+            queue=StageQueue(policy, settings.max_queue),
+            limit=ConcurrencyLimit(settings.initial_limit),
+            store=AttemptStore(settings.result_keep_s, settings.result_keep_bytes),
+            outcomes=OutcomeStore(),
+            timers=self.timers,
+            metrics=self.metrics,
+        )
+
+    def _build_listener(self) -> LinkListener:
+        host = self.settings.host
+        local = Hello(
+            host.name,
+            host.availability_zone,
+            "agent",
+            self.incarnation,
+            b"",
+            self.settings.endpoint.service,
+        )
+        return LinkListener(
+            key_ring(self.settings.keys),
+            local,
+            self.timers,
+            self.metrics,
+            handler=lambda link, message: self._worker.handle(message, link),
+            answer_ping=self._pong,
+            on_down=self._on_link_down,
+        )
+
+    def _application(self) -> web.Application:
+        app = web.Application()
+        AdminRoutes(
+            self.lifecycle,
+            self.metrics,
+            self.settings.operator_credential,
+            is_ready=lambda: self._sync.synchronised,
+            status=self._status,
+        ).add_to(app)
+        app.router.add_get(LINK_PATH, self._listener.handle)
+        return app
+
+    def _pong(self, ping: Ping) -> Pong:
+        self._sync.note_peer_positions(ping.positions)
+        return Pong(
+            ping.nonce,
+            self._sync.positions(),
+            self._worker.load(),
+            not self.lifecycle.accepts_work,
+        )
+
+    def _on_link_down(self, _link: Link) -> None:
+        """Keep attempts of a lost link; its entry resumes or their time ends."""
+
+    def _status(self) -> dict[str, object]:
+        load = self._worker.load()
+        return {
+            "host": self.settings.host.name,
+            "role": "agent",
+            "service": self.settings.endpoint.service,
+            "state": self.lifecycle.state,
+            "drain_reason": self.lifecycle.drain_reason,
+            "incarnation": self.incarnation,
+            "synchronised": self._sync.synchronised,
+            "positions": self._sync.positions(),
+            "unfinished": self._worker.unfinished,
+            "in_flight": load.in_flight,
+            "queued": load.queued,
+            "limit": load.limit,
+            "pending_claims": self._claims.pending,
+        }
+
+    # Drain.
+
+    def _check_drain(self) -> None:
+        name = self.settings.host.name
+        drain = self._sync.view(FLEET_STREAM).get("drain", name)
+        if drain is not None:
+            self.lifecycle.drain(f"configuration: {drain.reason}")
+
+    def _on_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
+        name = self.settings.host.name
+        if any(entry.host == name and entry.state == "leaving" for entry in hosts):
+            self.lifecycle.drain("host list marks the host as leaving")
+
+    def _on_drain(self, reason: str) -> None:
+        self._worker.refuse_new_work("draining")
+        self._listener.broadcast(DrainNotice(reason))
+
+    async def _serve_until_drained(self, supervised: asyncio.Future) -> None:
+        drained = asyncio.ensure_future(self._finish_drain())
+        done, _ = await asyncio.wait(
+            {drained, supervised}, return_when=asyncio.FIRST_COMPLETED
+        )
+        drained.cancel()
+        for task in done:
+            task.result()
+
+    async def _finish_drain(self) -> None:
+        """Wait for the drain, then until nothing is in flight or unacknowledged."""
+        await self.lifecycle.wait_for_drain()
+        while self._worker.known_attempts:
+            await self.timers.sleep(DRAIN_POLL_SECONDS)
+        await self._claims.drain(CLAIMS_DRAIN_SECONDS)
+        self.lifecycle.stopped()
--- /dev/null
+++ b/camphorrun/daemon/configuration_sync.py
@@ -0,0 +1,93 @@
+"""Keeps the configuration and claims of a daemon in step with the log."""
+
+from collections.abc import Callable
+
+from absl import logging
+
+from ..claims import ClaimFollower
+from ..configuration import ConfigurationView, SnapshotSource, StreamFollower
+from ..core import LogStore, PauseDetector, Supervisor, TimerService
+from ..metrics import Metrics
+
+POSITION_METRIC_SECONDS = 1.0
+
+
+class ConfigurationSync:
+    """Followers of the streams that a daemon reads.
+
+    Parameters
+    ----------
+    log : LogStore
+        The log service.
+    streams : tuple of str
+        Configuration streams to follow.
+    claims : ClaimFollower
+        Follower of the claims stream.
+    source : SnapshotSource
+        Peers, for times when the log is unavailable.
+    timers, metrics
+        Clock and counters.
+    """
+
+    def __init__(
+        self,
+        log: LogStore,
+        streams: tuple[str, ...],
+        claims: ClaimFollower,
+        source: SnapshotSource | None,
+        *,
+        timers: TimerService,
+        metrics: Metrics,
+    ):
+        self._claims = claims
+        self._timers = timers
+        self._metrics = metrics
+        self.followers = {
+            stream: StreamFollower(
+                log, ConfigurationView(stream), timers, source=source, metrics=metrics
+            )
+            for stream in streams
+        }
+        self._pauses: PauseDetector | None = None
+
+    @property
+    def synchronised(self) -> bool:
+        """Whether every stream was read to its end since the start or last pause."""
+        return all(follower.synchronised for follower in self.followers.values())
+
+    def view(self, stream: str) -> ConfigurationView:
+        """Return the view of a stream."""
+        return self.followers[stream].view
+
+    def positions(self) -> dict[str, int]:
+        """Return the position of each configuration stream."""
+        return {name: each.position for name, each in self.followers.items()}
+
+    def note_peer_positions(self, positions: dict[str, int]) -> None:
+        """Take note of the positions that a peer reported."""
+        for name, position in positions.items():
+            if name in self.followers:
+                self.followers[name].note_peer_position(position)
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` after each change of the configuration."""
+        for follower in self.followers.values():
+            follower.subscribe(lambda _keys: callback())
+
+    def start(self, supervisor: Supervisor) -> None:
+        """Add the followers to a supervisor and start to watch for pauses."""
+        for name, follower in self.followers.items():
+            supervisor.add(f"follow-{name}", follower.run)
+            supervisor.add(f"catch-up-{name}", follower.run_catch_up)
+        supervisor.add("follow-claims", self._claims.run)
+        self._pauses = PauseDetector(self._timers, self._on_pause)
+        self._timers.subscribe(POSITION_METRIC_SECONDS, self._show_positions)
+
+    def _on_pause(self, gap_s: float) -> None:
+        logging.warning("process was stopped for %.1f s; reading the log again", gap_s)
+        for follower in self.followers.values():
+            follower.mark_paused()
+
+    def _show_positions(self) -> None:
+        for name, position in self.positions().items():
+            self._metrics.position.labels(name).set(position)
--- /dev/null
+++ b/camphorrun/daemon/hosts.py
@@ -0,0 +1,57 @@
+"""Watches the platform's host list."""
+
+from collections.abc import Callable
+
+from absl import logging
+
+from ..core import TimerService
+from ..platform import HostEntry, HostListClient, PlatformError
+
+POLL_SECONDS = 1.0
+
+
+class HostWatcher:
+    """Polls the host list and reports it to a callback.
+
+    The last list stays in use while the platform does not answer.
+
+    Parameters
+    ----------
+    client : HostListClient
+        Source of the list.
+    timers : TimerService
+        Clock.
+    on_list : callable
+        Called with each list that was read.
+    """
+
+    def __init__(
+        self,
+        client: HostListClient,
+        timers: TimerService,
+        on_list: Callable[[tuple[HostEntry, ...]], None],
+    ):
+        self._client = client
+        self._timers = timers
+        self._on_list = on_list
+        self._available = True
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await self._poll()
+            await self._timers.sleep(POLL_SECONDS)
+
+    async def _poll(self) -> None:
+        try:
+            listed = await self._client.fetch()
+        except PlatformError as exc:
+            self._set_available(False, str(exc))
+            return
+        self._set_available(True, "answers again")
+        self._on_list(listed.hosts)
+
+    def _set_available(self, available: bool, detail: str) -> None:
+        if available != self._available:
+            self._available = available
+            logging.warning("host list: %s", detail)
--- /dev/null
+++ b/camphorrun/daemon/server.py
@@ -0,0 +1,26 @@
+"""HTTP server of a daemon."""
+
+from aiohttp import web
+
+SHUTDOWN_SECONDS = 2.0
+
+
+async def start_server(app: web.Application, address: str) -> web.AppRunner:
+    """Serve an application on ``ip:port`` and return its runner.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be bound.
+    """
+    host, _, port = address.rpartition(":")
+    runner = web.AppRunner(
+        app,
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=SHUTDOWN_SECONDS,
+    )
+    await runner.setup()
+    site = web.TCPSite(runner, host.strip("[]"), int(port))
+    await site.start()
+    return runner
--- /dev/null
+++ b/camphorrun/entry/__init__.py
@@ -0,0 +1,5 @@
+"""The entry daemon, which serves callers."""
+
+from .daemon import EntryDaemon
+
+__all__ = ["EntryDaemon"]
--- /dev/null
+++ b/camphorrun/entry/request_service.py
@@ -0,0 +1,174 @@
+"""Runs planned requests: admission, duplicates, execution, outcome."""
+
+from collections import OrderedDict
+
+from ..admission import AdmissionController, AdmissionRequest, Refused
+from ..configuration import Account
+from ..core import TimerService
+from ..messages import StageCost
+from ..metrics import Metrics
+from ..pipeline import (
+    Outcome,
+    OutcomeStatus,
+    PartHandler,
+    PipelineError,
+    PipelineExecutor,
+    RequestPlan,
+)
+from .claim_resolver import LogClaimResolver
+from .outcome_cache import OutcomeCache
+
+MAX_EXPLAINED = 2000
+
+
+class RequestService:
+    """Takes a plan from admission to its one outcome.
+
+    Parameters
+    ----------
+    executor : PipelineExecutor
+        Runs the stages.
+    admission : AdmissionController
+        Decides whether a request may start.
+    cache : OutcomeCache
+        Outcomes of keyed requests.
+    claims : LogClaimResolver
+        Makes refusals of non-idempotent requests true.
+    timers, metrics
+        Clock and counters.
+    """
+
+    def __init__(
+        self,
+        executor: PipelineExecutor,
+        admission: AdmissionController,
+        cache: OutcomeCache,
+        claims: LogClaimResolver,
+        *,
+        timers: TimerService,
+        metrics: Metrics,
+    ):
+        self._executor = executor
+        self._admission = admission
+        self._cache = cache
+        self._claims = claims
+        self._timers = timers
+        self._metrics = metrics
+        self._recent: OrderedDict[str, tuple[str, Outcome]] = OrderedDict()
+        self.in_flight = 0
+
+    def explain(self, request_id: str, account: str) -> Outcome | None:
+        """Return a recent request of a client account; any account if empty."""
+        owner, outcome = self._recent.get(request_id, ("", None))
+        return outcome if account in ("", owner) else None
+
+    async def run(
+        self, plan: RequestPlan, account: Account, on_part: PartHandler | None = None
+    ) -> Outcome:
+        """Return the outcome of a request.
+
+        Raises
+        ------
+        RequestError
+            If the key was used with another body.
+        """
+        if plan.key:
+            known = await self._cache.find(plan.account, plan.key, plan.body_digest)
+            if known is not None:
+                self._metrics.refusals.labels("duplicate_request").inc()
+                return known
+            if self._cache.is_running(plan.account, plan.key):
+                return await self.run(plan, account, on_part)
+        return await self._run_new(plan, account, on_part)
+
+    async def _run_new(
+        self, plan: RequestPlan, account: Account, on_part: PartHandler | None
+    ) -> Outcome:
+        outcome = None
+        if plan.key:
+            self._cache.begin(plan)
+        started_at = self._timers.now()
+        self.in_flight += 1
+        self._metrics.in_flight.set(self.in_flight)
+        try:
+            outcome = await self._admit_and_run(plan, account, on_part)
+        finally:
+            self.in_flight -= 1
+            self._metrics.in_flight.set(self.in_flight)
+            if plan.key:
+                self._cache.end(plan, outcome)
+        self._record(plan, outcome, self._timers.now() - started_at)
+        return outcome
+
+    async def _admit_and_run(
+        self, plan: RequestPlan, account: Account, on_part: PartHandler | None
+    ) -> Outcome:
+        now = self._timers.now()
+        predicted_s = self._executor.predicted_s(plan)
+        request = AdmissionRequest(
+            account=plan.account,
+            weight=account.weight,
+            priority=plan.priority,
+            remaining_s=plan.deadline_at - now,
+            predicted_s=predicted_s,
+            cost=self._executor.work_s(plan),
+        )
+        decision = self._admission.admit(request, now)
+        if isinstance(decision, Refused):
+            return await self.refuse(plan, decision.code, decision.retry_after_s)
+        try:
+            return await self._executor.run(plan, on_part)
+        finally:
+            self._admission.release(plan.account, request.cost, self._timers.now())
+
+    async def refuse(
+        self, plan: RequestPlan, code: str, retry_after_s: float = 0.0
+    ) -> Outcome:
+        """Return the refusal of a request that was not dispatched.
+
+        ``not_run`` must also be true of attempts through other entries with the same
+        key, so the keys of non-idempotent stages are ruled out first.
+        """
+        self._metrics.refusals.labels(code).inc()
+        error = await self._claims.rule_out(plan)
+        if error is None:
+            error = PipelineError(
+                f"not admitted: {code}", code=code, retry_after_s=retry_after_s
+            )
+        return Outcome(
+            plan.request_id,
+            error.status,
+            code=error.code,
+            detail=str(error),
+            safe_to_repeat=error.safe_to_repeat,
+            retry_after_s=error.retry_after_s,
+        )
+
+    def _record(self, plan: RequestPlan, outcome: Outcome, seconds: float) -> None:
+        labels = (outcome.status.value, outcome.code, plan.template)
+        self._metrics.outcomes.labels(*labels).inc()
+        self._metrics.request_seconds.labels(plan.template).observe(seconds)
+        met = (
+            outcome.status is OutcomeStatus.ANSWERED
+            and self._timers.now() <= plan.deadline_at
+        )
+        self._admission.on_outcome(met, self._timers.now())
+        self._recent[plan.request_id] = (plan.account, outcome)
+        while len(self._recent) > MAX_EXPLAINED:
+            self._recent.popitem(last=False)
+
+
+def total_cost(outcome: Outcome) -> dict[str, StageCost]:
+    """Return the cost of all attempts of each stage of a request, by stage name."""
+    totals: dict[str, StageCost] = {}
+    for stage in outcome.stages:
+        for attempt in stage.attempts:
+            totals[stage.name] = _sum(totals.get(stage.name), attempt.cost)
+    return totals
+
+
+def _sum(total: StageCost | None, cost: StageCost) -> StageCost:
+    if total is None:
+        return cost
+    names = StageCost.__slots__
+    return StageCost(*(getattr(total, n) + getattr(cost, n) for n in names))
--- /dev/null
+++ b/camphorrun/entry/stage_runner.py
@@ -0,0 +1,392 @@
+"""Runs one stage: choice of endpoint, attempts, retries and claims."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+from typing import Protocol
+
+import msgspec
+
+from ..core import TimerService
+from ..messages import (
+    AttemptId,
+    ClaimLost,
+    Dispatch,
+    NotStarted,
+    ResultEnd,
+    ResultPart,
+    StageCost,
+)
+from ..metrics import Metrics
+from ..pipeline import (
+    AttemptTrace,
+    OutcomeStatus,
+    PipelineError,
+    PlannedStage,
+    RequestPlan,
+    StageCall,
+    prompt_prefix,
+)
+from ..retries import Backoff, RetryBudget
+from ..routing import NoEndpoint, Router, StageEstimator, StageRequest
+from .agent_peer import AgentPeer, AttemptResult
+from .errors import AttemptLostError
+
+MAX_ATTEMPTS = 4
+FIRST_BACKOFF_SECONDS = 0.01
+MAX_BACKOFF_SECONDS = 0.5
+# Time without any usable endpoint that is bridged, for instance during reconnection.
+NO_ENDPOINT_GRACE_SECONDS = 1.0
+NO_ENDPOINT_POLL_SECONDS = 0.05
+# Codes with which an agent refuses work that another agent could still take.
+MOVABLE_CODES = frozenset(
+    {
+        "attempt_unknown",
+        "displaced",
+        "draining",
+        "no_link",
+        "link_lost",
+        "not_synchronised",
+        "queue_full",
+        "send_queue_full",
+        "stale_incarnation",
+    }
+)
+
+
+class ClaimResolver(Protocol):
+    """Decides what became of non-idempotent calls."""
+
+    def claim_key(self, plan: RequestPlan, stage: PlannedStage) -> str:
+        """Return the claim key of a stage of a request."""
+        ...
+
+    async def settle(self, call: StageCall, code: str) -> bytes:
+        """Return the output of the call, or raise a truthful ``PipelineError``."""
+        ...
+
+
+@dataclass(slots=True)
+class _StageProgress:
+    """State of one run of a stage across its attempts."""
+
+    attempt: int = 0
+    exclude: set[str] = field(default_factory=set)
+    last_code: str = ""
+    retry_after_s: float = 0.0
+    parts_sent: bool = False
+
+
+class StageRunner:
+    """``StageDispatcher`` over the agents of this entry.
+
+    Parameters
+    ----------
+    peers_of : callable
+        Returns the peers of a service.
+    router, estimator, budget, backoff
+        Decisions.
+    claims : ClaimResolver
+        Settles non-idempotent calls.
+    timers, metrics
+        Clock and counters.
+    """
+
+    def __init__(
+        self,
+        peers_of: Callable[[str], Sequence[AgentPeer]],
+        router: Router,
+        estimator: StageEstimator,
+        budget: RetryBudget,
+        backoff: Backoff,
+        *,
+        claims: ClaimResolver,
+        timers: TimerService,
+        metrics: Metrics,
+    ):
+        self._peers_of = peers_of
+        self._router = router
+        self._estimator = estimator
+        self._budget = budget
+        self._backoff = backoff
+        self._claims = claims
+        self._timers = timers
+        self._metrics = metrics
+
+    def predicted_s(self, plan: RequestPlan, stage: PlannedStage) -> float:
+        """Return the predicted service time and queue wait of a stage in seconds."""
+        states = [peer.state for peer in self._peers_of(stage.service)]
+        wait_s = self._estimator.queue_wait_s(stage.service, states, self._timers.now())
+        return wait_s + self.work_s(plan, stage)
+
+    def work_s(self, plan: RequestPlan, stage: PlannedStage) -> float:
+        """Return the predicted service time of a stage in seconds."""
+        return self._estimator.estimate_s(
+            stage.service, stage.model, plan.input_units, stage.output_units
+        )
+
+    async def run(self, call: StageCall) -> bytes:
+        """Return the JSON output of the stage or raise ``PipelineError``."""
+        self._budget.deposit(self._timers.now())
+        progress = _StageProgress()
+        while True:
+            peer = await self._choose(call, progress)
+            result = await self._attempt(call, peer, progress)
+            output = await self._after(result, call, peer, progress)
+            if output is not None:
+                return output
+
+    # Choice of endpoint.
+
+    async def _choose(self, call: StageCall, progress: _StageProgress) -> AgentPeer:
+        """Return a peer for the next attempt, waiting a little for one."""
+        give_up_at = self._timers.now() + NO_ENDPOINT_GRACE_SECONDS
+        while True:
+            self._check_deadline(call, progress)
+            peers = self._peers_of(call.stage.service)
+            choice = self._router.choose(
+                [peer.state for peer in peers],
+                self._stage_request(call, progress),
+                self._timers.now(),
+            )
+            if not isinstance(choice, NoEndpoint):
+                return next(p for p in peers if p.state is choice.endpoint)
+            if choice.reason == "excluded" and progress.last_code:
+                await self._give_up(call, progress, progress.last_code)
+            if self._timers.now() >= give_up_at:
+                progress.retry_after_s = choice.retry_after_s
+                await self._give_up(call, progress, choice.reason)
+            await self._timers.sleep(NO_ENDPOINT_POLL_SECONDS)
+
+    def _stage_request(self, call: StageCall, progress: _StageProgress) -> StageRequest:
+        stage = call.stage
+        return StageRequest(
+            service=stage.service,
+            model=stage.model,
+            priority=call.plan.priority,
+            input_units=call.plan.input_units,
+            output_units=stage.output_units,
+            prefix=prompt_prefix(call.payload),
+            remaining_s=self._remaining_s(call),
+            exclude=frozenset(progress.exclude),
+        )
+
+    def _remaining_s(self, call: StageCall) -> float:
+        return call.plan.deadline_at - self._timers.now()
+
+    def _check_deadline(self, call: StageCall, progress: _StageProgress) -> None:
+        if self._remaining_s(call) > 0:
+            return
+        raise self._error(call, progress, "deadline_exceeded")
+
+    # One attempt.
+
+    async def _attempt(
+        self, call: StageCall, peer: AgentPeer, progress: _StageProgress
+    ) -> AttemptResult | AttemptLostError:
+        progress.attempt += 1
+        dispatch = self._dispatch(call, peer, progress)
+        started_at = self._timers.now()
+        was_started = call.started
+        call.started = True
+        try:
+            result, parts = await peer.attempt(
+                dispatch,
+                self._part_callback(call, progress),
+                max(0.001, self._remaining_s(call)),
+            )
+        except AttemptLostError as exc:
+            result, parts = exc, []
+        except asyncio.CancelledError:
+            peer.state.on_cancel()
+            raise
+        if isinstance(result, NotStarted | ClaimLost):
+            call.started = was_started
+        seconds = self._timers.now() - started_at
+        self._observe(call, peer, result, seconds)
+        if isinstance(result, ResultEnd) and result.parts:
+            return _joined(result, parts)
+        return result
+
+    def _dispatch(
+        self, call: StageCall, peer: AgentPeer, progress: _StageProgress
+    ) -> Dispatch:
+        plan, stage = call.plan, call.stage
+        key = "" if stage.repeatable else self._claims.claim_key(plan, stage)
+        return Dispatch(
+            attempt=AttemptId(plan.request_id, stage.index, progress.attempt),
+            incarnation=peer.incarnation,
+            service=stage.service,
+            operation=stage.operation,
+            model=stage.model,
+            account=plan.account,
+            priority=plan.priority,
+            repeatable=stage.repeatable,
+            remaining_s=self._remaining_s(call),
+            payload=call.payload,
+            downstream_s=call.downstream_s,
+            key=key,
+            body_digest=plan.body_digest,
+            input_units=plan.input_units,
+            output_units=stage.output_units,
+            stream=stage.stream,
+            prefix=prompt_prefix(call.payload),
+        )
+
+    def _part_callback(
+        self, call: StageCall, progress: _StageProgress
+    ) -> Callable[[ResultPart], None] | None:
+        if call.on_part is None:
+            return None
+
+        def deliver(part: ResultPart) -> None:
+            if part.sequence == 0 and progress.parts_sent:
+                call.on_part(None)
+            progress.parts_sent = True
+            call.on_part(part)
+
+        return deliver
+
+    def _observe(
+        self,
+        call: StageCall,
+        peer: AgentPeer,
+        result: AttemptResult | AttemptLostError,
+        seconds: float,
+    ) -> None:
+        """Feed routing, estimates and the trace with the end of an attempt."""
+        now = self._timers.now()
+        cost = getattr(result, "cost", StageCost())
+        name = _result_name(result)
+        call.trace.attempts.append(AttemptTrace(peer.listed.host, name, seconds, cost))
+        if isinstance(result, NotStarted | ClaimLost):
+            peer.state.on_cancel()
+            return
+        ok = isinstance(result, ResultEnd) and result.ok
+        peer.state.on_result(ok, seconds, now)
+        if ok:
+            stage = call.stage
+            self._estimator.observe(
+                stage.service,
+                stage.model,
+                call.plan.input_units,
+                stage.output_units,
+                cost.busy_s,
+            )
+
+    # What follows an attempt.
+
+    async def _after(
+        self,
+        result: AttemptResult | AttemptLostError,
+        call: StageCall,
+        peer: AgentPeer,
+        progress: _StageProgress,
+    ) -> bytes | None:
+        """Return the output, or None to try again; raise if the stage is over."""
+        progress.exclude.add(peer.listed.host)
+        if not call.stage.repeatable:
+            return await self._after_unrepeatable(result, call, progress)
+        return await self._after_repeatable(result, call, progress)
+
+    @singledispatchmethod
+    async def _after_repeatable(
+        self, result: object, call: StageCall, progress: _StageProgress
+    ) -> bytes | None:
+        """Decide what follows an attempt of an idempotent stage."""
+        raise TypeError(f"unexpected result {type(result).__name__}")
+
+    @_after_repeatable.register
+    async def _(
+        self, result: ResultEnd, call: StageCall, progress: _StageProgress
+    ) -> bytes | None:
+        if result.ok:
+            return result.data
+        return await self._retry(call, progress, result.code)
+
+    @_after_repeatable.register
+    async def _(
+        self, result: AttemptLostError, call: StageCall, progress: _StageProgress
+    ) -> bytes | None:
+        return await self._retry(call, progress, result.code)
+
+    @_after_repeatable.register
+    async def _(
+        self, result: NotStarted, call: StageCall, progress: _StageProgress
+    ) -> bytes | None:
+        return await self._move(call, progress, result)
+
+    async def _after_unrepeatable(
+        self,
+        result: AttemptResult | AttemptLostError,
+        call: StageCall,
+        progress: _StageProgress,
+    ) -> bytes | None:
+        """Decide what follows an attempt of a non-idempotent stage.
+
+        Another agent may be tried as long as the first one promised not to call, or
+        its fate is open: the first claim in the log decides which one may call.
+        """
+        if isinstance(result, ResultEnd) and result.ok:
+            return result.data
+        if isinstance(result, NotStarted) and not result.claim_uncertain:
+            return await self._move(call, progress, result)
+        code = getattr(result, "code", "claim_lost")
+        return await self._claims.settle(call, code)
+
+    async def _move(
+        self, call: StageCall, progress: _StageProgress, result: NotStarted
+    ) -> None:
+        """Try another endpoint after a refusal that cost nothing."""
+        progress.last_code = result.code
+        progress.retry_after_s = result.retry_after_s
+        movable = result.code in MOVABLE_CODES
+        if not movable or progress.attempt >= MAX_ATTEMPTS:
+            await self._give_up(call, progress, result.code)
+        self._metrics.retries.labels(result.code).inc()
+
+    async def _retry(
+        self, call: StageCall, progress: _StageProgress, code: str
+    ) -> None:
+        """Repeat an idempotent attempt within the deadline and the budget."""
+        progress.last_code = code
+        if progress.attempt >= MAX_ATTEMPTS or self._remaining_s(call) <= 0:
+            await self._give_up(call, progress, code)
+        if not self._budget.try_withdraw(self._timers.now()):
+            self._metrics.refusals.labels("retry_budget").inc()
+            await self._give_up(call, progress, code)
+        self._metrics.retries.labels(code).inc()
+        await self._timers.sleep(self._backoff.delay_s(progress.attempt))
+
+    async def _give_up(
+        self, call: StageCall, progress: _StageProgress, code: str
+    ) -> None:
+        raise self._error(call, progress, code)
+
+    def _error(
+        self, call: StageCall, progress: _StageProgress, code: str
+    ) -> PipelineError:
+        status = OutcomeStatus.NOT_RUN
+        if call.started:
+            status = OutcomeStatus.OUTCOME_UNKNOWN
+        return PipelineError(
+            f"stage {call.stage.name}: {code}",
+            code=code,
+            status=status,
+            retry_after_s=progress.retry_after_s,
+            safe_to_repeat=call.stage.repeatable,
+        )
+
+
+def _joined(result: ResultEnd, parts: list[bytes]) -> ResultEnd:
+    """Return the final message of a stream with its text as a JSON string."""
+    text = b"".join(parts).decode()
+    return dataclasses.replace(result, data=msgspec.json.encode({"text": text}))
+
+
+def _result_name(result: AttemptResult | AttemptLostError) -> str:
+    if isinstance(result, ResultEnd) and result.ok:
+        return "ok"
+    return getattr(result, "code", "") or "claim_lost"
--- /dev/null
+++ b/camphorrun/pipeline/executor.py
@@ -0,0 +1,181 @@
+"""Runs the stages of a request and turns what happened into one outcome."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from ..core import TimerService
+from ..messages import ResultPart
+from .outcomes import Outcome, OutcomeStatus, PipelineError, StageTrace
+from .plan import PlannedStage, RequestPlan, final_output, stage_input
+
+PartHandler = Callable[[ResultPart | None], None]
+
+
+@dataclass(slots=True)
+class StageCall:
+    """One stage of a request, ready to be dispatched.
+
+    ``started`` is set by the dispatcher as soon as an attempt may have reached an
+    endpoint.
+    """
+
+    plan: RequestPlan
+    stage: PlannedStage
+    payload: bytes
+    downstream_s: float
+    trace: StageTrace
+    on_part: PartHandler | None = None
+    started: bool = False
+
+
+class StageDispatcher(Protocol):
+    """Runs one stage somewhere, with retries."""
+
+    async def run(self, call: StageCall) -> bytes:
+        """Return the JSON output of the stage.
+
+        Raises
+        ------
+        PipelineError
+            If the stage has no output; its status refers to this stage alone.
+        """
+        ...
+
+    def predicted_s(self, plan: RequestPlan, stage: PlannedStage) -> float:
+        """Return the predicted seconds that a stage needs, with its queue."""
+        ...
+
+    def work_s(self, plan: RequestPlan, stage: PlannedStage) -> float:
+        """Return the predicted service time of a stage, without its queue."""
+        ...
+
+
+class PipelineExecutor:
+    """Runs plans over a dispatcher.
+
+    Parameters
+    ----------
+    dispatcher : StageDispatcher
+        Runs single stages.
+    timers : TimerService
+        Clock.
+    """
+
+    def __init__(self, dispatcher: StageDispatcher, timers: TimerService):
+        self._dispatcher = dispatcher
+        self._timers = timers
+
+    async def run(
+        self, plan: RequestPlan, on_part: PartHandler | None = None
+    ) -> Outcome:
+        """Run all stages and return the outcome; never raises ``PipelineError``.
+
+        Parameters
+        ----------
+        plan : RequestPlan
+            The request.
+        on_part : callable, optional
+            Receives the parts of a streamed final stage; None means that the parts
+            so far are void because the stage starts again.
+        """
+        calls: list[StageCall] = []
+        outputs: dict[str, bytes] = {}
+        try:
+            for wave in plan.waves():
+                await self._run_wave(plan, wave, outputs, calls, on_part)
+        except PipelineError as exc:
+            return _refusal(plan, exc, calls)
+        return Outcome(
+            plan.request_id,
+            OutcomeStatus.ANSWERED,
+            output=final_output(plan, outputs),
+            stages=tuple(call.trace for call in calls),
+        )
+
+    async def _run_wave(
+        self,
+        plan: RequestPlan,
+        wave: list[PlannedStage],
+        outputs: dict[str, bytes],
+        calls: list[StageCall],
+        on_part: PartHandler | None,
+    ) -> None:
+        wave_calls = [self._call(plan, stage, outputs, on_part) for stage in wave]
+        calls.extend(wave_calls)
+        if len(wave_calls) == 1:
+            outputs[wave[0].name] = await self._dispatcher.run(wave_calls[0])
+            return
+        tasks = [
+            asyncio.ensure_future(self._dispatcher.run(call)) for call in wave_calls
+        ]
+        try:
+            results = await asyncio.gather(*tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+        for stage, result in zip(wave, results, strict=True):
+            outputs[stage.name] = result
+
+    def _call(
+        self,
+        plan: RequestPlan,
+        stage: PlannedStage,
+        outputs: dict[str, bytes],
+        on_part: PartHandler | None,
+    ) -> StageCall:
+        is_final = stage in plan.final_stages()
+        return StageCall(
+            plan,
+            stage,
+            stage_input(plan, stage, outputs),
+            self.downstream_s(plan, stage),
+            StageTrace(stage.name, stage.service),
+            on_part if is_final and stage.stream else None,
+        )
+
+    def downstream_s(self, plan: RequestPlan, stage: PlannedStage) -> float:
+        """Return the predicted need of the longest chain after a stage."""
+        following = [other for other in plan.stages if stage.name in other.after]
+        return max(
+            (
+                self._dispatcher.predicted_s(plan, other)
+                + self.downstream_s(plan, other)
+                for other in following
+            ),
+            default=0.0,
+        )
+
+    def work_s(self, plan: RequestPlan) -> float:
+        """Return the predicted service time of all stages in seconds."""
+        return sum(self._dispatcher.work_s(plan, stage) for stage in plan.stages)
+
+    def predicted_s(self, plan: RequestPlan) -> float:
+        """Return the predicted seconds of the whole request."""
+        return max(
+            self._dispatcher.predicted_s(plan, stage) + self.downstream_s(plan, stage)
+            for stage in plan.waves()[0]
+        )
+
+
+def _refusal(plan: RequestPlan, exc: PipelineError, calls: list[StageCall]) -> Outcome:
+    """Return the accurate refusal for a request whose last stage failed.
+
+    ``not_run`` is true of the request only if no stage may have started.
+    """
+    status = exc.status
+    safe = exc.safe_to_repeat
+    if status is OutcomeStatus.NOT_RUN and any(call.started for call in calls):
+        status = OutcomeStatus.OUTCOME_UNKNOWN
+        safe = all(call.stage.repeatable for call in calls if call.started)
+    return Outcome(
+        plan.request_id,
+        status,
+        code=exc.code,
+        detail=str(exc),
+        field=exc.field,
+        safe_to_repeat=safe,
+        retry_after_s=exc.retry_after_s,
+        stages=tuple(call.trace for call in calls),
+    )
