--- /dev/null
+++ b/camphorrun/configuration/__init__.py
@@ -0,0 +1,71 @@
+"""Configuration records, conflict resolution, views, publication and carry-forward."""
+
+from .carry import CarryForwarder
+from .documents import (
+    KINDS,
+    Account,
+    Document,
+    DocumentError,
+    Drain,
+    Placement,
+    Service,
+    Stage,
+    Template,
+    TemplateParameters,
+    check_document,
+    check_services,
+    decode_document,
+    document_name,
+    encode_document,
+    stream_of,
+)
+from .follower import RecentRecords, SnapshotSource, StreamFollower
+from .publisher import PublishResult, PublishStatus, publish
+from .records import (
+    ACCOUNTS_STREAM,
+    FLEET_STREAM,
+    CarryRecord,
+    ConfigurationChange,
+    RecordError,
+    decode_record,
+    encode_record,
+)
+from .view import ApplyResult, ConfigurationView, Decision, Entry, SnapshotError
+
+__all__ = [
+    "ACCOUNTS_STREAM",
+    "FLEET_STREAM",
+    "KINDS",
+    "Account",
+    "ApplyResult",
+    "CarryForwarder",
+    "CarryRecord",
+    "ConfigurationChange",
+    "ConfigurationView",
+    "Decision",
+    "Document",
+    "DocumentError",
+    "Drain",
+    "Entry",
+    "Placement",
+    "PublishResult",
+    "PublishStatus",
+    "RecentRecords",
+    "RecordError",
+    "Service",
+    "SnapshotError",
+    "SnapshotSource",
+    "Stage",
+    "StreamFollower",
+    "Template",
+    "TemplateParameters",
+    "check_document",
+    "check_services",
+    "decode_document",
+    "decode_record",
+    "document_name",
+    "encode_document",
+    "encode_record",
+    "publish",
+    "stream_of",
+]
