--- /dev/null
+++ b/camphorrun/cli/__init__.py
@@ -0,0 +1,5 @@
+"""Command line of the ``camphorrun`` program."""
+
+from .main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/camphorrun/cli/arguments.py
@@ -0,0 +1,49 @@
+"""Argument parser of the ``camphorrun`` program."""
+
+import argparse
+
+from .. import __version__
+
+EXIT_CODES = """\
+exit codes:
+  0  success, or a daemon that ended a graceful shutdown
+  1  the operation failed, or an answer was wrong or missing
+  2  wrong command line
+  3  wrong settings
+  4  an outside system is unavailable
+  5  a published change lost against another one
+"""
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser with all subcommands."""
+    parser = argparse.ArgumentParser(
+        prog="camphorrun",
+        description="Serves multi-stage model pipelines.",
+        epilog=EXIT_CODES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    _add_daemon(commands, "entry", "serve callers on an entry host")
+    _add_daemon(commands, "agent", "run beside one endpoint")
+    _add_demo(commands)
+    return parser
+
+
+def _add_daemon(commands, name: str, text: str) -> None:
+    parser = commands.add_parser(name, help=text, description=text)
+    parser.add_argument("--settings", required=True, help="JSON settings file")
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    parser.add_argument(
+        "--verbosity", type=int, default=0, help="log level: -1 warning, 0 info"
+    )
+
+
+def _add_demo(commands) -> None:
+    text = "run the whole path on loopback with stand-ins"
+    parser = commands.add_parser("demo", help=text, description=text)
+    parser.add_argument("--trace", default="mixed", help="name of a committed trace")
+    parser.add_argument("--json", action="store_true", help="print JSON")
--- /dev/null
+++ b/camphorrun/cli/daemons.py
@@ -0,0 +1,55 @@
+"""Runs the entry and agent daemons from the command line."""
+
+import asyncio
+import signal
+import sys
+from argparse import Namespace
+
+from absl import logging
+
+from ..agent import AgentDaemon
+from ..core import SupervisionError
+from ..entry import EntryDaemon
+from ..settings import (
+    AgentSettings,
+    EntrySettings,
+    SettingsError,
+    check_settings,
+    load_settings,
+)
+from .exit_codes import EXIT_FAILED, EXIT_OK, EXIT_SETTINGS
+
+_ROLES = {
+    "entry": (EntrySettings, EntryDaemon),
+    "agent": (AgentSettings, AgentDaemon),
+}
+
+
+def run_daemon(args: Namespace) -> int:
+    """Run a daemon until its graceful shutdown and return the exit code."""
+    settings_kind, daemon_kind = _ROLES[args.command]
+    try:
+        settings = load_settings(args.settings, settings_kind)
+        check_settings(settings)
+    except SettingsError as exc:
+        print(f"camphorrun: {exc}", file=sys.stderr)
+        return EXIT_SETTINGS
+    if args.check:
+        print("settings are valid")
+        return EXIT_OK
+    logging.set_verbosity(args.verbosity)
+    logging.use_absl_handler()
+    try:
+        asyncio.run(_serve(daemon_kind(settings)))
+    except (OSError, SupervisionError) as exc:
+        logging.error("%s: %s", args.command, exc)
+        return EXIT_FAILED
+    return EXIT_OK
+
+
+async def _serve(daemon: EntryDaemon | AgentDaemon) -> None:
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        name = signal.Signals(number).name
+        loop.add_signal_handler(number, daemon.drain, name)
+    await daemon.run()
--- a/camphorrun/entry/api.py
+++ b/camphorrun/entry/api.py
@@ -170,7 +170,7 @@
 
     async def _key(self, req: web.Request) -> web.Response:
         self._planner.authenticate(req.headers.get("Authorization", ""))
-        return _json(200, {"prefix": self._keys.mint()})
+        return _json(200, {"prefix": await self._keys.mint()})
 
     async def _explain(self, req: web.Request) -> web.Response:
         account = self._planner.authenticate(req.headers.get("Authorization", ""))
--- a/camphorrun/entry/claim_resolver.py
+++ b/camphorrun/entry/claim_resolver.py
@@ -6,6 +6,7 @@
     ClaimDecision,
     ClaimError,
     ClaimKey,
+    ClaimLedger,
     ClaimState,
     Decided,
     Unknown,
@@ -35,6 +36,8 @@
         Authenticates key prefixes.
     voids : VoidCoordinator
         Rules calls out and waits for outcomes.
+    ledger : ClaimLedger
+        What is known of each key.
     timers, metrics
         Clock and counters.
     """
@@ -43,11 +46,13 @@
         self,
         ring: KeyRing,
         voids: VoidCoordinator,
+        ledger: ClaimLedger,
         timers: TimerService,
         metrics: Metrics,
     ):
         self._ring = ring
         self._voids = voids
+        self._ledger = ledger
         self._timers = timers
         self._metrics = metrics
 
@@ -93,8 +98,8 @@
     def decision(self, plan_key: str, account: str, stage: str) -> ClaimDecision | None:
         """Return what is known of a key of a client account, None for a bad key."""
         try:
-            text = str(claim_key(self._ring, account, plan_key, stage))
-            return self._voids.decision(parse_claim_key(text))
+            key = claim_key(self._ring, account, plan_key, stage)
+            return self._ledger.decision(key)
         except ClaimError:
             return None
 
--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -135,7 +135,9 @@
             self.timers,
             host=self.settings.host.name,
         )
-        resolver = LogClaimResolver(ring, voids, self.timers, self.metrics)
+        resolver = LogClaimResolver(
+            ring, voids, self._claims.ledger, self.timers, self.metrics
+        )
         executor = PipelineExecutor(self._build_runner(resolver), self.timers)
         self._cache = OutcomeCache(self._pool, self.timers)
         self._service = RequestService(
--- a/camphorrun/entry/key_service.py
+++ b/camphorrun/entry/key_service.py
@@ -2,7 +2,13 @@
 
 import msgspec
 
-from ..claims import ClaimDecision, ClaimFollower, ClaimState, mint_prefix
+from ..claims import (
+    ClaimDecision,
+    ClaimError,
+    ClaimFollower,
+    ClaimState,
+    mint_prefix,
+)
 from ..messages import KeyRing
 from ..pipeline import Outcome, OutcomeStatus
 from .claim_resolver import LogClaimResolver
@@ -29,7 +35,7 @@
         self._follower = follower
         self._resolver = resolver
 
-    def mint(self) -> str:
+    async def mint(self) -> str:
         """Return a fresh key prefix.
 
         Raises
@@ -37,14 +43,16 @@
         RequestError
             With code ``log_unavailable`` while the log's clock is not known.
         """
-        log_time_ms = self._follower.ledger.log_time_ms
-        if log_time_ms <= 0:
-            raise RequestError(
-                "the log service has not been reached yet",
-                code="log_unavailable",
-                http_status=503,
-            )
-        return mint_prefix(self._ring, log_time_ms)
+        ledger = self._follower.ledger
+        if ledger.log_time_ms <= 0:
+            await self._read_log_clock()
+        return mint_prefix(self._ring, ledger.log_time_ms)
+
+    async def _read_log_clock(self) -> None:
+        try:
+            await self._follower.read_to_end()
+        except ClaimError as exc:
+            raise RequestError(str(exc), code=exc.code, http_status=503) from exc
 
     def recorded_outcome(
         self, account: str, key: str, stages: list[str]
--- a/camphorrun/transport/dialer.py
+++ b/camphorrun/transport/dialer.py
@@ -1,5 +1,6 @@
 """Keeps one link to an agent open, with heartbeats and reconnection."""
 
+import asyncio
 import contextlib
 import random
 
@@ -132,6 +133,9 @@
             reason = exc.code
         except (aiohttp.ClientError, TimeoutError, ConnectionError):
             reason = "connect_failed"
+        except asyncio.CancelledError:
+            reason = "shutdown"
+            raise
         finally:
             self._become_down(reason)
 
