--- a/camphorrun/core/__init__.py
+++ b/camphorrun/core/__init__.py
@@ -3,7 +3,8 @@
 Public: ``CamphorrunError``, ``TimerService``, ``LoopTimerService``,
 ``ManualTimerService``, ``PauseDetector``, ``Supervisor``, ``SupervisionError``,
 ``new_identifier``, ``LogStore``, ``LogRecord``,
-``LogPage``, ``LogError``, ``MemoryLog``, ``AppendFault``.
+``LogPage``, ``LogError``, ``MemoryLog``, ``AppendFault``,
+``bounded``.
 """
 
 from .errors import CamphorrunError
@@ -19,6 +20,7 @@
     TimerHandle,
     TimerService,
 )
+from .waiting import bounded
 
 __all__ = [
     "AppendFault",
@@ -36,5 +38,6 @@
     "Supervisor",
     "TimerHandle",
     "TimerService",
+    "bounded",
     "new_identifier",
 ]
--- a/camphorrun/core/tests/test_core.py
+++ b/camphorrun/core/tests/test_core.py
@@ -88,3 +88,18 @@
 
         with pytest.raises(SupervisionError):
             asyncio.run(scenario())
+
+
+class TestBounded:
+    """Waits end when their time has passed."""
+
+    def test_wait_is_cancelled(self):
+        """Guards against a wait without a bound."""
+
+        async def scenario():
+            fut = asyncio.get_running_loop().create_future()
+            with pytest.raises(TimeoutError):
+                await bounded(LoopTimerService(), fut, 0.01)
+            return fut.cancelled()
+
+        assert asyncio.run(scenario())
--- a/camphorrun/core/timers.py
+++ b/camphorrun/core/timers.py
@@ -18,18 +18,24 @@
 
 
 class TimerHandle:
-    """A pending callback that can be cancelled."""
+    """A pending callback that can be cancelled.
 
-    __slots__ = ("_callback", "cancelled", "when")
+    ``release`` is called on cancellation, so that a clock can forget the callback.
+    """
+
+    __slots__ = ("_callback", "cancelled", "release", "when")
 
     def __init__(self, when: float, callback: Callback):
         self.when = when
         self._callback = callback
         self.cancelled = False
+        self.release: Callback | None = None
 
     def cancel(self) -> None:
         """Prevent the callback from running."""
         self.cancelled = True
+        if self.release is not None:
+            self.release()
 
     def fire(self) -> None:
         """Run the callback unless it was cancelled."""
@@ -102,7 +108,10 @@
     def call_after(self, delay_s: float, callback: Callback) -> TimerHandle:
         """Run ``callback`` on the event loop after ``delay_s`` seconds."""
         handle = TimerHandle(self.now() + delay_s, callback)
-        asyncio.get_running_loop().call_later(max(0.0, delay_s), handle.fire)
+        loop = asyncio.get_running_loop()
+        scheduled = loop.call_later(max(0.0, delay_s), handle.fire)
+        # Without this, the loop would keep a cancelled callback until it is due.
+        handle.release = scheduled.cancel
         return handle
 
     async def sleep(self, delay_s: float) -> None:
--- a/camphorrun/entry/agent_peer.py
+++ b/camphorrun/entry/agent_peer.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from functools import singledispatchmethod
 
-from ..core import TimerService
+from ..core import TimerService, bounded
 from ..messages import (
     AttemptId,
     AttemptUnknown,
@@ -129,8 +129,7 @@
         except LinkError as exc:
             return NotStarted(attempt, exc.code), []
         try:
-            async with asyncio.timeout(timeout_s):
-                result = await pending.fut
+            result = await bounded(self._timers, pending.fut, timeout_s)
         except TimeoutError as exc:
             self._send(Cancel(attempt))
             raise AttemptLostError("no result in time", code="timeout") from exc
--- a/camphorrun/entry/peer_pool.py
+++ b/camphorrun/entry/peer_pool.py
@@ -7,7 +7,7 @@
 import aiohttp
 import xxhash
 
-from ..core import TimerService
+from ..core import TimerService, bounded
 from ..messages import (
     GetOutcome,
     Hello,
@@ -133,8 +133,7 @@
         try:
             if not peer.send(GetOutcome(number, key_digest, account)):
                 return None
-            async with asyncio.timeout(OUTCOME_QUERY_TIMEOUT_SECONDS):
-                reply = await fut
+            reply = await bounded(self._timers, fut, OUTCOME_QUERY_TIMEOUT_SECONDS)
             return reply if reply.outcome else None
         except TimeoutError:
             return None
