--- a/camphorrun/core/tests/test_core.py
+++ b/camphorrun/core/tests/test_core.py
@@ -10,6 +10,7 @@
     PauseDetector,
     SupervisionError,
     Supervisor,
+    bounded,
 )
 
 
