--- a/camphorrun/configuration/follower.py
+++ b/camphorrun/configuration/follower.py
@@ -18,6 +18,8 @@
 PAGE_RECORDS = 500
 FIRST_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 5.0
+# Interval at which a reader asks peers for keys that are in doubt.
+SNAPSHOT_RETRY_SECONDS = 30.0
 # Time that the log gets to deliver what a peer already has.
 PEER_GRACE_SECONDS = 0.5
 # Recent records kept for peers that are behind.
@@ -127,6 +129,7 @@
         # Reads that began before a pause do not confirm anything after it.
         self._pauses = 0
         self._confirmed_at: float | None = None
+        self._next_snapshot_at = 0.0
         self._peer_position = 0
         self._peer_ahead = asyncio.Event()
 
@@ -164,11 +167,13 @@
         self._pauses += 1
         self._synchronised = False
         self._confirmed_at = None
+        # Heartbeats from before the pause may be outdated, too.
+        self._peer_position = 0
 
     def note_peer_position(self, position: int) -> None:
         """Take note of the position that a peer reported in a heartbeat."""
         self._peer_position = max(self._peer_position, position)
-        if self._peer_position > self.position or not self._log_available:
+        if self._peer_position > self.position:
             self._peer_ahead.set()
 
     async def run(self) -> None:
@@ -213,7 +218,7 @@
         self.apply_page(page)
         if page.next_offset >= page.end_offset and pauses == self._pauses:
             self._confirmed_at = begun_at
-            await self._finish_first_read()
+            await self._complete(pauses)
         return page
 
     def apply_page(self, page: LogPage) -> list[ApplyResult]:
@@ -235,7 +240,7 @@
         if records and records[0].offset <= self.position + 1:
             self._apply_records(records)
         else:
-            await self._install_from_peers()
+            await self._install_from_peers(self.position)
         return self.position > before
 
     def _apply_records(self, records: tuple[LogRecord, ...]) -> None:
@@ -243,11 +248,15 @@
             self.recent.add(record)
         self._after_apply([self.view.apply(record) for record in records])
 
-    async def _finish_first_read(self) -> None:
+    async def _complete(self, pauses: int) -> None:
         """Ask peers for what expired before this reader started."""
-        if not self._synchronised and not self.view.settled:
-            await self._install_from_peers()
-        self._synchronised = True
+        now = self._timers.now()
+        if not self.view.settled and now >= self._next_snapshot_at:
+            self._next_snapshot_at = now + SNAPSHOT_RETRY_SECONDS
+            # A settled snapshot at the same position is of use, too.
+            await self._install_from_peers(self.position - 1)
+        if pauses == self._pauses:
+            self._synchronised = True
 
     async def _read_from_peers(self, failures: int) -> None:
         """Use peers while the log is unavailable."""
@@ -258,10 +267,10 @@
         if reached and pauses == self._pauses:
             self._synchronised = True
 
-    async def _install_from_peers(self) -> None:
+    async def _install_from_peers(self, position: int) -> None:
         if self._source is None:
             return
-        data = await self._source.snapshot(self.stream, self.position)
+        data = await self._source.snapshot(self.stream, position)
         if data is None:
             return
         try:
@@ -271,6 +280,7 @@
             logging.warning("%s: snapshot of a peer refused: %s", self.stream, exc)
             return
         if installed:
+            self._peer_position = max(self._peer_position, self.position)
             self._count("snapshot_installed")
             self._notify()
 
