Report a replaced tentative change as undetermined

A change decided by a carry record was reported as lost when a later change had replaced it, although it may have won. It is now reported as undetermined, which the publisher returns as uncertain. Adds tests of key age, delayed carriers, replaced changes and a peer that accepts a request and never replies.

--- a/camphorrun/configuration/tests/test_follower.py
+++ b/camphorrun/configuration/tests/test_follower.py
@@ -71,6 +71,7 @@
             await waiting
             # The read began before the pause.
             assert not follower.synchronised
+            assert follower.read_age_s() == float("inf")
             await follower.read_once()
             assert follower.synchronised
 
--- a/camphorrun/configuration/tests/test_view.py
+++ b/camphorrun/configuration/tests/test_view.py
@@ -1,6 +1,7 @@
 """Tests of views: conflicts, newer schemas, expiry and snapshots."""
 
 import asyncio
+import random
 
 import pytest
 
@@ -100,6 +101,26 @@
         assert view.version("drain", "h") == 21
         assert view.decision("c20").result is ApplyResult.LOST
 
+    def test_replaced_change_stays_unknown(self):
+        """Guards against a winner that is reported as a loser once it is replaced."""
+        view = _view()
+        _apply(view, 20, _change("c20", 15))
+        _apply(view, 21, _change("c21", 20))
+        _apply(view, 22, _change("c22", 15))
+        _apply(view, 23, _carry(21, as_of=22))
+        results = [view.decision(name).result for name in ("c20", "c21", "c22")]
+        assert results == [ApplyResult.STALE, ApplyResult.WON, ApplyResult.LOST]
+
+    def test_age_of_a_key(self):
+        """Guards against a key that is not carried although its base expires."""
+        view = _view()
+        _apply(view, 1, _change("c1", 0), time_ms=10)
+        _apply(view, 2, _change("c2", 1), time_ms=20)
+        assert _apply(view, 3, _carry(1, as_of=1), time_ms=30) is ApplyResult.STALE
+        assert view.entry("drain", "h").anchor_ms == 10
+        _apply(view, 4, _carry(2, as_of=3), time_ms=40)
+        assert view.entry("drain", "h").anchor_ms == 40
+
     def test_gap_makes_known_keys_uncertain(self):
         """Guards against a change that wins over a value replaced in the gap."""
         view = _view()
@@ -146,6 +167,37 @@
         assert late.version("drain", "h") == 2
         assert late.get("drain", "h") is None
 
+    def test_delayed_carriers(self):
+        """Guards against entries that all carry the same keys."""
+        timers = ManualTimerService(start_s=1.0)
+        log = MemoryLog(timers, RETENTION_SECONDS)
+        views = [_view(), _view()]
+
+        async def read():
+            for view in views:
+                view.apply_page(await log.read("fleet", view.position + 1))
+
+        async def scenario():
+            await log.append("fleet", [encode_record(_change("c1", 0))])
+            tasks = [
+                asyncio.ensure_future(
+                    CarryForwarder(
+                        log, view, timers, rng=random.Random(seed), max_delay_s=30.0
+                    ).run()
+                )
+                for seed, view in enumerate(views)
+            ]
+            for _ in range(95):
+                await read()
+                await asyncio.sleep(0)
+                timers.advance(1.0)
+                await asyncio.sleep(0)
+            for task in tasks:
+                task.cancel()
+
+        asyncio.run(scenario())
+        assert log.append_count == 2
+
 
 class TestSnapshots:
     """Snapshots never move a view back."""
--- a/camphorrun/configuration/view.py
+++ b/camphorrun/configuration/view.py
@@ -419,9 +419,12 @@
             if item.offset > as_of:
                 self._apply_change(item)
                 continue
-            won = self.version(*key) == item.offset
-            result = ApplyResult.WON if won else ApplyResult.LOST
-            self._decide(item.change, result, self.version(*key))
+            version = self.version(*key)
+            result = ApplyResult.WON if item.offset == version else ApplyResult.LOST
+            if item.offset < version:
+                # It may have won before a later change replaced it.
+                result = ApplyResult.STALE
+            self._decide(item.change, result, version)
 
     def _decide(
         self, change: ConfigurationChange, result: ApplyResult, version: int
--- a/camphorrun/relay/tests/test_relay.py
+++ b/camphorrun/relay/tests/test_relay.py
@@ -152,13 +152,18 @@
     def test_silent_peer(self):
         """Guards against a request that waits without bound."""
 
-        async def scenario():
-            client = RelayClient(_free_address(), KEYS, timeout_ms=50)
+        async def ask(address):
+            client = RelayClient(address, KEYS, timeout_ms=50)
             with pytest.raises(RelayError) as caught:
-                await client.fetch_records("fleet", 1)
+                await asyncio.wait_for(client.fetch_records("fleet", 1), 5)
             return caught.value.code
 
-        assert asyncio.run(scenario()) == "relay_timeout"
+        async def scenario():
+            address = _free_address()
+            with pynng.Rep0(listen=f"tcp://{address}"):
+                return await ask(address), await ask(_free_address())
+
+        assert asyncio.run(scenario()) == ("relay_timeout",) * 2
 
 
 class TestRelayPeers:
