Keep cancellations that pynng drops

A relay server cancelled right after its reply waited for the next request forever: pynng 0.8.1 discards a cancellation when the operation completes at the same time. Sends and receives now check the pending cancellations of their task.

--- a/camphorrun/relay/client.py
+++ b/camphorrun/relay/client.py
@@ -24,6 +24,7 @@
     decode_relay,
     encode_relay,
 )
+from .sockets import receive, send
 
 TIMEOUT_MS = 2000
 MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
@@ -116,8 +117,8 @@
     async def _exchange(self, request: RelayRequest) -> RelayReply:
         frame, nonce = seal_request(self._keys, encode_relay(request))
         socket = self._connect()
-        await socket.asend(frame)
-        return decode_relay(open_reply(self._keys, nonce, await socket.arecv()))
+        await send(socket, frame)
+        return decode_relay(open_reply(self._keys, nonce, await receive(socket)))
 
     def _connect(self) -> pynng.Req0:
         if self._socket is None:
--- a/camphorrun/relay/server.py
+++ b/camphorrun/relay/server.py
@@ -40,6 +40,7 @@
     decode_relay,
     encode_relay,
 )
+from .sockets import receive, send
 
 SEND_TIMEOUT_MS = 2000
 # NNG closes a connection that sends more than this; smaller frames above
@@ -127,13 +128,13 @@
             socket.close()
 
     async def _serve_one(self, socket: pynng.Rep0) -> None:
-        frame = await socket.arecv()
+        frame = await receive(socket)
         reply = self.answer(frame)
         if reply is None:
             # The next receive discards the request; the sender gets no reply.
             return
         try:
-            await socket.asend(reply)
+            await send(socket, reply)
         except (pynng.Timeout, pynng.BadState):
             self._refuse("reply_not_sent")
 
--- a/camphorrun/relay/tests/test_relay.py
+++ b/camphorrun/relay/tests/test_relay.py
@@ -21,6 +21,7 @@
 from .. import Announce, FetchRecords, RelayClient, RelayError, RelayPeers, RelayServer
 from ..frames import MAX_REQUEST_BYTES, PAGE_BYTES, open_reply, seal_request
 from ..messages import encode_relay
+from ..sockets import receive
 
 KEYS = KeyRing((SharedKey(1, b"k" * 32),))
 FOREIGN_KEYS = KeyRing((SharedKey(1, b"f" * 32),))
@@ -166,6 +167,28 @@
         assert asyncio.run(scenario()) == ("relay_timeout",) * 2
 
 
+class TestCancellation:
+    """A server can be stopped at any moment."""
+
+    def test_cancelled_while_an_operation_completes(self):
+        """Guards against a cancellation that pynng drops."""
+
+        class _Completing:
+            async def arecv(self):
+                with contextlib.suppress(asyncio.CancelledError):
+                    await asyncio.sleep(60)
+                return b""
+
+        async def scenario():
+            task = asyncio.ensure_future(receive(_Completing()))
+            await asyncio.sleep(0)
+            task.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await task
+
+        asyncio.run(scenario())
+
+
 class TestRelayPeers:
     """A follower starts from peers while the log is unavailable."""
 
