--- /dev/null
+++ b/camphorrun/claims/waiting.py
@@ -0,0 +1,36 @@
+"""Bounded waits on the timer service."""
+
+import asyncio
+from collections.abc import Awaitable
+from typing import TypeVar
+
+from ..core import TimerService
+
+T = TypeVar("T")
+
+
+async def bounded(timers: TimerService, awaitable: Awaitable[T], timeout_s: float) -> T:
+    """Return the result of ``awaitable``, which is cancelled after ``timeout_s``.
+
+    Raises
+    ------
+    TimeoutError
+        If the time has passed.
+    """
+    task = asyncio.ensure_future(awaitable)
+    timed_out = False
+
+    def expire() -> None:
+        nonlocal timed_out
+        timed_out = not task.done()
+        task.cancel()
+
+    handle = timers.call_after(timeout_s, expire)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        if timed_out:
+            raise TimeoutError(f"no result within {timeout_s} s") from None
+        raise
+    finally:
+        handle.cancel()
