--- a/camphorrun/claims/__init__.py
+++ b/camphorrun/claims/__init__.py
@@ -2,7 +2,7 @@
 
 Public: key timestamps (``mint_prefix``, ``parse_key``, ``claim_key``), claim records,
 ``ClaimLedger``, ``ClaimAppender``, ``ClaimFollower``, ``StartCoordinator`` for agents
-and ``VoidCoordinator`` for entries.
+and ``VoidCoordinator`` for entries; ``ClaimParticipant`` assembles them for a daemon.
 """
 
 from .batcher import CLAIMS_STREAM, ClaimAppender
@@ -21,6 +21,7 @@
 from .errors import ClaimError
 from .follower import ClaimFollower
 from .ledger import ClaimDecision, ClaimLedger, ClaimResult, ClaimState
+from .participant import ClaimParticipant
 from .records import (
     DecodedBatch,
     Finish,
@@ -51,6 +52,7 @@
     "ClaimFollower",
     "ClaimKey",
     "ClaimLedger",
+    "ClaimParticipant",
     "ClaimResult",
     "ClaimState",
     "Decided",
--- a/camphorrun/claims/coordinator.py
+++ b/camphorrun/claims/coordinator.py
@@ -18,7 +18,7 @@
 import itertools
 from dataclasses import dataclass
 
-from ..core import TimerService, bounded
+from ..core import TimerService
 from .batcher import ClaimAppender, Submission
 from .errors import ClaimError
 from .follower import ClaimFollower
@@ -33,6 +33,7 @@
     Withdraw,
 )
 from .stamps import DIGEST_BYTES, ClaimKey
+from .waiting import bounded
 
 ACQUIRE_TIMEOUT_SECONDS = 2.0
 VOID_TIMEOUT_SECONDS = 2.0
@@ -328,13 +329,15 @@
     ) -> None:
         """Append with retries; a repeated record has no effect in the ledger."""
         delay_s = RETRY_SECONDS
-        while not self._follower.ledger.decision(grant.key).is_final:
+        while True:
             try:
                 await self._appender.append(record)
                 return
             except ClaimError:
                 self._count("background_retry")
             await self._timers.sleep(delay_s)
+            if self._follower.ledger.decision(grant.key).is_final:
+                return
             delay_s = min(MAX_RETRY_SECONDS, 2 * delay_s)
 
     def _count(self, reason: str) -> None:
--- a/camphorrun/claims/follower.py
+++ b/camphorrun/claims/follower.py
@@ -6,10 +6,11 @@
 
 from absl import logging
 
-from ..core import LogError, LogPage, LogStore, TimerService, bounded
+from ..core import LogError, LogPage, LogStore, TimerService
 from .batcher import CLAIMS_STREAM
 from .errors import ClaimError
 from .ledger import ClaimLedger
+from .waiting import bounded
 
 POLL_SECONDS = 10.0
 READ_TIMEOUT_SECONDS = 2.0
--- a/camphorrun/claims/tests/world.py
+++ b/camphorrun/claims/tests/world.py
@@ -3,14 +3,7 @@
 import asyncio
 
 from ...core import LogError, ManualTimerService, MemoryLog
-from .. import (
-    ClaimAppender,
-    ClaimFollower,
-    ClaimKey,
-    ClaimLedger,
-    StartCoordinator,
-    VoidCoordinator,
-)
+from .. import ClaimKey, ClaimParticipant
 
 LIFETIME_MS = 60_000
 BODY = b"b" * 16
@@ -30,26 +23,6 @@
         raise LogError("no reply to append", code="append_uncertain")
 
 
-class Process:
-    """One daemon: appender, follower, ledger and both coordinators."""
-
-    def __init__(self, world, name):
-        timers, log = world.timers, world.log
-        self.ledger = ClaimLedger(LIFETIME_MS, margin_ms=5_000)
-        self.appender = ClaimAppender(log, timers)
-        self.follower = ClaimFollower(log, self.ledger, timers)
-        self.task = world.loop.create_task(self.follower.run())
-        parts = (self.appender, self.follower, timers)
-        self.starts = StartCoordinator(*parts, host=name, incarnation=name)
-        self.voids = VoidCoordinator(*parts, host=name)
-
-    async def kill(self):
-        """End all work of the process at once."""
-        self.task.cancel()
-        await self.appender.close()
-        await self.starts.close()
-
-
 class World:
     """Event loop, manual clock, log and processes; every step settles the loop."""
 
@@ -57,26 +30,34 @@
         self.loop = asyncio.new_event_loop()
         self.timers = ManualTimerService(1000.0)
         self.log = LateLog(self.timers, retention_s=120.0)
-        self.processes = []
+        self.processes = {}
 
     def process(self, name):
-        self.processes.append(Process(self, name))
-        self.settle()
-        return self.processes[-1]
+        process = ClaimParticipant(
+            self.log,
+            self.timers,
+            host=name,
+            incarnation=name,
+            lifetime_ms=LIFETIME_MS,
+            margin_ms=5_000,
+        )
+        self.processes[process] = self.start(process.run())
+        return process
 
     def key(self, number):
         return ClaimKey(bytes([number]) * 16, int(self.timers.now() * 1000))
 
-    def settle(self):
-        async def turns():
-            for _ in range(40):
+    def settle(self, turns=40):
+        async def run_turns():
+            for _ in range(turns):
                 await asyncio.sleep(0)
 
-        self.loop.run_until_complete(turns())
+        self.loop.run_until_complete(run_turns())
 
-    def start(self, coroutine):
+    def start(self, coroutine, settles=True):
         task = self.loop.create_task(coroutine)
-        self.settle()
+        if settles:
+            self.settle()
         return task
 
     def call(self, function, *args):
@@ -99,9 +80,12 @@
             self.advance(seconds, steps=int(seconds * 10))
         return task.result()
 
+    def claim(self, key):
+        return self.run(self.agent.starts.acquire(key, BODY, "attempt"))
+
     def kill(self, process):
-        self.processes.remove(process)
-        self.loop.run_until_complete(process.kill())
+        self.processes.pop(process).cancel()
+        self.loop.run_until_complete(process.close())
 
     def close(self):
         for process in list(self.processes):
