Add the adaptive concurrency limit and the stage queue

The agent needs a limit that follows an endpoint slowed by heat without a load report, and a queue that orders work by what is left after the downstream stages. The limit compares the latency at the limit with that at half of it; the queue orders by latest start within priority and gives waiting patient callers a bounded share of turns.

--- /dev/null
+++ b/camphorrun/limits/__init__.py
@@ -0,0 +1,26 @@
+"""Adaptive concurrency limit and ordered, bounded stage queue."""
+
+from .concurrency import ConcurrencyLimit, LatencySample
+from .fit import LinearFit
+from .queues import (
+    EarliestDeadline,
+    FirstCome,
+    LeastLaxity,
+    QueueItem,
+    QueuePush,
+    StageQueue,
+    queue_policy_by_name,
+)
+
+__all__ = [
+    "ConcurrencyLimit",
+    "EarliestDeadline",
+    "FirstCome",
+    "LatencySample",
+    "LeastLaxity",
+    "LinearFit",
+    "QueueItem",
+    "QueuePush",
+    "StageQueue",
+    "queue_policy_by_name",
+]
--- /dev/null
+++ b/camphorrun/limits/concurrency.py
@@ -0,0 +1,169 @@
+"""Adaptive concurrency limit of one endpoint.
+
+The limit compares the latency at the full limit with the latency at half of it, which a
+short probe measures every few seconds. Below saturation both are nearly equal; above it
+they differ by up to a factor of two, whatever the speed of the endpoint is. A slowdown
+raises the latency over the last baseline at once, so the limit falls within a second,
+and the next probe measures the baseline of the slower endpoint.
+"""
+
+import math
+from dataclasses import dataclass
+
+from .fit import LinearFit
+
+# Accepted ratio of the latency at the limit to the latency at half the limit.
+TOLERANCE = 1.5
+UPDATE_INTERVAL_SECONDS = 0.25
+PROBE_INTERVAL_SECONDS = 8.0
+PROBE_MAX_SECONDS = 1.0
+PROBE_SAMPLES = 6
+# Time constant of the present latency.
+SHORT_SECONDS = 0.5
+MIN_GRADIENT = 0.7
+# Weight of one call in the mean size of calls.
+UNITS_WEIGHT = 0.02
+FAILURE_FACTOR = 0.9
+
+
+@dataclass(frozen=True, slots=True)
+class LatencySample:
+    """One finished call; ``in_flight`` is the concurrency when it started."""
+
+    service_time_s: float
+    units: float
+    in_flight: int
+    ok: bool
+    now: float
+
+
+class ConcurrencyLimit:
+    """Concurrency that the endpoint can bear now, learned from latency alone.
+
+    Parameters
+    ----------
+    initial : int
+        First limit.
+    minimum, maximum : int
+        Bounds of the limit.
+    """
+
+    def __init__(self, initial: int, minimum: int = 1, maximum: int = 1024):
+        if not 1 <= minimum <= initial <= maximum:
+            raise ValueError(
+                f"expected 1 <= minimum <= initial <= maximum, "
+                f"got {minimum}, {initial}, {maximum}"
+            )
+        self._minimum = minimum
+        self._maximum = maximum
+        self._value = float(initial)
+        self._shape = LinearFit(1, memory=400.0)
+        # Latencies are converted to calls of this size.
+        self._reference_units = 1.0
+        self._mean_units = 1.0
+        self._short = 0.0
+        self._short_at: float | None = None
+        self._baseline = 0.0
+        self._updated_at = 0.0
+        self._peak_in_flight = 0
+        self._failed = False
+        self._next_probe_at: float | None = None
+        self._probe_until: float | None = None
+        self._probe: list[float] = []
+
+    @property
+    def limit(self) -> int:
+        """Calls that may be in flight now."""
+        value = self._value / 2 if self._probe_until is not None else self._value
+        return max(self._minimum, int(value))
+
+    @property
+    def steady_limit(self) -> int:
+        """The limit without the reduction of a probe, for load reports."""
+        return max(self._minimum, int(self._value))
+
+    def service_time_s(self, units: float) -> float:
+        """Return the present estimate for a call of ``units``; 0 if unknown."""
+        return self._short * self._size_factor(units)
+
+    def observe(self, sample: LatencySample) -> None:
+        """Add a finished call and adapt the limit."""
+        self._peak_in_flight = max(self._peak_in_flight, sample.in_flight)
+        if sample.ok:
+            self._add_latency(sample)
+        else:
+            self._failed = True
+        if sample.now - self._updated_at >= UPDATE_INTERVAL_SECONDS:
+            self._update(sample.now)
+
+    def _add_latency(self, sample: LatencySample) -> None:
+        if self._short_at is None:
+            self._reference_units = self._mean_units = sample.units
+        self._mean_units += UNITS_WEIGHT * (sample.units - self._mean_units)
+        self._shape.observe((sample.units,), sample.service_time_s)
+        latency_s = sample.service_time_s / self._size_factor(sample.units)
+        self._smooth(latency_s, sample.now)
+        if self._probe_until is not None and sample.in_flight <= self.limit:
+            self._probe.append(latency_s)
+
+    def _size_factor(self, units: float) -> float:
+        """Return the time of a call relative to one of the reference size.
+
+        Only this ratio is taken from the fit: a change of speed cancels out of it.
+        """
+        reference_s = self._shape.predict((self._reference_units,))
+        expected_s = self._shape.predict((units,))
+        if reference_s <= 0 or expected_s <= 0:
+            return 1.0
+        return expected_s / reference_s
+
+    def _smooth(self, latency_s: float, now: float) -> None:
+        if self._short_at is None:
+            self._short = self._baseline = latency_s
+            self._next_probe_at = now + PROBE_INTERVAL_SECONDS / 4
+        else:
+            gap_s = max(0.02, now - self._short_at)
+            # At least a twentieth, so that a burst of samples at one time counts.
+            weight = max(0.05, 1.0 - math.exp(-gap_s / SHORT_SECONDS))
+            self._short += weight * (latency_s - self._short)
+        self._short_at = now
+
+    def _update(self, now: float) -> None:
+        self._updated_at = now
+        if self._failed:
+            self._value = max(self._minimum, self._value * FAILURE_FACTOR)
+        elif self._probe_until is not None:
+            self._finish_probe(now)
+        elif self._baseline > 0:
+            self._follow_gradient()
+        self._failed = False
+        self._peak_in_flight = 0
+        if self._next_probe_at is not None and now >= self._next_probe_at:
+            self._start_probe(now)
+
+    def _follow_gradient(self) -> None:
+        self._baseline = min(self._baseline, self._short)
+        gradient = TOLERANCE * self._baseline / self._short
+        bounded = min(1.0, max(MIN_GRADIENT, gradient))
+        target = self._value * bounded
+        # Unused concurrency proves nothing, so the limit grows only while it is used.
+        if gradient >= 1.0 and self._peak_in_flight * 2 >= self._value:
+            target += math.sqrt(self._value) / 2
+        self._value = min(self._maximum, max(self._minimum, target))
+
+    def _start_probe(self, now: float) -> None:
+        self._next_probe_at = None
+        self._probe_until = now + PROBE_MAX_SECONDS
+        self._probe = []
+        factor = self._size_factor(self._mean_units)
+        self._short *= factor
+        self._baseline *= factor
+        self._reference_units = self._mean_units
+
+    def _finish_probe(self, now: float) -> None:
+        if len(self._probe) < PROBE_SAMPLES and now < self._probe_until:
+            return
+        if self._probe:
+            self._baseline = sum(self._probe) / len(self._probe)
+        self._probe_until = None
+        self._next_probe_at = now + PROBE_INTERVAL_SECONDS
--- /dev/null
+++ b/camphorrun/limits/tests/test_limits.py
@@ -0,0 +1,155 @@
+"""Tests of the concurrency limit and the stage queue."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from .. import (
+    ConcurrencyLimit,
+    EarliestDeadline,
+    LatencySample,
+    LeastLaxity,
+    LinearFit,
+    QueueItem,
+    StageQueue,
+)
+
+
+def drive(limit, start_s, seconds, slots, base_s):
+    """Load an endpoint that saturates at ``slots``; return the time afterwards."""
+    now = start_s
+    while now < start_s + seconds:
+        in_flight = limit.limit
+        latency_s = base_s * max(1.0, in_flight / slots)
+        for _ in range(in_flight):
+            limit.observe(LatencySample(latency_s, 1, in_flight, True, now))
+        now += latency_s
+    return now
+
+
+def item(token, priority=0, deadline_at=10.0, downstream_s=0.0, **fields):
+    values = {"enqueued_at": 0.0, "estimate_s": 0.1, "patience": False, **fields}
+    return QueueItem(
+        token,
+        priority,
+        values["enqueued_at"],
+        deadline_at,
+        downstream_s,
+        values["estimate_s"],
+        values["patience"],
+    )
+
+
+class TestConcurrencyLimit:
+    """The limit follows what the endpoint can bear."""
+
+    def test_limit_finds_the_saturation_point(self):
+        """Guards against a limit that starves or floods the endpoint."""
+        limit = ConcurrencyLimit(4)
+        drive(limit, 0.0, 60.0, slots=32, base_s=0.1)
+        assert 32 * 0.9 <= limit.steady_limit <= 32 * 2
+
+    def test_slowdown_lowers_the_limit_within_seconds(self):
+        """Guards against an overheated endpoint that is noticed only by reports."""
+        limit = ConcurrencyLimit(4)
+        now = drive(limit, 0.0, 60.0, slots=32, base_s=0.1)
+        drive(limit, now, 5.0, slots=8, base_s=0.1)
+        assert limit.limit <= 32 * 0.6
+
+    def test_limit_recovers_with_the_endpoint(self):
+        """Guards against a limit that stays low after the heat has passed."""
+        limit = ConcurrencyLimit(4)
+        now = drive(limit, 0.0, 60.0, slots=32, base_s=0.1)
+        now = drive(limit, now, 30.0, slots=8, base_s=0.1)
+        drive(limit, now, 30.0, slots=32, base_s=0.1)
+        assert limit.steady_limit >= 32 * 0.9
+
+    def test_failures_lower_the_limit(self):
+        """Guards against fast errors that look like low latency."""
+        limit = ConcurrencyLimit(32)
+        for step in range(20):
+            limit.observe(LatencySample(0.001, 1, 32, False, step * 0.3))
+        assert limit.limit <= 8
+
+    def test_large_calls_do_not_lower_the_limit(self):
+        """Guards against mistaking a larger request for a slower endpoint."""
+        limit = ConcurrencyLimit(16)
+        for step in range(2000):
+            units = 1 if step % 400 < 200 else 50
+            sample = LatencySample(0.01 + 0.01 * units, units, 16, True, step * 0.02)
+            limit.observe(sample)
+        assert limit.steady_limit >= 16
+
+
+class TestLinearFit:
+    """The fit survives outliers and follows lasting changes."""
+
+    def test_one_outlier_changes_little(self):
+        """Guards against estimates that one stalled call spoils."""
+        fit = LinearFit(1)
+        for x in range(100):
+            fit.observe((x % 10,), 1.0 + x % 10)
+        fit.observe((5,), 600.0)
+        assert abs(fit.predict((5,)) - 6.0) < 0.6
+
+
+class TestStageQueue:
+    """Order, bounds and expiry of the queue."""
+
+    def test_downstream_need_decides_within_priority(self):
+        """Guards against ordering by a local deadline alone."""
+        queue = StageQueue(LeastLaxity(), 8)
+        queue.push(item("early", deadline_at=5.0), 0.0)
+        queue.push(item("long", deadline_at=6.0, downstream_s=4.0), 0.0)
+        assert queue.pop(0.0).token == "long"
+
+    def test_priority_comes_first(self):
+        """Guards against urgent but unimportant work that delays important work."""
+        queue = StageQueue(LeastLaxity(), 8)
+        queue.push(item("low", priority=0, deadline_at=1.0), 0.0)
+        queue.push(item("high", priority=5, deadline_at=9.0), 0.0)
+        assert queue.pop(0.0).token == "high"
+
+    def test_hopeless_work_is_refused_and_expired(self):
+        """Guards against work that costs resources and then misses its deadline."""
+        queue = StageQueue(LeastLaxity(), 8)
+        late = queue.push(item("late", deadline_at=1.0, downstream_s=2.0), 0.0)
+        assert (late.accepted, late.reason) == (False, "deadline_unreachable")
+        queue.push(item("soon", deadline_at=3.0, downstream_s=2.0), 0.0)
+        assert queue.pop(1.5) is None
+        assert [expired.token for expired in queue.expire(1.5)] == ["soon"]
+
+    def test_full_queue_displaces_only_lower_priority(self):
+        """Guards against an unbounded queue and against loss without an answer."""
+        queue = StageQueue(EarliestDeadline(), 1)
+        queue.push(item("low"), 0.0)
+        assert queue.push(item("equal"), 0.0).reason == "queue_full"
+        assert queue.push(item("high", priority=1), 0.0).displaced.token == "low"
+        assert len(queue) == 1
+
+    def test_patient_caller_is_not_starved(self):
+        """Guards against a reconciliation that waits for ever behind urgent work."""
+        queue = StageQueue(LeastLaxity(), 64)
+        queue.push(item("patient", deadline_at=900.0, patience=True), 0.0)
+        served = []
+        for step in range(200):
+            now = step * 0.1
+            queue.push(item(step, 1, now + 2.0, enqueued_at=now), now)
+            served.append(queue.pop(now).token)
+        assert "patient" in served
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(st.lists(st.tuples(st.integers(0, 3), st.floats(0.2, 9)), max_size=40))
+    def test_every_item_leaves_once(self, work):
+        """Guards against items that are lost or handed out twice."""
+        queue = StageQueue(LeastLaxity(), 10)
+        left = []
+        for token, (priority, deadline_at) in enumerate(work):
+            push = queue.push(item(token, priority, deadline_at), 0.0)
+            if not push.accepted:
+                left.append(token)
+            if push.displaced:
+                left.append(push.displaced.token)
+        left += [expired.token for expired in queue.expire(1.0)]
+        while (popped := queue.pop(1.0)) is not None:
+            left.append(popped.token)
+        assert sorted(left) == list(range(len(work)))
