Add endpoint selection, outlier ejection and estimates

Entries know the load of endpoints only late. The router compares two endpoints by local in-flight work and aged reports, prefers the near availability zone and takes cached prefixes as a hint. Random, round robin and least reported load are kept as baselines.

--- /dev/null
+++ b/camphorrun/routing/__init__.py
@@ -0,0 +1,31 @@
+"""Endpoint selection, load estimates, outlier ejection and baselines."""
+
+from .endpoints import EjectionState, EndpointState, StageRequest
+from .estimates import StageEstimator
+from .outliers import OutlierDetector
+from .policies import (
+    BalancedPolicy,
+    LeastReportedLoadPolicy,
+    RandomPolicy,
+    RoundRobinPolicy,
+    policy_by_name,
+)
+from .prefixes import PrefixIndex
+from .router import NoEndpoint, RouteChoice, Router
+
+__all__ = [
+    "BalancedPolicy",
+    "EjectionState",
+    "EndpointState",
+    "LeastReportedLoadPolicy",
+    "NoEndpoint",
+    "OutlierDetector",
+    "PrefixIndex",
+    "RandomPolicy",
+    "RoundRobinPolicy",
+    "RouteChoice",
+    "Router",
+    "StageEstimator",
+    "StageRequest",
+    "policy_by_name",
+]
--- /dev/null
+++ b/camphorrun/routing/endpoints.py
@@ -0,0 +1,169 @@
+"""What an entry knows about one endpoint."""
+
+import math
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..messages import LoadReport
+
+LATENCY_WEIGHT = 0.2
+FAILURE_WEIGHT = 0.2
+# Load of other entries in a report loses its weight with this time constant, because
+# after it the report says little about the present.
+REPORT_SECONDS = 4.0
+# Assumed while neither a report nor a result is known.
+DEFAULT_SERVICE_SECONDS = 0.1
+DEFAULT_LIMIT = 8
+
+
+class EjectionState(Enum):
+    """Whether an endpoint gets work."""
+
+    ACTIVE = "active"
+    EJECTED = "ejected"
+    PROBING = "probing"
+
+
+@dataclass(frozen=True, slots=True)
+class StageRequest:
+    """What the router needs to know about an attempt."""
+
+    service: str
+    model: str = ""
+    priority: int = 0
+    input_units: int = 1
+    output_units: int = 0
+    prefix: str = ""
+    remaining_s: float = math.inf
+    exclude: frozenset[str] = frozenset()
+
+
+@dataclass(slots=True)
+class EndpointState:
+    """Load, latency and health of an endpoint as this entry sees them.
+
+    Attributes
+    ----------
+    in_flight : int
+        Attempts of this entry that have no result yet.
+    latency_s : float
+        Smoothed latency of recent successful attempts of this entry.
+    failure_rate : float
+        Smoothed share of failed attempts.
+    samples : int
+        Results since the endpoint became active.
+    ejected_until : float
+        End of the present ejection.
+    ejections : int
+        Consecutive ejections, which lengthen the next one.
+    """
+
+    host: str
+    availability_zone: str
+    service: str
+    in_flight: int = 0
+    report: LoadReport | None = None
+    report_at: float = -math.inf
+    in_flight_at_report: int = 0
+    latency_s: float = 0.0
+    failure_rate: float = 0.0
+    samples: int = 0
+    link_up: bool = True
+    link_changed_at: float = -math.inf
+    draining: bool = False
+    ejection: EjectionState = EjectionState.ACTIVE
+    ejected_until: float = -math.inf
+    ejections: int = 0
+    probe_successes: int = 0
+    probe_failures: int = 0
+    last_result_at: float = field(default=-math.inf)
+
+    def on_dispatch(self) -> None:
+        """Count an attempt that is sent now."""
+        self.in_flight += 1
+
+    def on_result(self, ok: bool, latency_s: float, now: float) -> None:
+        """Record the end of an attempt; a failure says nothing about latency."""
+        self.in_flight = max(0, self.in_flight - 1)
+        self.samples += 1
+        self.last_result_at = now
+        self._record_failure(ok)
+        if ok:
+            self._record_latency(latency_s)
+
+    def on_cancel(self) -> None:
+        """Forget an attempt that ended without a result, for instance cancelled."""
+        self.in_flight = max(0, self.in_flight - 1)
+
+    def on_report(self, report: LoadReport, now: float) -> None:
+        """Take over a load report."""
+        self.report = report
+        self.report_at = now
+        self.in_flight_at_report = self.in_flight
+
+    def on_link(self, up: bool, now: float) -> None:
+        """Record that the link to the agent went up or down."""
+        self.link_up = up
+        self.link_changed_at = now
+        if not up:
+            self.in_flight = 0
+            self.report = None
+
+    def set_draining(self, draining: bool) -> None:
+        """Record that the host is being drained."""
+        self.draining = draining
+
+    def forget_results(self) -> None:
+        """Start the statistics anew, after an ejection."""
+        self.samples = 0
+        self.failure_rate = 0.0
+        self.latency_s = 0.0
+
+    @property
+    def limit(self) -> int:
+        """Concurrency limit by the last report."""
+        return max(1, self.report.limit) if self.report else DEFAULT_LIMIT
+
+    def load(self, now: float) -> float:
+        """Return the predicted work at the endpoint, queued and running."""
+        if self.report is None:
+            return float(self.in_flight)
+        total = self.report.in_flight + self.report.queued
+        others = max(0, total - self.in_flight_at_report)
+        age_s = max(0.0, now - self.report_at)
+        return self.in_flight + others * math.exp(-age_s / REPORT_SECONDS)
+
+    def utilisation(self, now: float) -> float:
+        """Return the predicted load as a share of the limit."""
+        return self.load(now) / self.limit
+
+    def service_time_s(self) -> float:
+        """Return the recent service time of one call."""
+        if self.report is not None and self.report.service_time_s > 0:
+            return self.report.service_time_s
+        return self.latency_s or DEFAULT_SERVICE_SECONDS
+
+    def predicted_wait_s(self, now: float) -> float:
+        """Return the predicted queue wait of new work."""
+        excess = self.load(now) + 1.0 - self.limit
+        if excess <= 0:
+            return 0.0
+        return excess / self.limit * self.service_time_s()
+
+    def score(self, now: float) -> float:
+        """Return the predicted time of new work, also ordered below saturation.
+
+        Failures raise the score, so that failing fast never looks like low load.
+        """
+        healthy = max(0.05, 1.0 - self.failure_rate)
+        return self.service_time_s() * (1.0 + self.utilisation(now)) / healthy
+
+    def _record_failure(self, ok: bool) -> None:
+        failed = 0.0 if ok else 1.0
+        self.failure_rate += FAILURE_WEIGHT * (failed - self.failure_rate)
+
+    def _record_latency(self, latency_s: float) -> None:
+        if self.latency_s <= 0:
+            self.latency_s = latency_s
+        else:
+            self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
