Add admission by deadline, priority and fair share

Overload has to be refused before any stage has cost anything. Capacity is divided from the highest priority down; the first priority that it does not cover is divided by weight, with unused share lent.

--- /dev/null
+++ b/camphorrun/admission/controller.py
@@ -0,0 +1,233 @@
+"""Decides at the entry whether a request is accepted, before any stage costs anything.
+
+A greater ``priority`` is more important. Costs are in units of the caller's choice, the
+same for requests and capacity; the entry uses predicted busy seconds of endpoints.
+"""
+
+import math
+from dataclasses import dataclass
+from functools import singledispatch
+
+from .shares import LevelDemand
+
+DEADLINE_UNREACHABLE = "deadline_unreachable"
+OVER_SHARE = "over_share"
+OVERLOADED = "overloaded"
+
+REFRESH_SECONDS = 0.1
+# Share of the capacity that is handed out; adapted by the share of missed deadlines.
+FIRST_UTILISATION = 0.97
+MIN_UTILISATION = 0.5
+MAX_UTILISATION = 1.0
+MISSES_TOLERATED = 0.02
+OUTCOMES_SECONDS = 2.0
+DECREASE_FACTOR = 0.97
+INCREASE_STEP = 0.005
+MIN_RETRY_AFTER_SECONDS = 0.2
+MAX_RETRY_AFTER_SECONDS = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionRequest:
+    """A request that asks to be admitted.
+
+    ``predicted_s`` is the predicted time to completion, queue waits included, and
+    ``weight`` the share of the client account relative to others.
+    """
+
+    account: str
+    weight: float
+    priority: int
+    remaining_s: float
+    predicted_s: float
+    cost: float
+
+    def __post_init__(self):
+        if not self.weight > 0 or not self.cost >= 0:
+            raise ValueError("expected weight above 0 and cost of 0 or more")
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The request may run; ``release`` must follow."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request may not run, and nothing ran."""
+
+    code: str
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Predictive:
+    """Refuse what would miss its deadline, then by priority and fair share.
+
+    ``margin`` multiplies the predicted time, to allow for its error.
+    """
+
+    margin: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class AdmitAll:
+    """Admit every request (baseline)."""
+
+
+class AdmissionController:
+    """Admission of one entry.
+
+    Parameters
+    ----------
+    policy : Predictive or AdmitAll
+        Decision policy.
+    max_requests : int
+        Requests that may be in flight.
+    """
+
+    def __init__(self, policy: object = Predictive(), max_requests: int = 2000):
+        if max_requests < 1:
+            raise ValueError(f"max_requests: expected 1 or more, got {max_requests}")
+        self._policy = policy
+        self._max_requests = max_requests
+        self._capacity = math.inf
+        self._utilisation = FIRST_UTILISATION
+        self._levels: dict[int, LevelDemand] = {}
+        self._refresh_at = -math.inf
+        self._outcomes = 0.0
+        self._misses = 0.0
+        self._outcomes_at = -math.inf
+        self._adapted_at = -math.inf
+        self.in_flight = 0
+        self.outstanding_cost = 0.0
+
+    def admit(self, request: AdmissionRequest, now: float) -> Admitted | Refused:
+        """Decide on a request; an admitted one must be released."""
+        refused = decide(self._policy, self, request, now)
+        if refused is not None:
+            return refused
+        self.in_flight += 1
+        self.outstanding_cost += request.cost
+        return Admitted()
+
+    def release(self, account: str, cost: float, now: float) -> None:
+        """Record the end of an admitted request."""
+        self.in_flight = max(0, self.in_flight - 1)
+        self.outstanding_cost = max(0.0, self.outstanding_cost - cost)
+
+    def on_capacity(self, capacity_cost_per_s: float, now: float) -> None:
+        """Set the capacity available to this entry."""
+        self._capacity = max(0.0, capacity_cost_per_s)
+        self._refresh_at = now
+
+    def on_outcome(self, met_deadline: bool, now: float) -> None:
+        """Learn from an admitted request whether too much was admitted."""
+        if self._outcomes_at > -math.inf:
+            keep = math.exp(-(now - self._outcomes_at) / OUTCOMES_SECONDS)
+            self._outcomes *= keep
+            self._misses *= keep
+        self._outcomes_at = now
+        self._outcomes += 1.0
+        self._misses += 0.0 if met_deadline else 1.0
+        if now - self._adapted_at >= OUTCOMES_SECONDS / 4:
+            self._adapted_at = now
+            self._adapt()
+
+    def tracked_accounts(self) -> int:
+        """Return how many client accounts are remembered."""
+        return sum(len(level.accounts) for level in self._levels.values())
+
+    def has_room(self) -> bool:
+        """Return whether another request may be in flight."""
+        return self.in_flight < self._max_requests
+
+    def check_share(self, request: AdmissionRequest, now: float) -> str:
+        """Count the demand of a request; return why it is refused, or nothing."""
+        level = self._levels.setdefault(request.priority, LevelDemand())
+        level.add(request.account, request.weight, request.cost, now)
+        if now >= self._refresh_at:
+            self._refresh(now)
+        if level.admits(request.account, request.cost, now):
+            return ""
+        return OVER_SHARE if level.level > 0 else OVERLOADED
+
+    def retry_after_s(self) -> float:
+        """Return when the work that is outstanding now will be done."""
+        if self._capacity <= 0:
+            return MAX_RETRY_AFTER_SECONDS
+        backlog_s = self.outstanding_cost / self._capacity
+        return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, backlog_s))
+
+    def _adapt(self) -> None:
+        if self._misses > self._outcomes * MISSES_TOLERATED:
+            lowered = self._utilisation * DECREASE_FACTOR
+            self._utilisation = max(MIN_UTILISATION, lowered)
+        else:
+            raised = self._utilisation + INCREASE_STEP
+            self._utilisation = min(MAX_UTILISATION, raised)
+
+    def _refresh(self, now: float) -> None:
+        """Divide the capacity anew, from the highest priority down."""
+        self._refresh_at = now + REFRESH_SECONDS
+        left = self._capacity * self._utilisation
+        for priority in sorted(self._levels, reverse=True):
+            level = self._levels[priority]
+            level.forget_idle(now)
+            if level.accounts:
+                left = level.allot(left, now)
+            else:
+                del self._levels[priority]
+
+
+@singledispatch
+def decide(
+    policy: object,
+    controller: AdmissionController,
+    request: AdmissionRequest,
+    now: float,
+) -> Refused | None:
+    """Return the refusal of a request, or None to admit it."""
+    raise TypeError(f"unknown admission policy {type(policy).__name__}")
+
+
+@decide.register
+def _(
+    policy: AdmitAll,
+    controller: AdmissionController,
+    request: AdmissionRequest,
+    now: float,
+) -> Refused | None:
+    return None
+
+
+@decide.register
+def _(
+    policy: Predictive,
+    controller: AdmissionController,
+    request: AdmissionRequest,
+    now: float,
+) -> Refused | None:
+    if request.predicted_s * policy.margin > request.remaining_s:
+        return Refused(DEADLINE_UNREACHABLE, controller.retry_after_s())
+    if not controller.has_room():
+        return Refused(OVERLOADED, controller.retry_after_s())
+    reason = controller.check_share(request, now)
+    return Refused(reason, controller.retry_after_s()) if reason else None
+
+
+_POLICIES = {"predictive": Predictive, "admit_all": AdmitAll}
+
+
+def policy_by_name(name: str) -> object:
+    """Return the admission policy for a settings value.
+
+    Raises
+    ------
+    ValueError
+        If the name is unknown.
+    """
+    if name not in _POLICIES:
+        known = ", ".join(sorted(_POLICIES))
+        raise ValueError(f"admission: expected one of {known}, got {name!r}")
+    return _POLICIES[name]()
