Test that a slower endpoint keeps the concurrency that it can use

The recovery test passed without the probes of half the limit; this one guards them: a uniformly slower endpoint must not collapse to the minimum limit.

--- a/camphorrun/limits/tests/test_limits.py
+++ b/camphorrun/limits/tests/test_limits.py
@@ -63,6 +63,13 @@
         drive(limit, now, 30.0, slots=32, base_s=0.1)
         assert limit.steady_limit >= 32 * 0.9
 
+    def test_slower_endpoint_keeps_the_concurrency_that_it_can_use(self):
+        """Guards against a limit that collapses because the old baseline is gone."""
+        limit = ConcurrencyLimit(4)
+        now = drive(limit, 0.0, 60.0, slots=32, base_s=0.1)
+        drive(limit, now, 60.0, slots=32, base_s=0.4)
+        assert limit.steady_limit >= 32 * 0.9
+
     def test_failures_lower_the_limit(self):
         """Guards against fast errors that look like low latency."""
         limit = ConcurrencyLimit(32)
