--- a/camphorrun/admission/controller.py
+++ b/camphorrun/admission/controller.py
@@ -30,8 +30,6 @@
 # Pipelines that need longer than that without any wait may use up to this share.
 MAX_BACKLOG_SHARE = 0.4
 NEED_FACTOR = 1.5
-# Part of the least utilisation that is kept while nothing completes.
-STALLED_SHARE = 0.1
 NEED_WEIGHT = 0.0005
 DRAIN_FACTOR = 0.95
 GROWTH_FACTOR = 1.1
@@ -205,19 +203,13 @@
         completed = self._completion_rate(now)
         allowed = completed * self._backlog_s()
         if self.outstanding_cost > allowed:
-            lowest = self._capacity * self._lowest_utilisation()
+            lowest = self._capacity * MIN_UTILISATION
             return max(lowest, min(rate, completed * DRAIN_FACTOR))
         if self._too_many_misses():
             return rate
         growth = 1.0 if self.outstanding_cost > allowed / 2 else GROWTH_FACTOR
         return max(rate, min(completed * growth, self._capacity))
 
-    def _lowest_utilisation(self) -> float:
-        """Return the share admitted at least, less the more work is outstanding."""
-        horizon = self._capacity * self._usual_remaining_s / 2
-        left = 1.0 - self.outstanding_cost / horizon if horizon > 0 else 0.0
-        return MIN_UTILISATION * max(STALLED_SHARE, left)
-
     def _backlog_s(self) -> float:
         usual_s = self._usual_remaining_s
         wanted_s = max(BACKLOG_SHARE * usual_s, NEED_FACTOR * self._least_need_s)
--- a/camphorrun/routing/endpoints.py
+++ b/camphorrun/routing/endpoints.py
@@ -7,7 +7,8 @@
 from ..messages import LoadReport
 
 LATENCY_WEIGHT = 0.2
-FAILURE_WEIGHT = 0.2
+# Low, so that failures spread over a service in overload make no single outlier.
+FAILURE_WEIGHT = 0.07
 # Load of other entries in a report loses its weight with this time constant, because
 # after it the report says little about the present.
 REPORT_SECONDS = 4.0
@@ -160,7 +161,8 @@
 
     def _record_failure(self, ok: bool) -> None:
         failed = 0.0 if ok else 1.0
-        self.failure_rate += FAILURE_WEIGHT * (failed - self.failure_rate)
+        weight = max(FAILURE_WEIGHT, 1.0 / self.samples)
+        self.failure_rate += weight * (failed - self.failure_rate)
 
     def _record_latency(self, latency_s: float) -> None:
         if self.latency_s <= 0:
--- a/camphorrun/routing/outliers.py
+++ b/camphorrun/routing/outliers.py
@@ -9,8 +9,10 @@
 MIN_SAMPLES = 4
 # An endpoint is slow at this multiple of the median latency of its service.
 SLOW_FACTOR = 3.0
-# An endpoint fails if its failure rate exceeds that of the median by this much.
+# An endpoint fails if its failure rate exceeds that of the median by this much, and
+# is more than this multiple of it: timeouts of a service in overload are no outlier.
 FAILURE_MARGIN = 0.35
+FAILURE_FACTOR = 2.0
 FIRST_EJECTION_SECONDS = 5.0
 MAX_EJECTION_SECONDS = 120.0
 EJECTED_DIVISOR = 3
@@ -119,7 +121,8 @@
         return []
     typical_rate = median(state.failure_rate for state in active)
     known = [state for state in active if state.samples >= MIN_SAMPLES]
-    failing = [s for s in known if s.failure_rate > typical_rate + FAILURE_MARGIN]
+    bound = max(typical_rate + FAILURE_MARGIN, typical_rate * FAILURE_FACTOR)
+    failing = [s for s in known if s.failure_rate > bound]
     slow = [s for s in known if s not in failing and _is_slow(s, typical_s)]
     failing.sort(key=lambda state: -state.failure_rate)
     slow.sort(key=lambda state: -state.latency_s)
