--- a/camphorrun/claims/batcher.py
+++ b/camphorrun/claims/batcher.py
@@ -3,10 +3,9 @@
 import asyncio
 from collections import deque
 
-from ..core import LogError, LogStore, TimerService
+from ..core import LogError, LogStore, TimerService, bounded
 from .errors import ClaimError
 from .records import MAX_BATCH_RECORDS, ClaimRecord, Position, encode_batch
-from .waiting import bounded
 
 CLAIMS_STREAM = "claims"
 MAX_QUEUED_RECORDS = 4096
--- a/camphorrun/claims/coordinator.py
+++ b/camphorrun/claims/coordinator.py
@@ -18,7 +18,7 @@
 import itertools
 from dataclasses import dataclass
 
-from ..core import TimerService
+from ..core import TimerService, bounded
 from .batcher import ClaimAppender, Submission
 from .errors import ClaimError
 from .follower import ClaimFollower
@@ -33,7 +33,6 @@
     Withdraw,
 )
 from .stamps import DIGEST_BYTES, ClaimKey
-from .waiting import bounded
 
 ACQUIRE_TIMEOUT_SECONDS = 2.0
 VOID_TIMEOUT_SECONDS = 2.0
--- a/camphorrun/claims/follower.py
+++ b/camphorrun/claims/follower.py
@@ -6,11 +6,10 @@
 
 from absl import logging
 
-from ..core import LogError, LogPage, LogStore, TimerService
+from ..core import LogError, LogPage, LogStore, TimerService, bounded
 from .batcher import CLAIMS_STREAM
 from .errors import ClaimError
 from .ledger import ClaimLedger
-from .waiting import bounded
 
 POLL_SECONDS = 10.0
 READ_TIMEOUT_SECONDS = 2.0
