--- a/camphorrun/cli/arguments.py
+++ b/camphorrun/cli/arguments.py
@@ -3,6 +3,8 @@
 import argparse
 
 from .. import __version__
+from .replaying import add_replay
+from .standins import add_standin
 
 EXIT_CODES = """\
 exit codes:
@@ -28,6 +30,8 @@
     _add_daemon(commands, "entry", "serve callers on an entry host")
     _add_daemon(commands, "agent", "run beside one endpoint")
     _add_demo(commands)
+    add_replay(commands)
+    add_standin(commands)
     return parser
 
 
--- a/camphorrun/cli/main.py
+++ b/camphorrun/cli/main.py
@@ -5,10 +5,15 @@
 
 from .arguments import build_parser
 from .daemons import run_daemon
+from .replaying import run_demo_command, run_replay
+from .standins import run_standin
 
 _COMMANDS: dict[str, Callable[[Namespace], int]] = {
     "entry": run_daemon,
     "agent": run_daemon,
+    "demo": run_demo_command,
+    "replay": run_replay,
+    "standin": run_standin,
 }
 
 
--- /dev/null
+++ b/camphorrun/cli/standins.py
@@ -0,0 +1,76 @@
+"""The ``standin`` subcommand: one fake of the platform as a process of its own."""
+
+import asyncio
+import signal
+import sys
+from argparse import Namespace
+from collections.abc import Callable
+
+import msgspec
+from absl import logging
+from aiohttp import web
+
+from ..core import LoopTimerService, TimerService
+from ..daemon import start_server
+from ..settings import SettingsError, check_address
+from ..standins import EndpointProfile, EndpointServer, HostListServer, LogServer
+from .exit_codes import EXIT_FAILED, EXIT_OK, EXIT_SETTINGS
+
+Builder = Callable[[TimerService, bytes], web.Application]
+
+
+def add_standin(commands) -> None:
+    """Add the ``standin`` subcommand to the parser."""
+    text = "run a fake of the platform or of an endpoint"
+    parser = commands.add_parser("standin", help=text, description=text)
+    parser.add_argument("kind", choices=sorted(_BUILDERS))
+    parser.add_argument("--listen", required=True, help="ip:port")
+    parser.add_argument("--profile", default="{}", help="JSON object")
+
+
+def run_standin(args: Namespace) -> int:
+    """Serve a stand-in until SIGTERM or SIGINT and return the exit code."""
+    logging.use_absl_handler()
+    try:
+        check_address(args.listen, "listen")
+        asyncio.run(_serve(args))
+    except (SettingsError, msgspec.DecodeError) as exc:
+        print(f"camphorrun: {exc}", file=sys.stderr)
+        return EXIT_SETTINGS
+    except OSError as exc:
+        logging.error("standin: %s", exc)
+        return EXIT_FAILED
+    return EXIT_OK
+
+
+async def _serve(args: Namespace) -> None:
+    app = _BUILDERS[args.kind](LoopTimerService(), args.profile.encode())
+    runner = await start_server(app, args.listen)
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    await ended.wait()
+    await runner.cleanup()
+
+
+def _log(timers: TimerService, profile: bytes) -> web.Application:
+    fields = msgspec.json.decode(profile, type=dict[str, float])
+    return LogServer(timers, **fields).application()
+
+
+def _hosts(timers: TimerService, profile: bytes) -> web.Application:
+    fields = msgspec.json.decode(profile, type=dict[str, float])
+    return HostListServer(timers, **fields).application()
+
+
+def _endpoint(timers: TimerService, profile: bytes) -> web.Application:
+    decoded = msgspec.json.decode(profile, type=EndpointProfile)
+    return EndpointServer(timers, decoded).application()
+
+
+_BUILDERS: dict[str, Builder] = {
+    "endpoint": _endpoint,
+    "hosts": _hosts,
+    "log": _log,
+}
--- a/camphorrun/demo/local_system.py
+++ b/camphorrun/demo/local_system.py
@@ -3,16 +3,19 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 
 import aiohttp
 from aiohttp import web
 
 from ..agent import AgentDaemon
+from ..configuration import ACCOUNTS_STREAM, FLEET_STREAM
 from ..core import LoopTimerService, TimerService
 from ..daemon import start_server
 from ..entry import EntryDaemon
 from ..platform import HostEntry, LogClient
+from ..replay import Scenario
 from ..settings import (
     AgentSettings,
     EndpointSettings,
@@ -47,6 +50,8 @@
     """One endpoint with its agent."""
 
     host: str
+    zone: str
+    spec: ServiceSpec
     server: EndpointServer
     agent: AgentDaemon
     agent_task: asyncio.Task
@@ -93,7 +98,9 @@
         self.entries: list[EntryDaemon] = []
         self.endpoints: dict[str, list[LocalEndpoint]] = {}
         self._entry_tasks: list[asyncio.Task] = []
+        self._entry_zones: list[str] = []
         self._runners: list[web.AppRunner] = []
+        self._background: set[asyncio.Task] = set()
         self._host_numbers = iter(range(1, 10_000))
 
     async def start(self) -> None:
@@ -108,15 +115,10 @@
             self._add_entry()
 
     async def stop(self) -> None:
-        """Stop everything at once."""
-        tasks = list(self._entry_tasks)
-        for group in self.endpoints.values():
-            tasks.extend(endpoint.agent_task for endpoint in group)
-        for task in tasks:
-            task.cancel()
-        for task in tasks:
-            with contextlib.suppress(asyncio.CancelledError, Exception):
-                await task
+        """Stop everything, entries first, so that no link breaks under them."""
+        agents = [e.agent_task for group in self.endpoints.values() for e in group]
+        for tasks in (self._entry_tasks, agents, list(self._background)):
+            await _cancel(tasks)
         for group in self.endpoints.values():
             for endpoint in group:
                 await endpoint.runner.cleanup()
@@ -145,7 +147,7 @@
         )
         agent = AgentDaemon(settings, self.timers)
         task = asyncio.ensure_future(agent.run())
-        endpoint = LocalEndpoint(host, server, agent, task, runner)
+        endpoint = LocalEndpoint(host, zone, spec, server, agent, task, runner)
         self.endpoints.setdefault(spec.name, []).append(endpoint)
         self.host_list.put(
             HostEntry(host, listen, "agent", zone, REGION, service=spec.name)
@@ -166,6 +168,7 @@
         )
         entry = EntryDaemon(settings, self.timers)
         self.entries.append(entry)
+        self._entry_zones.append(zone)
         self._entry_tasks.append(asyncio.ensure_future(entry.run()))
         self.entry_urls.append(f"http://{listen}")
         self.host_list.put(HostEntry(host, listen, "entry", zone, REGION))
@@ -187,6 +190,54 @@
                 while not await _is_linked(session, url, expected):
                     await self.timers.sleep(0.05)
 
+    async def wait_published(self, scenario: Scenario, timeout_s: float) -> None:
+        """Wait until every entry has read the documents of a scenario.
+
+        Raises
+        ------
+        TimeoutError
+            If that takes longer than ``timeout_s``.
+        """
+        # A position is the last offset read, and offsets start at 1.
+        wanted = {
+            FLEET_STREAM: len(scenario.services) + len(scenario.templates),
+            ACCOUNTS_STREAM: len(scenario.accounts),
+        }
+        async with (
+            asyncio.timeout(timeout_s),
+            aiohttp.ClientSession() as session,
+        ):
+            for url in self.entry_urls:
+                while not await _has_read(session, url, wanted):
+                    await self.timers.sleep(0.05)
+
+    def lose_zone(self, zone: str) -> None:
+        """Stop every process in an availability zone without a shutdown."""
+        for group in self.endpoints.values():
+            for endpoint in group:
+                if endpoint.zone == zone:
+                    endpoint.agent_task.cancel()
+                    endpoint.server.change(stalled=True)
+        for task, entry_zone in zip(self._entry_tasks, self._entry_zones, strict=True):
+            if entry_zone == zone:
+                task.cancel()
+
+    def drain_endpoint(self, endpoint: LocalEndpoint, *, replace: bool) -> None:
+        """Retire the host of an endpoint gracefully, replacing it if asked to."""
+        endpoint.agent.drain("planned maintenance")
+        self._spawn(self._retire(endpoint, replace))
+
+    async def _retire(self, endpoint: LocalEndpoint, replace: bool) -> None:
+        await endpoint.agent_task
+        self.host_list.remove(endpoint.host)
+        if replace:
+            await self.add_endpoint(endpoint.spec)
+
+    def _spawn(self, work: Coroutine) -> None:
+        task = asyncio.ensure_future(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
     def log_client(self, session: aiohttp.ClientSession) -> LogClient:
         """Return a client of the log service."""
         return LogClient(session, self.platform.log_url)
@@ -197,6 +248,23 @@
         return f"http://{address}"
 
 
+async def _cancel(tasks: list[asyncio.Task]) -> None:
+    """Cancel tasks and wait until they have ended."""
+    for task in tasks:
+        task.cancel()
+    for task in tasks:
+        with contextlib.suppress(asyncio.CancelledError, Exception):
+            await task
+
+
+async def _has_read(
+    session: aiohttp.ClientSession, url: str, wanted: dict[str, int]
+) -> bool:
+    async with session.get(f"{url}/v1/status") as resp:
+        positions = (await resp.json())["positions"]
+    return all(positions.get(name, 0) >= wanted[name] for name in wanted)
+
+
 async def _is_linked(session: aiohttp.ClientSession, url: str, expected: int) -> bool:
     try:
         async with session.get(f"{url}/v1/status") as resp:
--- a/camphorrun/standins/__init__.py
+++ b/camphorrun/standins/__init__.py
@@ -2,7 +2,7 @@
 
 from .endpoint_server import EndpointProfile, EndpointServer, EndpointUsage
 from .host_list_server import HostListServer
-from .log_server import LogServer
+from .log_server import LogFaults, LogServer
 from .operations import fingerprint, input_units, run_operation, streamed_text
 
 __all__ = [
@@ -10,6 +10,7 @@
     "EndpointServer",
     "EndpointUsage",
     "HostListServer",
+    "LogFaults",
     "LogServer",
     "fingerprint",
     "input_units",
--- a/camphorrun/standins/endpoint_server.py
+++ b/camphorrun/standins/endpoint_server.py
@@ -1,7 +1,7 @@
 """Stand-in of an endpoint: an engine, a pool or a plain service, over HTTP."""
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import msgspec
@@ -15,9 +15,10 @@
     EndpointReply,
     StreamPart,
 )
-from .operations import input_units, run_operation, streamed_text
+from .operations import fingerprint, input_units, run_operation, streamed_text
 
 MAX_BODY_BYTES = 32 * 1024 * 1024
+MAX_RECORDED = 200_000
 _ERROR_HEADER = "X-Error-Code"
 
 
@@ -58,14 +59,18 @@
 
 @dataclass(slots=True)
 class EndpointUsage:
-    """What an endpoint executed: calls, units, and keyed effects."""
+    """What an endpoint executed: calls, units, and keyed effects.
+
+    ``executions`` counts executions by fingerprint of operation, model and input.
+    """
 
     calls: int = 0
     failed: int = 0
     cancelled: int = 0
     input_units: int = 0
     output_units: int = 0
-    effects: dict[str, int] | None = None
+    effects: dict[str, int] = field(default_factory=dict)
+    executions: dict[str, int] = field(default_factory=dict)
 
 
 class EndpointServer:
@@ -82,7 +87,7 @@
     def __init__(self, timers: TimerService, profile: EndpointProfile):
         self._timers = timers
         self.profile = profile
-        self.usage = EndpointUsage(effects={})
+        self.usage = EndpointUsage()
         self._running: dict[str, asyncio.Task] = {}
         self._queued = 0
         self._slots = asyncio.Semaphore(profile.batch)
@@ -161,9 +166,11 @@
     def _record(self, req: web.Request, body: CallBody) -> None:
         self.usage.calls += 1
         self.usage.input_units += input_units(body.input)
+        mark = fingerprint(body.operation, body.model, body.input)
+        _count(self.usage.executions, mark)
         key = req.headers.get(KEY_HEADER, "")
         if key:
-            self.usage.effects[key] = self.usage.effects.get(key, 0) + 1
+            _count(self.usage.effects, key)
 
     async def _answer(self, body: CallBody) -> web.Response:
         units = input_units(body.input)
@@ -230,6 +237,12 @@
         return web.Response(status=204)
 
 
+def _count(counts: dict[str, int], name: str) -> None:
+    """Count an execution; a full table keeps counting the names that it has."""
+    if name in counts or len(counts) < MAX_RECORDED:
+        counts[name] = counts.get(name, 0) + 1
+
+
 async def _write_line(resp: web.StreamResponse, part: StreamPart) -> None:
     await resp.write(msgspec.json.encode(part) + b"\n")
 
--- a/camphorrun/standins/log_server.py
+++ b/camphorrun/standins/log_server.py
@@ -1,11 +1,13 @@
 """Stand-in of the platform's log service over HTTP."""
 
 import asyncio
+from dataclasses import dataclass
+from typing import Literal
 
 import msgspec
 from aiohttp import web
 
-from ..core import LogError, MemoryLog, TimerService
+from ..core import AppendFault, LogError, MemoryLog, TimerService
 from ..platform import AppendReply, AppendRequest
 
 _EXPIRY_SECONDS = 1.0
@@ -13,6 +15,19 @@
 MAX_WAIT_SECONDS = 30.0
 
 
+@dataclass(frozen=True, slots=True)
+class LogFaults:
+    """Faults of the log service; the defaults are none.
+
+    ``appends`` names the faults of the next appends: ``refused``, ``reply_lost`` or
+    ``lost_before_effect``.
+    """
+
+    available: bool = True
+    delay_s: float = 0.0
+    appends: tuple[Literal["refused", "reply_lost", "lost_before_effect"], ...] = ()
+
+
 class LogServer:
     """Serves a ``MemoryLog`` with the protocol that ``LogClient`` speaks.
 
@@ -36,6 +51,12 @@
         app.cleanup_ctx.append(self._expire_regularly)
         return app
 
+    def set_faults(self, faults: LogFaults) -> None:
+        """Replace all faults."""
+        self.log.available = faults.available
+        self.log.delay_s = faults.delay_s
+        self.log.append_faults = [AppendFault(name) for name in faults.appends]
+
     async def _expire_regularly(self, _app: web.Application):
         subscription = self._timers.subscribe(_EXPIRY_SECONDS, self.log.expire)
         yield
@@ -64,9 +85,11 @@
         return _json(page)
 
     async def _set_faults(self, req: web.Request) -> web.Response:
-        body = await req.json()
-        self.log.available = bool(body.get("available", True))
-        self.log.delay_s = float(body.get("delay_s", 0.0))
+        try:
+            faults = msgspec.json.decode(await req.read(), type=LogFaults)
+        except msgspec.DecodeError as exc:
+            return web.Response(status=400, text=str(exc))
+        self.set_faults(faults)
         return _json({})
 
 
--- a/camphorrun/transport/dialer.py
+++ b/camphorrun/transport/dialer.py
@@ -165,7 +165,8 @@
         self._failures += 1
         self._metrics.reconnects.labels(reason).inc()
         if was_up:
-            logging.warning("link to %s is down: %s", self.address, reason)
+            level = logging.INFO if reason == "shutdown" else logging.WARNING
+            logging.log(level, "link to %s is down: %s", self.address, reason)
             with contextlib.suppress(LinkError):
                 self._events.link_down(reason)
 
