Give each waiting reader of the memory log its own event

The end of one long poll set an event shared by all readers and left it set, so every later poll returned at once until the next append: 9,091 empty reads of the fleet stream in a 12 s demonstration with 17 daemons, now 34. The test fails with the shared event. Percentiles are now taken in one pass over the histogram.

--- a/camphorrun/core/memory_log.py
+++ b/camphorrun/core/memory_log.py
@@ -19,13 +19,13 @@
 class _Stream:
     """Records of one stream and the readers that wait for more."""
 
-    __slots__ = ("changed", "first_offset", "next_offset", "records")
+    __slots__ = ("first_offset", "next_offset", "records", "waiting")
 
     def __init__(self):
         self.records: deque[LogRecord] = deque()
         self.first_offset = 1
         self.next_offset = 1
-        self.changed = asyncio.Event()
+        self.waiting: set[asyncio.Event] = set()
 
 
 class MemoryLog:
@@ -111,15 +111,20 @@
             kept.records.append(LogRecord(kept.next_offset, now_ms, value))
             kept.next_offset += 1
         self.append_count += 1
-        kept.changed.set()
-        kept.changed = asyncio.Event()
+        for woken in kept.waiting:
+            woken.set()
         return first
 
     async def _wait(self, kept: _Stream, wait_s: float) -> None:
-        changed = kept.changed
-        handle = self._timers.call_after(wait_s, changed.set)
-        await changed.wait()
-        handle.cancel()
+        # Each reader has its own event: the end of one wait must not end others.
+        woken = asyncio.Event()
+        kept.waiting.add(woken)
+        handle = self._timers.call_after(wait_s, woken.set)
+        try:
+            await woken.wait()
+        finally:
+            handle.cancel()
+            kept.waiting.discard(woken)
 
     def _page(self, kept: _Stream, offset: int, limit: int) -> LogPage:
         skip = offset - kept.first_offset
--- a/camphorrun/core/tests/test_memory_log.py
+++ b/camphorrun/core/tests/test_memory_log.py
@@ -51,3 +51,26 @@
             return await asyncio.wait_for(reader, 4)
 
         assert len(asyncio.run(scenario()).records) == 1
+
+    def test_end_of_one_wait_does_not_end_others(self):
+        """Guards against readers that poll without pause once a wait has ended."""
+
+        async def run():
+            timers = ManualTimerService()
+            log = MemoryLog(timers)
+            short = asyncio.ensure_future(log.read("s", 1, wait_s=1.0))
+            long = asyncio.ensure_future(log.read("s", 1, wait_s=5.0))
+            await asyncio.sleep(0)
+            timers.advance(1.5)
+            page = await short
+            later = asyncio.ensure_future(log.read("s", 1, wait_s=5.0))
+            for _ in range(5):
+                await asyncio.sleep(0)
+            pending = not long.done() and not later.done()
+            timers.advance(10.0)
+            await asyncio.gather(long, later)
+            return page.records, pending
+
+        records, pending = asyncio.run(run())
+        assert records == ()
+        assert pending
--- a/camphorrun/replay/expectations.py
+++ b/camphorrun/replay/expectations.py
@@ -58,10 +58,7 @@
     stage = next(item for item in template.stages if item.name == name)
     found: list[str] = []
     for before in stage.after:
-        if before in present:
-            names = [before]
-        else:
-            names = _sources(template, before, present)
+        names = [before] if before in present else _sources(template, before, present)
         found.extend(item for item in names if item not in found)
     return found
 
--- a/camphorrun/replay/report.py
+++ b/camphorrun/replay/report.py
@@ -140,10 +140,8 @@
         histogram.record_value(max(1, round(value * 1_000_000)))
     if not histogram.get_total_count():
         return {}
-    return {
-        f"p{percent}": round(histogram.get_value_at_percentile(percent) / 1000, 1)
-        for percent in PERCENTILES
-    }
+    values = histogram.get_percentile_to_value_dict(PERCENTILES)
+    return {f"p{percent}": round(values[percent] / 1000, 1) for percent in PERCENTILES}
 
 
 _GROUPS: dict[str, Callable[[RequestRecord], str]] = {
--- a/camphorrun/replay/scenarios.py
+++ b/camphorrun/replay/scenarios.py
@@ -67,8 +67,8 @@
 
     ``kind`` is ``profile`` (``fields`` replace those of the stand-ins), ``log``
     (``fields`` are faults of the log service), ``zone_lost`` or ``drain``. An empty
-    ``service`` means all services, and empty ``replicas`` all of them. With ``replace``, a new
-    host takes the place of a drained one.
+    ``service`` means all services, and empty ``replicas`` all of them. With
+    ``replace``, a new host takes the place of a drained one.
     """
 
     at_s: float
