--- a/camphorrun/cli/standins.py
+++ b/camphorrun/cli/standins.py
@@ -13,7 +13,13 @@
 from ..core import LoopTimerService, TimerService
 from ..daemon import start_server
 from ..settings import SettingsError, check_address
-from ..standins import EndpointProfile, EndpointServer, HostListServer, LogServer
+from ..standins import (
+    EndpointProfile,
+    EndpointServer,
+    HostListServer,
+    LogServer,
+    WeightServer,
+)
 from .exit_codes import EXIT_FAILED, EXIT_OK, EXIT_SETTINGS
 
 Builder = Callable[[TimerService, bytes], web.Application]
@@ -34,7 +40,7 @@
     try:
         check_address(args.listen, "listen")
         asyncio.run(_serve(args))
-    except (SettingsError, msgspec.DecodeError) as exc:
+    except (SettingsError, msgspec.DecodeError, TypeError) as exc:
         print(f"camphorrun: {exc}", file=sys.stderr)
         return EXIT_SETTINGS
     except OSError as exc:
@@ -69,8 +75,14 @@
     return EndpointServer(timers, decoded).application()
 
 
+def _weights(timers: TimerService, profile: bytes) -> web.Application:
+    fields = msgspec.json.decode(profile, type=dict[str, float])
+    return WeightServer(timers, **fields).application()
+
+
 _BUILDERS: dict[str, Builder] = {
     "endpoint": _endpoint,
     "hosts": _hosts,
     "log": _log,
+    "weights": _weights,
 }
--- a/camphorrun/demo/scenario_run.py
+++ b/camphorrun/demo/scenario_run.py
@@ -148,10 +148,11 @@
             _add(work.calls, {service: usage.calls + usage.failed})
             _add(work.executions, usage.executions)
             _add(work.effects, usage.effects)
+            _add(work.busy_s, usage.busy_s)
             work.cancelled += usage.cancelled
     return work
 
 
-def _add(totals: dict[str, int], counts: dict[str, int]) -> None:
+def _add(totals: dict[str, float], counts: dict[str, float]) -> None:
     for name, count in counts.items():
         totals[name] = totals.get(name, 0) + count
--- a/camphorrun/replay/driver.py
+++ b/camphorrun/replay/driver.py
@@ -142,6 +142,8 @@
         self._due_at = due_at
         self._record = driver.new_record(req, index)
         self._value = request_input(req, index)
+        self._expected = driver.expectation(req, self._value)
+        self._record.fingerprints = self._expected.fingerprints
         self._parts: list[str] = []
         self._part_at = -1.0
 
@@ -218,14 +220,12 @@
 
     def _judge(self, body: dict[str, Any]) -> None:
         record = self._record
-        expectation = self._driver.expectation(self._req, self._value)
-        record.fingerprints = expectation.fingerprints
         record.status = body.get("status", NO_RESPONSE)
         record.code = body.get("code", "")
         record.cost = body.get("cost", {})
         if record.status != ANSWERED:
             return
-        if body.get("output") != expectation.output:
+        if body.get("output") != self._expected.output:
             record.fault = "answer belongs to another request or is incomplete"
         elif self._parts and "".join(self._parts) != body["output"]["text"]:
             record.fault = "parts differ from the answer"
--- a/camphorrun/replay/results.py
+++ b/camphorrun/replay/results.py
@@ -21,6 +21,8 @@
         Executions by fingerprint of the call.
     effects : dict of str to int
         Executions by claim key.
+    busy_s : dict of str to float
+        Seconds in the batches of endpoints by fingerprint, cut-off calls included.
     cancelled : int
         Calls cut off by their agent.
     """
@@ -28,6 +30,7 @@
     calls: dict[str, int] = field(default_factory=dict)
     executions: dict[str, int] = field(default_factory=dict)
     effects: dict[str, int] = field(default_factory=dict)
+    busy_s: dict[str, float] = field(default_factory=dict)
     cancelled: int = 0
 
 
@@ -59,6 +62,8 @@
             groups = group(self.records, by)
             body[f"by_{by}"] = {name: item.to_json() for name, item in groups.items()}
         if self.work is not None:
+            body["missed_work_share"] = round(missed_work_share(self, self.records), 5)
+            body["executed_s_per_answer"] = round(executed_s_per_answer(self), 5)
             body["endpoint_calls"] = self.work.calls
             body["cancelled_calls"] = self.work.cancelled
             body["duplicate_effects"] = duplicate_effects(self)
@@ -80,6 +85,34 @@
     return sum(count - 1 for count in result.work.effects.values() if count > 1)
 
 
+def missed_work_share(result: ReplayResult, records: list[RequestRecord]) -> float:
+    """Return the share of busy seconds that went to requests that missed.
+
+    The stand-ins know it exactly. Without them, the costs stated in outcomes serve,
+    which do not include calls that were cut off.
+    """
+    if result.work is None:
+        return summarise(records).missed_work_share
+    useful_s = missed_s = 0.0
+    marks = {}
+    for record in records:
+        for mark in record.fingerprints.values():
+            marks[mark] = marks.get(mark, False) or record.in_time
+    for mark, in_time in marks.items():
+        busy_s = result.work.busy_s.get(mark, 0.0)
+        useful_s += busy_s if in_time else 0.0
+        missed_s += 0.0 if in_time else busy_s
+    return missed_s / (useful_s + missed_s) if missed_s else 0.0
+
+
+def executed_s_per_answer(result: ReplayResult) -> float:
+    """Return endpoint seconds for each whole answer in time, all calls included."""
+    if result.work is None:
+        return summarise(result.records).busy_s_per_answer
+    in_time = sum(record.in_time for record in result.records)
+    return sum(result.work.busy_s.values()) / max(1, in_time)
+
+
 def false_refusals(result: ReplayResult) -> list[RequestRecord]:
     """Return requests that got ``not_run`` although a call of theirs was executed.
 
@@ -205,8 +238,8 @@
     "attainment": lambda result, records, bound: summarise(records).attainment,
     "wrong": lambda result, records, bound: float(summarise(records).wrong),
     "no_response": lambda result, records, bound: float(summarise(records).no_response),
-    "missed_work_share": lambda result, records, bound: (
-        summarise(records).missed_work_share
+    "missed_work_share": lambda result, records, bound: missed_work_share(
+        result, records
     ),
     "goodput_per_s": _goodput,
     "retry_share": _retry_share,
@@ -230,7 +263,9 @@
     ratios = {
         "attainment": _ratio(ours.attainment, theirs.attainment),
         "answered": _ratio(ours.answered, theirs.answered),
-        "busy_s_per_answer": _ratio(ours.busy_s_per_answer, theirs.busy_s_per_answer),
+        "executed_s_per_answer": _ratio(
+            executed_s_per_answer(result), executed_s_per_answer(baseline)
+        ),
     }
     for name, totals in ours.stages.items():
         other = theirs.stages.get(name)
--- a/camphorrun/replay/tables.py
+++ b/camphorrun/replay/tables.py
@@ -1,7 +1,14 @@
 """Plain tables of replay results."""
 
 from .report import Summary, group, percentiles_ms, summarise
-from .results import ReplayResult, check_bounds, duplicate_effects, false_refusals
+from .results import (
+    ReplayResult,
+    check_bounds,
+    duplicate_effects,
+    executed_s_per_answer,
+    false_refusals,
+    missed_work_share,
+)
 
 
 def render_result(result: ReplayResult) -> str:
@@ -67,6 +74,11 @@
     ]
     if result.work is not None:
         lines.append(f"  endpoint calls: {_counts(result.work.calls)}")
+        share = missed_work_share(result, result.records)
+        lines.append(
+            f"  endpoint seconds per answer in time: "
+            f"{executed_s_per_answer(result):.4f}; on missed requests: {share:.2%}"
+        )
         lines.append(
             f"  duplicate effects: {duplicate_effects(result)}; "
             f"false refusals: {len(false_refusals(result))}"
--- a/camphorrun/standins/endpoint_server.py
+++ b/camphorrun/standins/endpoint_server.py
@@ -1,13 +1,17 @@
 """Stand-in of an endpoint: an engine, a pool or a plain service, over HTTP."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+import aiohttp
 import msgspec
 from aiohttp import web
 
 from ..core import TimerService
+from ..pipeline import prompt_prefix
 from ..platform import (
     FENCING_HEADER,
     KEY_HEADER,
@@ -16,9 +20,12 @@
     StreamPart,
 )
 from .operations import fingerprint, input_units, run_operation, streamed_text
+from .orders import Order, OrderBook, OrderError
+from .prefix_cache import PrefixCache
 
 MAX_BODY_BYTES = 32 * 1024 * 1024
 MAX_RECORDED = 200_000
+WEIGHTS_TIMEOUT_SECONDS = 30.0
 _ERROR_HEADER = "X-Error-Code"
 
 
@@ -26,21 +33,34 @@
 class EndpointProfile:
     """Service time curve, batch size, queue and faults of a stand-in endpoint.
 
-    Times are seconds. A call takes ``base_s + input_units * input_unit_s +
-    output_units * output_unit_s``, multiplied by ``slow_factor`` and, when more than
-    ``batch`` calls run, by the overload. ``fail_share`` of the calls fail at once.
+    A call takes ``base_s + input_units * input_unit_s + output_units *
+    output_unit_s``, times ``slow_factor``, and ``batch_slowdown`` more for each other
+    call in the batch. Calls beyond ``batch`` wait. With a cached prefix, the input
+    costs nothing.
+
+    Faults: ``fail_share`` of the calls fail at once, ``cut_share`` of the streams break
+    after their first part, ``stalled`` stops all progress until it ends, and ``silent``
+    accepts calls and never answers them. ``batch``, the cache and the URL of the weight
+    store cannot change while the endpoint runs.
     """
 
     base_s: float = 0.002
     input_unit_s: float = 0.0
     output_unit_s: float = 0.0
     batch: int = 8
+    batch_slowdown: float = 0.0
     max_queue: int = 1000
     slow_factor: float = 1.0
     fail_share: float = 0.0
+    cut_share: float = 0.0
     stalled: bool = False
+    silent: bool = False
     load_lag_s: float = 0.5
     checks_fencing: bool = False
+    cache_prefixes: int = 0
+    cache_event_lag_s: float = 1.0
+    cache_loses_every: int = 0
+    weight_store_url: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +81,9 @@
 class EndpointUsage:
     """What an endpoint executed: calls, units, and keyed effects.
 
-    ``executions`` counts executions by fingerprint of operation, model and input.
+    ``executions`` counts executions and ``busy_s`` adds up their time in the batch, by
+    fingerprint of operation, model and input. ``effects`` counts executions by
+    idempotency key.
     """
 
     calls: int = 0
@@ -69,8 +91,25 @@
     cancelled: int = 0
     input_units: int = 0
     output_units: int = 0
+    cache_hits: int = 0
     effects: dict[str, int] = field(default_factory=dict)
     executions: dict[str, int] = field(default_factory=dict)
+    busy_s: dict[str, float] = field(default_factory=dict)
+
+
+class _Share:
+    """Selects a share of calls evenly, without chance."""
+
+    def __init__(self):
+        self._credit = 0.0
+
+    def take(self, share: float) -> bool:
+        """Return whether the next call is one of the share."""
+        self._credit += share
+        if self._credit < 1.0:
+            return False
+        self._credit -= 1.0
+        return True
 
 
 class EndpointServer:
@@ -81,20 +120,31 @@
     profile : EndpointProfile
         May be replaced at any time to inject faults.
     usage : EndpointUsage
-        Executed work; ``effects`` counts executions by idempotency key.
+        Executed work.
+    orders : OrderBook
+        Models and role of the endpoint.
     """
 
     def __init__(self, timers: TimerService, profile: EndpointProfile):
         self._timers = timers
         self.profile = profile
         self.usage = EndpointUsage()
-        self._running: dict[str, asyncio.Task] = {}
+        self.orders = OrderBook(self._fetch_weights)
+        self._cache = PrefixCache(
+            timers,
+            profile.cache_prefixes,
+            profile.cache_event_lag_s,
+            profile.cache_loses_every,
+        )
+        self._calls: dict[str, asyncio.Task] = {}
         self._queued = 0
+        self._executing = 0
         self._slots = asyncio.Semaphore(profile.batch)
         self._resumed = asyncio.Event()
         self._resumed.set()
         self._fencing_token = 0
-        self._failure_credit = 0.0
+        self._failures = _Share()
+        self._cuts = _Share()
         self._reported = EndpointLoad()
 
     def application(self) -> web.Application:
@@ -103,6 +153,9 @@
         app.router.add_post("/v1/calls", self._call)
         app.router.add_delete("/v1/calls/{call_id}", self._cancel)
         app.router.add_get("/v1/load", self._load)
+        app.router.add_get("/v1/cache_events", self._cache_events)
+        app.router.add_get("/v1/orders", self._get_orders)
+        app.router.add_post("/v1/orders", self._post_order)
         app.router.add_get("/v1/usage", self._usage)
         app.router.add_post("/v1/profile", self._change_profile)
         return app
@@ -115,39 +168,50 @@
         else:
             self._resumed.set()
 
+    # Calls.
+
     async def _call(self, req: web.Request) -> web.StreamResponse:
         try:
             body = msgspec.json.decode(await req.read(), type=CallBody)
         except msgspec.DecodeError as exc:
             return _error(400, "bad_call", str(exc))
+        if self.profile.silent:
+            await asyncio.Event().wait()
         refusal = self._refuse(req)
         if refusal is not None:
             return refusal
-        task = asyncio.current_task()
-        self._running[body.call_id] = task
+        self._calls[body.call_id] = asyncio.current_task()
         try:
             return await self._execute(req, body)
         except asyncio.CancelledError:
             self.usage.cancelled += 1
             raise
+        except ConnectionResetError:
+            # The agent left between two writes; the call counts as cancelled.
+            self.usage.cancelled += 1
+            raise asyncio.CancelledError from None
         finally:
-            self._running.pop(body.call_id, None)
+            self._calls.pop(body.call_id, None)
 
     def _refuse(self, req: web.Request) -> web.Response | None:
-        token = int(req.headers.get(FENCING_HEADER, "0"))
-        if self.profile.checks_fencing and token:
-            if token < self._fencing_token:
-                return _error(409, "stale_fencing_token", "token is outdated")
-            self._fencing_token = token
+        if not self._passes_fencing(req):
+            return _error(409, "stale_fencing_token", "token is outdated")
         if self._queued >= self.profile.max_queue:
             return _error(503, "endpoint_queue_full", "queue is full")
-        self._failure_credit += self.profile.fail_share
-        if self._failure_credit >= 1.0:
-            self._failure_credit -= 1.0
+        if self._failures.take(self.profile.fail_share):
             self.usage.failed += 1
             return _error(500, "endpoint_error", "injected failure")
         return None
 
+    def _passes_fencing(self, req: web.Request) -> bool:
+        token = int(req.headers.get(FENCING_HEADER, "0"))
+        if not self.profile.checks_fencing or not token:
+            return True
+        if token < self._fencing_token:
+            return False
+        self._fencing_token = token
+        return True
+
     async def _execute(self, req: web.Request, body: CallBody) -> web.StreamResponse:
         self._queued += 1
         try:
@@ -156,17 +220,32 @@
             self._queued -= 1
         try:
             await self._resumed.wait()
-            self._record(req, body)
-            if body.stream:
-                return await self._stream(req, body)
-            return await self._answer(body)
+            mark = fingerprint(body.operation, body.model, body.input)
+            self._record(req, body, mark)
+            async with self._busy(mark):
+                if body.stream:
+                    return await self._stream(req, body)
+                return await self._answer(body)
         finally:
             self._slots.release()
 
-    def _record(self, req: web.Request, body: CallBody) -> None:
+    @asynccontextmanager
+    async def _busy(self, mark: str) -> AsyncIterator[None]:
+        """Add the time of a call in the batch to the usage, also if it is cut off."""
+        begun_at = self._timers.now()
+        self._executing += 1
+        try:
+            yield
+        finally:
+            self._executing -= 1
+            elapsed_s = self._timers.now() - begun_at
+            if mark in self.usage.executions:
+                spent_s = self.usage.busy_s.get(mark, 0.0)
+                self.usage.busy_s[mark] = spent_s + elapsed_s
+
+    def _record(self, req: web.Request, body: CallBody, mark: str) -> None:
         self.usage.calls += 1
         self.usage.input_units += input_units(body.input)
-        mark = fingerprint(body.operation, body.model, body.input)
         _count(self.usage.executions, mark)
         key = req.headers.get(KEY_HEADER, "")
         if key:
@@ -174,7 +253,9 @@
 
     async def _answer(self, body: CallBody) -> web.Response:
         units = input_units(body.input)
-        await self._timers.sleep(self._duration_s(units, body.output_units))
+        work_s = self._input_s(body, units)
+        work_s += body.output_units * self.profile.output_unit_s
+        await self._work(work_s)
         output = run_operation(body.operation, body.model, body.input)
         self.usage.output_units += body.output_units
         reply = EndpointReply(
@@ -185,41 +266,51 @@
     async def _stream(self, req: web.Request, body: CallBody) -> web.StreamResponse:
         resp = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
         await resp.prepare(req)
+        is_cut = self._cuts.take(self.profile.cut_share)
         units = input_units(body.input)
-        await self._timers.sleep(self._duration_s(units, 0))
+        await self._work(self._input_s(body, units))
         texts = streamed_text(
             body.operation, body.model, body.input, max(1, body.output_units)
         )
         for sequence, text in enumerate(texts):
             if sequence < body.from_sequence:
                 continue
-            await self._timers.sleep(self.profile.output_unit_s * self._slowness())
-            await self._resumed.wait()
+            await self._work(self.profile.output_unit_s)
             self.usage.output_units += 1
             await _write_line(resp, StreamPart(sequence, text, 1))
+            if is_cut and req.transport is not None:
+                req.transport.abort()
+                raise ConnectionResetError("injected cut")
         end = StreamPart(
             len(texts), "", 0, end=True, input_units=units, output_units=len(texts)
         )
         await _write_line(resp, end)
         return resp
 
-    def _duration_s(self, input_count: int, output_count: int) -> float:
-        profile = self.profile
-        work_s = profile.base_s + input_count * profile.input_unit_s
-        work_s += output_count * profile.output_unit_s
-        return work_s * self._slowness()
+    def _input_s(self, body: CallBody, units: int) -> float:
+        """Return the time until the first output, which a cached prefix shortens."""
+        prefix = prompt_prefix(msgspec.json.encode(body.input))
+        if self._cache.use(prefix):
+            self.usage.cache_hits += 1
+            return self.profile.base_s
+        return self.profile.base_s + units * self.profile.input_unit_s
 
-    def _slowness(self) -> float:
-        return self.profile.slow_factor
+    async def _work(self, seconds: float) -> None:
+        """Spend time at the speed of the batch as it is now."""
+        shared = 1.0 + self.profile.batch_slowdown * (self._executing - 1)
+        await self._timers.sleep(seconds * shared * self.profile.slow_factor)
+        await self._resumed.wait()
 
     async def _cancel(self, req: web.Request) -> web.Response:
-        task = self._running.get(req.match_info["call_id"])
+        task = self._calls.get(req.match_info["call_id"])
         if task is not None:
             task.cancel()
         return web.Response(status=204)
 
+    # Reports.
+
     async def _load(self, _req: web.Request) -> web.Response:
-        present = EndpointLoad(len(self._running) - self._queued, self._queued)
+        present = EndpointLoad(self._executing, self._queued)
         reported = self._reported
         self._timers.call_after(
             self.profile.load_lag_s, lambda: self._set_reported(present)
@@ -229,11 +320,51 @@
     def _set_reported(self, load: EndpointLoad) -> None:
         self._reported = load
 
+    async def _cache_events(self, req: web.Request) -> web.Response:
+        offset = int(req.query.get("offset", "1"))
+        return _json(self._cache.events(offset))
+
     async def _usage(self, _req: web.Request) -> web.Response:
         return _json(self.usage)
 
+    # Orders.
+
+    async def _get_orders(self, _req: web.Request) -> web.Response:
+        return _json(self.orders.state())
+
+    async def _post_order(self, req: web.Request) -> web.Response:
+        if not self._passes_fencing(req):
+            return _error(409, "stale_fencing_token", "token is outdated")
+        try:
+            order = msgspec.json.decode(await req.read(), type=Order)
+            return _json(await self.orders.carry_out(order))
+        except msgspec.DecodeError as exc:
+            return _error(400, "bad_order", str(exc))
+        except OrderError as exc:
+            return _error(503, exc.code, str(exc))
+
+    async def _fetch_weights(self, model: str) -> None:
+        url = self.profile.weight_store_url
+        if not url:
+            return
+        timeout = aiohttp.ClientTimeout(total=WEIGHTS_TIMEOUT_SECONDS)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.get(f"{url}/v1/weights/{model}") as resp,
+            ):
+                if resp.status != 200:
+                    raise OrderError("weight store refused", code="weights_limited")
+                await resp.read()
+        except (aiohttp.ClientError, TimeoutError) as exc:
+            raise OrderError(repr(exc), code="weights_unavailable") from exc
+
     async def _change_profile(self, req: web.Request) -> web.Response:
-        self.change(**(await req.json()))
+        try:
+            fields = msgspec.json.decode(await req.read(), type=dict[str, Any])
+            self.change(**fields)
+        except (msgspec.DecodeError, TypeError) as exc:
+            return _error(400, "bad_profile", str(exc))
         return web.Response(status=204)
 
 
