--- a/camphorrun/cli/standins.py
+++ b/camphorrun/cli/standins.py
@@ -5,6 +5,7 @@
 import sys
 from argparse import Namespace
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 from absl import logging
@@ -71,7 +72,10 @@
 
 
 def _endpoint(timers: TimerService, profile: bytes) -> web.Application:
-    decoded = msgspec.json.decode(profile, type=EndpointProfile)
+    fields = msgspec.json.decode(profile, type=dict[str, Any])
+    # The constructor refuses unknown names, and the conversion wrong types.
+    EndpointProfile(**fields)
+    decoded = msgspec.convert(fields, EndpointProfile)
     return EndpointServer(timers, decoded).application()
 
 
--- a/camphorrun/demo/tests/test_whole_path.py
+++ b/camphorrun/demo/tests/test_whole_path.py
@@ -17,7 +17,7 @@
 from ...settings import PolicySettings
 from ..scenario_run import run_local
 
-PATIENT = TemplateParameters(deadline_ms=20_000)
+PATIENT = TemplateParameters(deadline_ms=6_000)
 
 
 def scenario_of(faults=(), **profile):
--- a/camphorrun/replay/scenarios.py
+++ b/camphorrun/replay/scenarios.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, Literal
 
 import msgspec
 
@@ -72,7 +72,7 @@
     """
 
     at_s: float
-    kind: str
+    kind: Literal["profile", "log", "zone_lost", "drain"]
     service: str = ""
     replicas: tuple[int, ...] = ()
     zone: str = ""
@@ -189,9 +189,23 @@
         raw = {**_read_json(path.with_name(base)), **raw}
     raw.setdefault("name", path.stem)
     try:
-        return msgspec.convert(raw, Scenario)
+        scenario = msgspec.convert(raw, Scenario)
     except msgspec.ValidationError as exc:
         raise TraceError(f"{path}: {exc}", field=str(path)) from exc
+    _reject_unknown_keys(raw, msgspec.to_builtins(scenario), "$")
+    return scenario
+
+
+def _reject_unknown_keys(raw: Any, known: Any, path: str) -> None:
+    """Refuse keys that were ignored: a misspelt scope would widen a bound."""
+    if isinstance(raw, list):
+        for index, item in enumerate(raw):
+            _reject_unknown_keys(item, known[index], f"{path}[{index}]")
+    elif isinstance(raw, dict):
+        for key, value in raw.items():
+            if key not in known:
+                raise TraceError(f"{path}.{key}: unknown key", field=f"{path}.{key}")
+            _reject_unknown_keys(value, known[key], f"{path}.{key}")
 
 
 def _read_json(path: Path) -> dict[str, Any]:
--- a/camphorrun/replay/tests/test_traces.py
+++ b/camphorrun/replay/tests/test_traces.py
@@ -19,6 +19,7 @@
     generate_trace,
     load_scenario,
     policy_from_text,
+    read_scenario,
     request_input,
     scenario_names,
 )
@@ -64,6 +65,13 @@
                 check_document(account.document("0" * 64))
             assert {bound.figure for bound in scenario.bounds} <= set(FIGURES)
 
+    def test_misspelt_scope_is_refused(self, tmp_path):
+        """Guards against a bound that covers other requests than it states."""
+        path = tmp_path / "s.json"
+        path.write_text('{"bounds": [{"figure": "attainment", "acount": "a"}]}')
+        with pytest.raises(TraceError, match="acount"):
+            read_scenario(path)
+
     def test_unknown_policy_is_refused(self):
         """Guards against a baseline that silently is the policy itself."""
         assert policy_from_text("plain").routing == "random"
