--- a/camphorrun/cli/replaying.py
+++ b/camphorrun/cli/replaying.py
@@ -127,4 +127,6 @@
 
 
 def _succeeded(result: ReplayResult) -> bool:
-    return result.is_sound() and all(check.holds for check in check_bounds(result))
+    return result.is_sound() and all(
+        check.holds is not False for check in check_bounds(result)
+    )
--- a/camphorrun/demo/demonstration.py
+++ b/camphorrun/demo/demonstration.py
@@ -48,7 +48,7 @@
     """Return whether all answers are right and all stated outcomes hold."""
     if not result.is_sound() or summarise(result.records).no_response:
         return False
-    return all(check.holds for check in check_bounds(result))
+    return all(check.holds is not False for check in check_bounds(result))
 
 
 def _verdict(result: ReplayResult) -> str:
--- a/camphorrun/replay/plots.py
+++ b/camphorrun/replay/plots.py
@@ -41,10 +41,18 @@
 def _draw_goodput(axes, results: list[ReplayResult]) -> None:
     offered = Counter(int(record.at_s) for record in results[0].records)
     seconds = range(max(offered, default=0) + 1)
-    axes.step(seconds, [offered[s] for s in seconds], color="grey", label="offered")
+    axes.step(
+        seconds,
+        [offered[s] for s in seconds],
+        where="post",
+        color="grey",
+        label="offered",
+    )
     for result in results:
         done = Counter(int(r.at_s + r.latency_s) for r in result.records if r.in_time)
-        axes.step(seconds, [done[s] for s in seconds], label=result.policy)
+        axes.step(
+            seconds, [done[s] for s in seconds], where="post", label=result.policy
+        )
     axes.set_xlabel("time (s)")
     axes.set_ylabel("requests a second")
 
--- a/camphorrun/replay/results.py
+++ b/camphorrun/replay/results.py
@@ -141,11 +141,15 @@
 
 @dataclass(frozen=True, slots=True)
 class BoundCheck:
-    """A stated outcome with the figure that was measured."""
+    """A stated outcome with the figure that was measured.
+
+    ``holds`` is None if the run cannot tell, because the figure needs what only
+    stand-ins in this process know.
+    """
 
     bound: Bound
     value: float
-    holds: bool
+    holds: bool | None
 
     def to_json(self) -> dict[str, Any]:
         """Return the check as JSON values."""
@@ -187,6 +191,9 @@
     checks = []
     for bound in result.scenario.bounds:
         records = [record for record in result.records if _in_scope(record, bound)]
+        if result.work is None and bound.figure in _LOCAL_FIGURES:
+            checks.append(BoundCheck(bound, 0.0, None))
+            continue
         value = _FIGURES[bound.figure](result, records, bound)
         holds = bound.at_least is None or value >= bound.at_least
         holds = holds and (bound.at_most is None or value <= bound.at_most)
@@ -250,6 +257,7 @@
     "false_refusals": lambda result, records, bound: float(len(false_refusals(result))),
     "unknown": lambda result, records, bound: float(summarise(records).unknown),
 }
+_LOCAL_FIGURES = frozenset({"amplification", "duplicate_effects", "false_refusals"})
 FIGURES = tuple(_FIGURES)
 
 
--- a/camphorrun/replay/tables.py
+++ b/camphorrun/replay/tables.py
@@ -89,9 +89,9 @@
 def _bound_lines(result: ReplayResult) -> list[str]:
     lines = []
     for check in check_bounds(result):
-        state = "holds" if check.holds else "MISSED"
+        state = {True: "holds", False: "MISSED", None: "unknown"}[check.holds]
         body = check.to_json()
-        lines.append(f"  {state:<7}{body['outcome']}: {body['value']:g}")
+        lines.append(f"  {state:<8}{body['outcome']}: {body['value']:g}")
     return lines
 
 
--- a/camphorrun/replay/tests/test_report.py
+++ b/camphorrun/replay/tests/test_report.py
@@ -101,6 +101,13 @@
         assert check.value == 1.0 and check.holds
         assert "holds" in render_result(result_of(records, [bound]))
 
+    def test_figure_that_only_stand_ins_know_is_unknown_without_them(self):
+        """Guards against a remote run that claims what it cannot see."""
+        bounds = [Bound("duplicate_effects", at_most=0)]
+        assert check_bounds(result_of([record(0)], bounds))[0].holds is None
+        work = EndpointWork()
+        assert check_bounds(result_of([record(0)], bounds, work=work))[0].holds is True
+
     def test_missed_bound_is_reported(self):
         """Guards against a report that hides a missed outcome."""
         result = result_of([record(0, latency_s=9.0)], [Bound("attainment", 0.99)])
