--- a/camphorrun/replay/policies.py
+++ b/camphorrun/replay/policies.py
@@ -5,7 +5,7 @@
 from ..settings import PolicySettings
 from .requests import TraceError
 
-_VALUES = {
+VALUES = {
     "routing": ("balanced", "random", "round_robin", "least_reported_load"),
     "queue": ("least_laxity", "earliest_deadline", "first_come"),
     "admission": ("predictive", "admit_all"),
@@ -38,7 +38,7 @@
             continue
         name, _, value = item.rpartition("=")
         name = name or _field_of(value)
-        if value not in _VALUES.get(name, ()):
+        if value not in VALUES.get(name, ()):
             raise TraceError(f"policy: unknown value {item!r}", field="policy")
         fields[name] = value
     return dataclasses.replace(PolicySettings(seed=seed), **fields)
@@ -46,4 +46,4 @@
 
 def _field_of(value: str) -> str:
     """Return the field that a value belongs to, empty if there is none."""
-    return next((name for name, values in _VALUES.items() if value in values), "")
+    return next((name for name, values in VALUES.items() if value in values), "")
