Add the operator commands and the explain route

Operators had no means to publish, inspect, wait or drain. ctl reads the log and asks the listed hosts directly; a drain goes both ways at once, so that it needs neither the log nor a connection to the host. Requests refused before admission are kept for explanations too.

--- a/camphorrun/agent/daemon.py
+++ b/camphorrun/agent/daemon.py
@@ -168,6 +168,7 @@
             "incarnation": self.incarnation,
             "synchronised": self._sync.synchronised,
             "positions": self._sync.positions(),
+            "not_current": self._sync.not_current(),
             "unfinished": self._worker.unfinished,
             "in_flight": load.in_flight,
             "queued": load.queued,
--- a/camphorrun/cli/arguments.py
+++ b/camphorrun/cli/arguments.py
@@ -3,6 +3,7 @@
 import argparse
 
 from .. import __version__
+from .operate import add_ctl
 
 EXIT_CODES = """\
 exit codes:
@@ -28,6 +29,7 @@
     _add_daemon(commands, "entry", "serve callers on an entry host")
     _add_daemon(commands, "agent", "run beside one endpoint")
     _add_demo(commands)
+    add_ctl(commands)
     return parser
 
 
--- a/camphorrun/cli/main.py
+++ b/camphorrun/cli/main.py
@@ -5,10 +5,12 @@
 
 from .arguments import build_parser
 from .daemons import run_daemon
+from .operate import run_ctl
 
 _COMMANDS: dict[str, Callable[[Namespace], int]] = {
     "entry": run_daemon,
     "agent": run_daemon,
+    "ctl": run_ctl,
 }
 
 
--- a/camphorrun/daemon/configuration_sync.py
+++ b/camphorrun/daemon/configuration_sync.py
@@ -63,6 +63,11 @@
         """Return the position of each configuration stream."""
         return {name: each.position for name, each in self.followers.items()}
 
+    def not_current(self) -> list[tuple[str, str]]:
+        """Return kind and name of the keys whose last body is not understood."""
+        views = (each.view for each in self.followers.values())
+        return [key for view in views for key in view.not_current()]
+
     def note_peer_positions(self, positions: dict[str, int]) -> None:
         """Take note of the positions that a peer reported."""
         for name, position in positions.items():
--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -27,6 +27,7 @@
 from ..settings import EntrySettings, key_ring
 from .api import CallerRoutes
 from .claim_resolver import LogClaimResolver
+from .explain_route import ExplainRoute
 from .key_service import KeyService
 from .outcome_cache import OutcomeCache
 from .peer_pool import PeerPool
@@ -187,13 +188,15 @@
             client_max_size=self.settings.max_body_bytes,
             middlewares=[self._routes.errors],
         )
-        AdminRoutes(
+        admin = AdminRoutes(
             self.lifecycle,
             self.metrics,
             self.settings.operator_credential,
             is_ready=lambda: self._sync.synchronised,
             status=self._status,
-        ).add_to(app)
+        )
+        admin.add_to(app)
+        ExplainRoute(self._service, admin.is_operator).add_to(app)
         self._routes.add_to(app)
         return app
 
@@ -208,6 +211,7 @@
             "incarnation": self.incarnation,
             "synchronised": self._sync.synchronised,
             "positions": self._sync.positions(),
+            "not_current": self._sync.not_current(),
             "in_flight": self._service.in_flight,
             "agents": {
                 peer.listed.host: {
--- a/camphorrun/entry/request_service.py
+++ b/camphorrun/entry/request_service.py
@@ -58,9 +58,13 @@
         self.in_flight = 0
 
     def explain(self, request_id: str, account: str) -> Outcome | None:
-        """Return a recent request of a client account; any account if empty."""
+        """Return a recent request of a client account."""
         owner, outcome = self._recent.get(request_id, ("", None))
-        return outcome if account in ("", owner) else None
+        return outcome if account == owner else None
+
+    def explain_any(self, request_id: str) -> tuple[str, Outcome] | None:
+        """Return client account and outcome of a recent request, for operators."""
+        return self._recent.get(request_id)
 
     async def run(
         self, plan: RequestPlan, account: Account, on_part: PartHandler | None = None
@@ -135,7 +139,7 @@
             error = PipelineError(
                 f"not admitted: {code}", code=code, retry_after_s=retry_after_s
             )
-        return Outcome(
+        outcome = Outcome(
             plan.request_id,
             error.status,
             code=error.code,
@@ -143,6 +147,8 @@
             safe_to_repeat=error.safe_to_repeat,
             retry_after_s=error.retry_after_s,
         )
+        self._remember(plan, outcome)
+        return outcome
 
     def _record(self, plan: RequestPlan, outcome: Outcome, seconds: float) -> None:
         labels = (outcome.status.value, outcome.code, plan.template)
@@ -153,6 +159,10 @@
             and self._timers.now() <= plan.deadline_at
         )
         self._admission.on_outcome(met, self._timers.now())
+        self._remember(plan, outcome)
+
+    def _remember(self, plan: RequestPlan, outcome: Outcome) -> None:
+        """Keep a request for explanations, refused ones included."""
         self._recent[plan.request_id] = (plan.account, outcome)
         while len(self._recent) > MAX_EXPLAINED:
             self._recent.popitem(last=False)
