--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 TRACE ?= mixed
+BINARY ?= dist/camphorrun
+SOURCE_DATE_EPOCH ?= 1700000000
 PYTHONHASHSEED ?= 0
 export PYTHONHASHSEED
 
@@ -29,9 +31,14 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+# Locked versions and fixed timestamps make two builds of one commit identical. An old
+# build directory would add files that the commit does not have.
 binary: setup
-	mkdir -p dist
-	$(BIN)/shiv --quiet -c camphorrun -o dist/camphorrun -p "/usr/bin/env python3" -r requirements.txt --no-deps .
+	rm -rf build camphorrun.egg-info
+	mkdir -p $(dir $(BINARY))
+	SOURCE_DATE_EPOCH=$(SOURCE_DATE_EPOCH) $(BIN)/shiv --quiet --reproducible \
+		-c camphorrun -o $(BINARY) -p "/usr/bin/env python3" \
+		--no-deps --no-compile -r requirements-lock.txt .
 
 clean:
 	rm -rf build dist out .pytest_cache .ruff_cache
