Check ranges, URLs and policy names before a daemon starts

Unknown policy names failed only after the start, ranges were not checked, and the representation of settings contained secrets. Each refusal now names the field and what was expected. Policy names are looked up beside the policies, which settings cannot import.

--- a/camphorrun/cli/daemons.py
+++ b/camphorrun/cli/daemons.py
@@ -9,6 +9,7 @@
 
 from ..agent import AgentDaemon
 from ..core import SupervisionError
+from ..daemon import check_policies
 from ..entry import EntryDaemon
 from ..settings import (
     AgentSettings,
@@ -31,6 +32,7 @@
     try:
         settings = load_settings(args.settings, settings_kind)
         check_settings(settings)
+        check_policies(settings.policy)
     except SettingsError as exc:
         print(f"camphorrun: {exc}", file=sys.stderr)
         return EXIT_SETTINGS
--- a/camphorrun/daemon/__init__.py
+++ b/camphorrun/daemon/__init__.py
@@ -4,6 +4,7 @@
 from .configuration_sync import ConfigurationSync
 from .hosts import HostWatcher
 from .lifecycle import Lifecycle
+from .policies import check_policies
 from .server import start_server
 
 __all__ = [
@@ -11,5 +12,6 @@
     "ConfigurationSync",
     "HostWatcher",
     "Lifecycle",
+    "check_policies",
     "start_server",
 ]
--- a/camphorrun/messages/sealing.py
+++ b/camphorrun/messages/sealing.py
@@ -7,7 +7,7 @@
 
 import hashlib
 import hmac
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .codec import MessageError
 
@@ -21,7 +21,7 @@
     """A secret known to all processes of the system; ``key_id`` is 0 to 255."""
 
     key_id: int
-    secret: bytes
+    secret: bytes = field(repr=False)
 
 
 class KeyRing:
--- a/camphorrun/settings/roles.py
+++ b/camphorrun/settings/roles.py
@@ -3,11 +3,14 @@
 from dataclasses import dataclass, field
 from functools import singledispatch
 from typing import Literal
+from urllib.parse import urlsplit
 
 from ..messages import KeyRing, SharedKey
 from .decoding import SettingsError, check_address
 
 MIN_SECRET_BYTES = 16
+# An empty or trivial credential would let anyone drain the host.
+MIN_CREDENTIAL_CHARACTERS = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,7 +18,7 @@
     """One shared key; ``secret`` is hexadecimal, at least 16 bytes."""
 
     key_id: int
-    secret: str
+    secret: str = field(repr=False)
 
     def __post_init__(self):
         if not 0 <= self.key_id <= 255:
@@ -88,7 +91,7 @@
     host: HostSettings
     platform: PlatformSettings
     keys: tuple[KeySettings, ...]
-    operator_credential: str
+    operator_credential: str = field(repr=False)
     policy: PolicySettings = field(default_factory=PolicySettings)
     max_body_bytes: int = 4 * 1024 * 1024
     max_requests: int = 2000
@@ -103,7 +106,7 @@
     platform: PlatformSettings
     endpoint: EndpointSettings
     keys: tuple[KeySettings, ...]
-    operator_credential: str
+    operator_credential: str = field(repr=False)
     policy: PolicySettings = field(default_factory=PolicySettings)
     initial_limit: int = 8
     max_queue: int = 256
@@ -117,7 +120,7 @@
 
     platform: PlatformSettings
     operator: str
-    operator_credential: str
+    operator_credential: str = field(repr=False)
 
 
 def key_ring(keys: tuple[KeySettings, ...]) -> KeyRing:
@@ -141,19 +144,66 @@
 @check_settings.register
 def _check_entry(settings: EntrySettings) -> None:
     _check_keys(settings.keys)
-    if not settings.platform.host_list_url:
-        raise SettingsError(
-            "platform.host_list_url: must be set", field="platform.host_list_url"
-        )
+    _check_credential(settings.operator_credential)
+    _check_url(settings.platform.log_url, "platform.log_url")
+    _check_url(settings.platform.host_list_url, "platform.host_list_url")
+    _check_positive(settings, "max_body_bytes", "max_requests")
+    _check_not_negative(settings, "drain_grace_s")
 
 
 @check_settings.register
 def _check_agent(settings: AgentSettings) -> None:
     _check_keys(settings.keys)
-    if settings.initial_limit < 1:
-        raise SettingsError("initial_limit: expected 1 or more", field="initial_limit")
+    _check_credential(settings.operator_credential)
+    _check_url(settings.platform.log_url, "platform.log_url")
+    if settings.platform.host_list_url:
+        _check_url(settings.platform.host_list_url, "platform.host_list_url")
+    _check_url(settings.endpoint.url, "endpoint.url")
+    if not settings.endpoint.service:
+        raise SettingsError(
+            "endpoint.service: must not be empty", field="endpoint.service"
+        )
+    _check_positive(settings, "initial_limit", "max_queue", "result_keep_bytes")
+    _check_not_negative(settings, "result_keep_s")
+
+
+@check_settings.register
+def _check_operator(settings: OperatorSettings) -> None:
+    _check_credential(settings.operator_credential)
+    _check_url(settings.platform.log_url, "platform.log_url")
+    _check_url(settings.platform.host_list_url, "platform.host_list_url")
+    if not settings.operator:
+        raise SettingsError("operator: must not be empty", field="operator")
 
 
 def _check_keys(keys: tuple[KeySettings, ...]) -> None:
     if not keys:
         raise SettingsError("keys: expected at least one key", field="keys")
+    if len({key.key_id for key in keys}) < len(keys):
+        raise SettingsError("keys: expected distinct values of key_id", field="keys")
+
+
+def _check_credential(value: str) -> None:
+    name = "operator_credential"
+    if len(value) < MIN_CREDENTIAL_CHARACTERS:
+        expected = f"expected {MIN_CREDENTIAL_CHARACTERS} characters or more"
+        raise SettingsError(f"{name}: {expected}", field=name)
+
+
+def _check_url(value: str, name: str) -> None:
+    parts = urlsplit(value)
+    if parts.scheme not in ("http", "https") or not parts.netloc:
+        raise SettingsError(f"{name}: expected an http URL, got {value!r}", field=name)
+
+
+def _check_positive(settings: object, *names: str) -> None:
+    for name in names:
+        value = getattr(settings, name)
+        if value < 1:
+            raise SettingsError(f"{name}: expected 1 or more, got {value}", field=name)
+
+
+def _check_not_negative(settings: object, name: str) -> None:
+    value = getattr(settings, name)
+    if not 0 <= value < float("inf"):
+        raise SettingsError(f"{name}: expected 0 or more, got {value}", field=name)
--- a/camphorrun/settings/tests/test_settings.py
+++ b/camphorrun/settings/tests/test_settings.py
@@ -44,6 +44,15 @@
             ({"keys": [{"key_id": 1, "secret": "zz"}]}, "keys"),
             ({"endpoint": {**_GOOD["endpoint"], "kind": "x"}}, "$.endpoint.kind"),
             ({"endpoint": {**_GOOD["endpoint"], "extra": 1}}, "$.endpoint.extra"),
+            ({"endpoint": {**_GOOD["endpoint"], "url": "x"}}, "endpoint.url"),
+            ({"endpoint": {**_GOOD["endpoint"], "service": ""}}, "endpoint.service"),
+            ({"platform": {"log_url": "127.0.0.1:1"}}, "platform.log_url"),
+            ({"keys": _GOOD["keys"] * 2}, "keys"),
+            ({"operator_credential": ""}, "operator_credential"),
+            ({"initial_limit": 0}, "initial_limit"),
+            ({"max_queue": 0}, "max_queue"),
+            ({"result_keep_s": -1.0}, "result_keep_s"),
+            ({"result_keep_bytes": 0}, "result_keep_bytes"),
         ],
     )
     def test_mistake_is_refused_with_its_field(self, changes, field):
@@ -51,3 +60,10 @@
         with pytest.raises(SettingsError) as caught:
             _decode(**changes)
         assert field in caught.value.field
+        assert field.removeprefix("$.") in str(caught.value)
+
+    def test_secrets_are_not_shown(self):
+        """Guards against secrets in logs that print settings."""
+        settings = _decode()
+        assert _GOOD["keys"][0]["secret"] not in repr(settings)
+        assert repr(_GOOD["operator_credential"]) not in repr(settings)
