--- a/camphorrun/entry/request_service.py
+++ b/camphorrun/entry/request_service.py
@@ -153,6 +153,7 @@
     def _record(self, plan: RequestPlan, outcome: Outcome, seconds: float) -> None:
         labels = (outcome.status.value, outcome.code, plan.template)
         self._metrics.outcomes.labels(*labels).inc()
+        self._metrics.account_outcomes.add(plan.account, outcome.status.value)
         self._metrics.request_seconds.labels(plan.template).observe(seconds)
         met = (
             outcome.status is OutcomeStatus.ANSWERED
--- a/camphorrun/metrics/registry.py
+++ b/camphorrun/metrics/registry.py
@@ -11,6 +11,8 @@
     generate_latest,
 )
 
+from .accounts import AccountOutcomes
+
 _LATENCY_BUCKETS_SECONDS = (
     0.005,
     0.01,
@@ -30,8 +32,8 @@
 class Metrics:
     """Counters, gauges and histograms of one daemon.
 
-    Attributes are collectors; label values come from code constants, services and
-    templates only, never from callers.
+    Attributes are collectors; label values come from code constants, services,
+    templates and a bounded number of client accounts only, never from callers.
     """
 
     def __init__(self):
@@ -41,6 +43,13 @@
             "Requests ended, by status, code and template.",
             ("status", "code", "template"),
         )
+        self.account_outcomes = AccountOutcomes(
+            self._counter(
+                "account_outcomes",
+                "Requests ended, by client account (the largest ones) and status.",
+                ("account", "status"),
+            )
+        )
         self.refusals = self._counter(
             "refusals", "Work refused, by reason.", ("reason",)
         )
