--- a/camphorrun/agent/daemon.py
+++ b/camphorrun/agent/daemon.py
@@ -46,7 +46,7 @@
         self.incarnation = new_identifier("agent")
         self.timers = timers or LoopTimerService()
         self.metrics = Metrics()
-        self.lifecycle = Lifecycle(settings.host.name)
+        self.lifecycle = Lifecycle(settings.host.name, self.incarnation)
         self._supervisor = Supervisor(settings.host.name, self.timers)
 
     async def run(self) -> None:
--- a/camphorrun/daemon/lifecycle.py
+++ b/camphorrun/daemon/lifecycle.py
@@ -16,6 +16,9 @@
     ----------
     host : str
         Name used in logs.
+    incarnation : str
+        Identifier of the process; it joins the log lines of one process with those of
+        the links to it.
     """
 
     _machine = Machine(
@@ -29,8 +32,8 @@
         initial="starting",
     )
 
-    def __init__(self, host: str):
-        self._host = host
+    def __init__(self, host: str, incarnation: str = ""):
+        self._host = f"{host} ({incarnation})" if incarnation else host
         self._subscribers: list[Callable[[str], None]] = []
         self._drained = asyncio.Event()
         self.drain_reason = ""
@@ -41,6 +44,10 @@
         """Whether new work may start."""
         return self.state == "serving"
 
+    def on_enter_serving(self) -> None:
+        """Record that the daemon accepts work."""
+        logging.info("%s: serving", self._host)
+
     def subscribe_drain(self, callback: Callable[[str], None]) -> None:
         """Call ``callback`` with the reason when the drain starts."""
         self._subscribers.append(callback)
--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -61,7 +61,7 @@
         self.incarnation = new_identifier("entry")
         self.timers = timers or LoopTimerService()
         self.metrics = Metrics()
-        self.lifecycle = Lifecycle(settings.host.name)
+        self.lifecycle = Lifecycle(settings.host.name, self.incarnation)
         self._supervisor = Supervisor(settings.host.name, self.timers)
         self._rng = random.Random(settings.policy.seed or None)
 
--- a/camphorrun/transport/dialer.py
+++ b/camphorrun/transport/dialer.py
@@ -155,7 +155,9 @@
         self._failures = 0
         self._pinged_at = None
         self._checked_at = self._timers.now()
-        logging.info("link to %s (%s) is up", peer.host, self.address)
+        logging.info(
+            "link to %s (%s) at %s is up", peer.host, peer.incarnation, self.address
+        )
         self._events.link_up(link, peer)
 
     def _become_down(self, reason: str) -> None:
