Make the single file independent of the directory it is built in

Two clones in different directories gave different files, because pip records the source directory and scripts name the interpreter. The package is installed into a build directory first and these files are removed. The test searches the archive for paths of the build host and fails when direct_url.json is kept.

--- a/Makefile
+++ b/Makefile
@@ -31,14 +31,19 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
-# Locked versions and fixed timestamps make two builds of one commit identical. An old
-# build directory would add files that the commit does not have.
+# Two builds of one commit are identical: versions are locked, timestamps fixed, and files
+# removed that hold paths of the build host (scripts, direct_url.json, RECORD). An old build
+# directory would add files that the commit does not have.
 binary: setup
 	rm -rf build camphorrun.egg-info
 	mkdir -p $(dir $(BINARY))
-	SOURCE_DATE_EPOCH=$(SOURCE_DATE_EPOCH) $(BIN)/shiv --quiet --reproducible \
-		-c camphorrun -o $(BINARY) -p "/usr/bin/env python3" \
-		--no-deps --no-compile -r requirements-lock.txt .
+	SOURCE_DATE_EPOCH=$(SOURCE_DATE_EPOCH) $(BIN)/pip install --quiet --no-deps --no-compile \
+		--disable-pip-version-check --target build/site -r requirements-lock.txt .
+	rm -rf build/site/bin
+	find build/site -name direct_url.json -delete -o -name RECORD -delete
+	SOURCE_DATE_EPOCH=$(SOURCE_DATE_EPOCH) $(BIN)/shiv --reproducible \
+		--site-packages build/site -e camphorrun.cli.main:main \
+		-o $(BINARY) -p "/usr/bin/env python3"
 
 clean:
 	rm -rf build dist out .pytest_cache .ruff_cache
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -6,6 +6,7 @@
 import os
 import subprocess
 import sys
+import zipfile
 from pathlib import Path
 
 import aiohttp
@@ -131,6 +132,17 @@
             shell.kill()
             shell.wait()
 
+    def test_file_holds_no_path_of_the_build_host(self, binary):
+        """Guards against files that differ with the directory they are built in."""
+        paths = (str(REPOSITORY).encode(), sys.prefix.encode())
+        with zipfile.ZipFile(binary) as archive:
+            found = [
+                name
+                for name in archive.namelist()
+                if any(path in archive.read(name) for path in paths)
+            ]
+        assert found == []
+
     def test_request_is_answered_and_drain_ends_with_success(self, binary, tmp_path):
         """Guards against a file that lacks a module or starts child processes."""
         asyncio.run(asyncio.wait_for(self._smoke(binary, tmp_path), 120))
