Take only a refused connection as proof that a drained process has ended

A connection that fails for another reason, such as a missing route, was reported as the end of the process, which may still be running. The test fails when any failure counts as the end.

--- a/camphorrun/operators/context.py
+++ b/camphorrun/operators/context.py
@@ -116,8 +116,11 @@
             ):
                 data = await resp.read()
                 return HostReply(listed, resp.status, _decode_object(data))
-        except aiohttp.ClientConnectorError:
-            return HostReply(listed, error="refused")
+        except aiohttp.ClientConnectorError as exc:
+            # Only a refusal proves that no process listens; a host without a route
+            # may still be running.
+            refused = isinstance(exc.os_error, ConnectionRefusedError)
+            return HostReply(listed, error="refused" if refused else "no connection")
         except TimeoutError:
             return HostReply(listed, error="no answer")
         except aiohttp.ClientError as exc:
--- a/camphorrun/operators/drain.py
+++ b/camphorrun/operators/drain.py
@@ -96,7 +96,7 @@
     started_at = ctx.timers.now()
     while True:
         reply = await ctx.ask(listed, STATUS_PATH)
-        stopped, state = _progress_of(reply, before)
+        stopped, state = progress_of(reply, before)
         ctx.console.progress(f"{listed.host}: {state}")
         waited_s = ctx.timers.now() - started_at
         if stopped:
@@ -106,7 +106,8 @@
         await ctx.timers.sleep(min(POLL_SECONDS, wait_s - waited_s))
 
 
-def _progress_of(reply: HostReply, before: HostReply) -> tuple[bool, str]:
+def progress_of(reply: HostReply, before: HostReply) -> tuple[bool, str]:
+    """Return whether the process has ended, and its state in words."""
     if reply.error == "refused" and before.answered:
         return True, "stopped"
     if not reply.answered:
--- a/camphorrun/operators/tests/test_ctl.py
+++ b/camphorrun/operators/tests/test_ctl.py
@@ -24,6 +24,8 @@
     wait_for_version,
 )
 from ..console import OperatorError
+from ..context import HostReply
+from ..drain import progress_of
 
 SECRET = "example-secret"
 EXAMPLES = ("service", "template", "account")
@@ -168,6 +170,16 @@
 
         run(case)
 
+    def test_only_a_refused_connection_proves_that_the_process_ended(self):
+        """Guards against a host taken for stopped because the network is down."""
+        listed = HostEntry("h", "", "agent", "a")
+        before = HostReply(listed, 200, {"incarnation": "i"})
+        for error in ("no answer", "no connection"):
+            assert not progress_of(HostReply(listed, error=error), before)[0]
+        assert progress_of(HostReply(listed, error="refused"), before)[0]
+        assert progress_of(HostReply(listed, 200, {"incarnation": "j"}), before)[0]
+        assert not progress_of(before, before)[0]
+
     def test_host_that_cannot_be_reached_is_drained_through_the_log(self):
         """Guards against a drain that needs a connection to the host."""
 
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -7,21 +7,16 @@
 import subprocess
 import sys
 import zipfile
+from dataclasses import asdict
 from pathlib import Path
 
 import aiohttp
 import pytest
 
-from camphorrun.core import LoopTimerService
 from camphorrun.daemon import start_server
-from camphorrun.demo.local_system import free_port
+from camphorrun.demo.local_system import LocalSystem, free_port
 from camphorrun.platform import HostEntry
-from camphorrun.standins import (
-    EndpointProfile,
-    EndpointServer,
-    HostListServer,
-    LogServer,
-)
+from camphorrun.standins import EndpointProfile, EndpointServer
 
 REPOSITORY = Path(__file__).parent.parent
 BUILD_TIMEOUT_SECONDS = 300
@@ -111,10 +106,7 @@
     """Write the example settings of a role with changes."""
     content = json.loads((SETTINGS / f"{role}.json").read_text())
     for key, value in changes.items():
-        if isinstance(value, dict):
-            content[key] = {**content[key], **value}
-        else:
-            content[key] = value
+        content[key] |= value
     path = directory / f"{role}.json"
     path.write_text(json.dumps(content))
     return str(path)
@@ -206,21 +198,15 @@
         }
 
     async def _stand_ins(self, stack: contextlib.AsyncExitStack):
-        timers = LoopTimerService()
-        host_list = HostListServer(timers)
-        applications = (
-            LogServer(timers).application(),
-            host_list.application(),
-            EndpointServer(timers, EndpointProfile()).application(),
-        )
-        addresses = []
-        for app in applications:
-            addresses.append(f"127.0.0.1:{free_port()}")
-            server = await start_server(app, addresses[-1])
-            stack.push_async_callback(server.cleanup)
-        log, hosts, endpoint = addresses
-        platform = {"log_url": f"http://{log}", "host_list_url": f"http://{hosts}"}
-        return platform, endpoint, host_list
+        """Start log service, host list and one endpoint in this process."""
+        system = LocalSystem((), entries=0)
+        await system.start()
+        stack.push_async_callback(system.stop)
+        endpoint = f"127.0.0.1:{free_port()}"
+        application = EndpointServer(system.timers, EndpointProfile()).application()
+        server = await start_server(application, endpoint)
+        stack.push_async_callback(server.cleanup)
+        return asdict(system.platform), endpoint, system.host_list
 
     async def _wait_serving(self, address: str) -> None:
         """Wait until the entry is linked to the agent."""
