Show requests in flight to operators

A stuck request could not be looked up before its deadline. Entries now name their oldest request in /v1/status, and the explain route describes requests in flight. The test stalls all endpoints and finds the request; without the record of running requests it fails.

--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -213,6 +213,7 @@
             "positions": self._sync.positions(),
             "not_current": self._sync.not_current(),
             "in_flight": self._service.in_flight,
+            "oldest_request": self._service.running(),
             "agents": {
                 peer.listed.host: {
                     "service": peer.listed.service,
--- a/camphorrun/entry/explain_route.py
+++ b/camphorrun/entry/explain_route.py
@@ -39,13 +39,18 @@
                 field="Authorization",
                 http_status=401,
             )
-        found = self._service.explain_any(req.match_info["request_id"])
+        request_id = req.match_info["request_id"]
+        running = self._service.running(request_id)
+        if running is not None:
+            return _json({"status": "running", "code": "in_progress", **running})
+        found = self._service.explain_any(request_id)
         if found is None:
             raise RequestError(
                 "no such recent request", code="no_request", http_status=404
             )
         account, outcome = found
-        body = {"account": account, **explanation(outcome)}
-        return web.Response(
-            body=msgspec.json.encode(body), content_type="application/json"
-        )
+        return _json({"account": account, **explanation(outcome)})
+
+
+def _json(body: object) -> web.Response:
+    return web.Response(body=msgspec.json.encode(body), content_type="application/json")
--- a/camphorrun/entry/request_service.py
+++ b/camphorrun/entry/request_service.py
@@ -55,6 +55,8 @@
         self._timers = timers
         self._metrics = metrics
         self._recent: OrderedDict[str, tuple[str, Outcome]] = OrderedDict()
+        # Requests in flight with their start times, oldest first.
+        self._running: dict[str, tuple[RequestPlan, float]] = {}
         self.in_flight = 0
 
     def explain(self, request_id: str, account: str) -> Outcome | None:
@@ -66,6 +68,22 @@
         """Return client account and outcome of a recent request, for operators."""
         return self._recent.get(request_id)
 
+    def running(self, request_id: str = "") -> dict[str, object] | None:
+        """Describe a request in flight, the oldest one if none is named."""
+        if not request_id:
+            request_id = next(iter(self._running), "")
+        plan, started_at = self._running.get(request_id, (None, 0.0))
+        if plan is None:
+            return None
+        now = self._timers.now()
+        return {
+            "request_id": request_id,
+            "account": plan.account,
+            "template": plan.template,
+            "running_s": round(now - started_at, 3),
+            "remaining_s": round(plan.deadline_at - now, 3),
+        }
+
     async def run(
         self, plan: RequestPlan, account: Account, on_part: PartHandler | None = None
     ) -> Outcome:
@@ -92,11 +110,13 @@
         if plan.key:
             self._cache.begin(plan)
         started_at = self._timers.now()
+        self._running[plan.request_id] = (plan, started_at)
         self.in_flight += 1
         self._metrics.in_flight.set(self.in_flight)
         try:
             outcome = await self._admit_and_run(plan, account, on_part)
         finally:
+            self._running.pop(plan.request_id, None)
             self.in_flight -= 1
             self._metrics.in_flight.set(self.in_flight)
             if plan.key:
--- a/camphorrun/operators/explain.py
+++ b/camphorrun/operators/explain.py
@@ -45,6 +45,12 @@
         f"entry {data['entry']}",
         f"status {data['status']}, code {data['code']}",
     ]
+    if data["status"] == "running":
+        lines.append(
+            f"template {data['template']}, running for {data['running_s']} s, "
+            f"{data['remaining_s']} s until its deadline"
+        )
+        return tuple(lines)
     if data.get("detail"):
         lines.append(f"reason: {data['detail']}")
     if data.get("retry_after_s"):
--- a/camphorrun/operators/fleet.py
+++ b/camphorrun/operators/fleet.py
@@ -45,6 +45,7 @@
         "not_current": body.get("not_current", []),
         "drain_reason": body.get("drain_reason", ""),
         "held_by": what_holds(body),
+        "oldest_request": body.get("oldest_request"),
     }
 
 
@@ -84,6 +85,9 @@
     if host["not_current"]:
         keys = (" ".join(key) for key in host["not_current"])
         notes.append(f"not current: {', '.join(keys)}")
+    oldest = host["oldest_request"]
+    if oldest:
+        notes.append(f"oldest request {oldest['request_id']}: {oldest['running_s']} s")
     return (
         host["host"],
         host["role"],
--- a/camphorrun/operators/tests/test_ctl.py
+++ b/camphorrun/operators/tests/test_ctl.py
@@ -151,6 +151,32 @@
 
         run(case)
 
+    def test_request_in_flight_is_found(self):
+        """Guards against a stuck request that operators cannot look up."""
+
+        async def case(system, ctx):
+            await publish_examples(ctx)
+            for endpoint in system.endpoints["generate"]:
+                profile = replace(endpoint.server.profile, stalled=True)
+                endpoint.server.profile = profile
+            url = f"{system.entry_urls[0]}/v1/pipelines/draft/requests"
+            headers = {"Authorization": f"Bearer press-1:{SECRET}"}
+            body = {"input": {"text": "x"}, "max_output": 2}
+            call = asyncio.ensure_future(
+                ctx._session.post(url, json=body, headers=headers)
+            )
+            oldest = None
+            async with asyncio.timeout(3):
+                while oldest is None:
+                    hosts = (await show_status(ctx)).data["hosts"]
+                    oldest = hosts[0]["oldest_request"]
+            found = await explain_request(ctx, oldest["request_id"])
+            assert found.data["status"] == "running"
+            assert found.data["account"] == "press-1"
+            call.cancel()
+
+        run(case)
+
 
 class TestDrain:
     """A drain reaches the host over at least one of the two ways."""
