--- a/camphorrun/claims/coordinator.py
+++ b/camphorrun/claims/coordinator.py
@@ -329,13 +329,15 @@
     ) -> None:
         """Append with retries; a repeated record has no effect in the ledger."""
         delay_s = RETRY_SECONDS
-        while not self._follower.ledger.decision(grant.key).is_final:
+        while True:
             try:
                 await self._appender.append(record)
                 return
             except ClaimError:
                 self._count("background_retry")
             await self._timers.sleep(delay_s)
+            if self._follower.ledger.decision(grant.key).is_final:
+                return
             delay_s = min(MAX_RETRY_SECONDS, 2 * delay_s)
 
     def _count(self, reason: str) -> None:
