--- a/camphorrun/agent/daemon.py
+++ b/camphorrun/agent/daemon.py
@@ -46,7 +46,7 @@
         self.incarnation = new_identifier("agent")
         self.timers = timers or LoopTimerService()
         self.metrics = Metrics()
-        self.lifecycle = Lifecycle(settings.host.name)
+        self.lifecycle = Lifecycle(settings.host.name, self.incarnation)
         self._supervisor = Supervisor(settings.host.name, self.timers)
 
     async def run(self) -> None:
@@ -168,6 +168,7 @@
             "incarnation": self.incarnation,
             "synchronised": self._sync.synchronised,
             "positions": self._sync.positions(),
+            "not_current": self._sync.not_current(),
             "unfinished": self._worker.unfinished,
             "in_flight": load.in_flight,
             "queued": load.queued,
--- a/camphorrun/cli/arguments.py
+++ b/camphorrun/cli/arguments.py
@@ -3,6 +3,7 @@
 import argparse
 
 from .. import __version__
+from .operate import add_ctl
 from .replaying import add_replay
 from .standins import add_standin
 
@@ -32,6 +33,7 @@
     _add_demo(commands)
     add_replay(commands)
     add_standin(commands)
+    add_ctl(commands)
     return parser
 
 
--- a/camphorrun/cli/main.py
+++ b/camphorrun/cli/main.py
@@ -5,6 +5,7 @@
 
 from .arguments import build_parser
 from .daemons import run_daemon
+from .operate import run_ctl
 from .replaying import run_demo_command, run_replay
 from .standins import run_standin
 
@@ -14,6 +15,7 @@
     "demo": run_demo_command,
     "replay": run_replay,
     "standin": run_standin,
+    "ctl": run_ctl,
 }
 
 
--- a/camphorrun/entry/request_service.py
+++ b/camphorrun/entry/request_service.py
@@ -55,12 +55,34 @@
         self._timers = timers
         self._metrics = metrics
         self._recent: OrderedDict[str, tuple[str, Outcome]] = OrderedDict()
+        # Requests in flight with their start times, oldest first.
+        self._running: dict[str, tuple[RequestPlan, float]] = {}
         self.in_flight = 0
 
     def explain(self, request_id: str, account: str) -> Outcome | None:
-        """Return a recent request of a client account; any account if empty."""
+        """Return a recent request of a client account."""
         owner, outcome = self._recent.get(request_id, ("", None))
-        return outcome if account in ("", owner) else None
+        return outcome if account == owner else None
+
+    def explain_any(self, request_id: str) -> tuple[str, Outcome] | None:
+        """Return client account and outcome of a recent request, for operators."""
+        return self._recent.get(request_id)
+
+    def running(self, request_id: str = "") -> dict[str, object] | None:
+        """Describe a request in flight, the oldest one if none is named."""
+        if not request_id:
+            request_id = next(iter(self._running), "")
+        plan, started_at = self._running.get(request_id, (None, 0.0))
+        if plan is None:
+            return None
+        now = self._timers.now()
+        return {
+            "request_id": request_id,
+            "account": plan.account,
+            "template": plan.template,
+            "running_s": round(now - started_at, 3),
+            "remaining_s": round(plan.deadline_at - now, 3),
+        }
 
     async def run(
         self, plan: RequestPlan, account: Account, on_part: PartHandler | None = None
@@ -88,11 +110,13 @@
         if plan.key:
             self._cache.begin(plan)
         started_at = self._timers.now()
+        self._running[plan.request_id] = (plan, started_at)
         self.in_flight += 1
         self._metrics.in_flight.set(self.in_flight)
         try:
             outcome = await self._admit_and_run(plan, account, on_part)
         finally:
+            self._running.pop(plan.request_id, None)
             self.in_flight -= 1
             self._metrics.in_flight.set(self.in_flight)
             if plan.key:
@@ -135,7 +159,7 @@
             error = PipelineError(
                 f"not admitted: {code}", code=code, retry_after_s=retry_after_s
             )
-        return Outcome(
+        outcome = Outcome(
             plan.request_id,
             error.status,
             code=error.code,
@@ -143,16 +167,23 @@
             safe_to_repeat=error.safe_to_repeat,
             retry_after_s=error.retry_after_s,
         )
+        self._remember(plan, outcome)
+        return outcome
 
     def _record(self, plan: RequestPlan, outcome: Outcome, seconds: float) -> None:
         labels = (outcome.status.value, outcome.code, plan.template)
         self._metrics.outcomes.labels(*labels).inc()
+        self._metrics.account_outcomes.add(plan.account, outcome.status.value)
         self._metrics.request_seconds.labels(plan.template).observe(seconds)
         met = (
             outcome.status is OutcomeStatus.ANSWERED
             and self._timers.now() <= plan.deadline_at
         )
         self._admission.on_outcome(met, self._timers.now())
+        self._remember(plan, outcome)
+
+    def _remember(self, plan: RequestPlan, outcome: Outcome) -> None:
+        """Keep a request for explanations, refused ones included."""
         self._recent[plan.request_id] = (plan.account, outcome)
         while len(self._recent) > MAX_EXPLAINED:
             self._recent.popitem(last=False)
