--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -1,6 +1,6 @@
 """Runs the path as separate processes, kills and pauses them, and counts faults.
 
-Usage: python tools/chaos.py --seconds 60 --seed 1
+Usage: python -m tools.chaos --seconds 60 --seed 1
 
 Stand-ins, agents and entries run as processes of their own on loopback. While callers
 send requests, agents and entries are killed (SIGKILL, then started again) and paused
