Drain a long backlog faster and recover the admitted rate sooner

After a stall of ten seconds the utilisation stayed at 0.5 for most of a minute, since misses of the old backlog lowered it and it rose by one point a second. It is not lowered while the backlog is drained, and rises by four points a second.

--- a/camphorrun/admission/controller.py
+++ b/camphorrun/admission/controller.py
@@ -17,12 +17,14 @@
 REFRESH_SECONDS = 0.1
 # Share of the capacity that is handed out; adapted by the share of missed deadlines.
 FIRST_UTILISATION = 0.97
-MIN_UTILISATION = 0.5
+MIN_UTILISATION = 0.7
+# Share of the reported capacity that is admitted even while a backlog is drained.
+DRAIN_FLOOR = 0.5
 MAX_UTILISATION = 1.0
 MISSES_TOLERATED = 0.02
 OUTCOMES_SECONDS = 2.0
 DECREASE_FACTOR = 0.97
-INCREASE_STEP = 0.005
+INCREASE_STEP = 0.02
 # While the backlog takes longer than this share of the usual deadline, no more is
 # admitted than is completed; while it takes less, no less is. A reported capacity may
 # be wrong in either direction, completions are not.
@@ -31,7 +33,6 @@
 MAX_BACKLOG_SHARE = 0.4
 NEED_FACTOR = 1.5
 NEED_WEIGHT = 0.0005
-DRAIN_FACTOR = 0.95
 GROWTH_FACTOR = 1.1
 COMPLETION_SECONDS = 1.0
 # Reported limits move while they are probed, so the capacity is smoothed.
@@ -160,7 +161,7 @@
         self._misses += 0.0 if met_deadline else 1.0
         if now - self._adapted_at >= OUTCOMES_SECONDS / 4:
             self._adapted_at = now
-            self._adapt()
+            self._adapt(now)
 
     def tracked_accounts(self) -> int:
         """Return how many client accounts are remembered."""
@@ -203,8 +204,10 @@
         completed = self._completion_rate(now)
         allowed = completed * self._backlog_s()
         if self.outstanding_cost > allowed:
-            lowest = self._capacity * MIN_UTILISATION
-            return max(lowest, min(rate, completed * DRAIN_FACTOR))
+            lowest = self._capacity * DRAIN_FLOOR
+            # The longer the backlog, the faster it is drained.
+            drained = completed * allowed / self.outstanding_cost
+            return max(lowest, min(rate, drained))
         if self._too_many_misses():
             return rate
         growth = 1.0 if self.outstanding_cost > allowed / 2 else GROWTH_FACTOR
@@ -212,13 +215,19 @@
 
     def _backlog_s(self) -> float:
         usual_s = self._usual_remaining_s
+        if usual_s <= 0:
+            return 0.0
         wanted_s = max(BACKLOG_SHARE * usual_s, NEED_FACTOR * self._least_need_s)
         return min(MAX_BACKLOG_SHARE * usual_s, wanted_s)
 
     def _too_many_misses(self) -> bool:
         return self._misses > self._outcomes * MISSES_TOLERATED
 
-    def _adapt(self) -> None:
+    def _adapt(self, now: float) -> None:
+        backlog = self._completion_rate(now) * self._backlog_s()
+        if self.outstanding_cost > backlog:
+            # The misses come from the backlog, which is drained already.
+            return
         if self._too_many_misses():
             lowered = self._utilisation * DECREASE_FACTOR
             self._utilisation = max(MIN_UTILISATION, lowered)
