--- a/tools/decision_fakes.py
+++ b/tools/decision_fakes.py
@@ -106,7 +106,7 @@
         time_s = 0.001 if self.failing else BASE_SECONDS * attempt.size * self.slow
         time_s *= crowd
         in_flight = self.running
-        attempt.started, attempt.time_s = True, time_s
+        attempt.started, attempt.started_at, attempt.time_s = True, now, time_s
         self.timers.call_after(
             time_s, lambda: self._end(attempt, time_s, in_flight, now)
         )
@@ -146,7 +146,14 @@
 
     def time_out(self):
         """Give up on the attempt and cancel it while it is queued."""
-        if self.open:
+        if not self.open:
+            return
+        ran_s = self.entry.timers.now() - self.started_at if self.started else 0.0
+        if self.started and ran_s < ATTEMPT_TIMEOUT_SECONDS - 1e-9:
+            # Time in the queue is no failure of the endpoint.
+            left_s = ATTEMPT_TIMEOUT_SECONDS - ran_s
+            self.entry.timers.call_after(left_s, self.time_out)
+        else:
             self.endpoint.queue.remove(self)
             self.finish("failed", 0.0)
 
