Use priority 0 as the highest in queues and admission

The configuration counts from 0 as the highest priority, while queues and admission took a greater number as more important, so that the highest priority was refused first. The tests of both now state the order of the configuration.

--- a/camphorrun/admission/controller.py
+++ b/camphorrun/admission/controller.py
@@ -1,6 +1,6 @@
 """Decides at the entry whether a request is accepted, before any stage costs anything.
 
-A greater ``priority`` is more important. Costs are in units of the caller's choice, the
+Priority 0 is the highest. Costs are in units of the caller's choice, the
 same for requests and capacity; the entry uses predicted busy seconds of endpoints.
 """
 
@@ -239,7 +239,7 @@
         """Divide the capacity anew, from the highest priority down."""
         self._refresh_at = now + REFRESH_SECONDS
         left = self._allowed_rate(now)
-        for priority in sorted(self._levels, reverse=True):
+        for priority in sorted(self._levels):
             level = self._levels[priority]
             level.forget_idle(now)
             if level.accounts:
--- a/camphorrun/admission/tests/test_admission.py
+++ b/camphorrun/admission/tests/test_admission.py
@@ -53,10 +53,10 @@
         controller = AdmissionController()
         controller.on_capacity(100.0, 0.0)
         shares = offer(
-            controller, {("a", 2): 40.0, ("b", 1): 80.0, ("c", 0): 80.0}, 60.0
+            controller, {("a", 0): 40.0, ("b", 1): 80.0, ("c", 2): 80.0}, 60.0
         )
-        assert shares["a", 2] >= 0.99
-        assert shares["c", 0] < 0.1
+        assert shares["a", 0] >= 0.99
+        assert shares["c", 2] < 0.1
 
     def test_one_account_at_ten_times_its_share(self):
         """Guards against a flood of one account: others lose under one point."""
--- a/camphorrun/limits/queues.py
+++ b/camphorrun/limits/queues.py
@@ -1,6 +1,6 @@
 """Ordered, bounded queue of one endpoint.
 
-A greater ``priority`` is more important. The order within a priority is fixed when an
+Priority 0 is the highest. The order within a priority is fixed when an
 item arrives: laxity falls equally fast for all items, so the latest start decides.
 """
 
@@ -71,12 +71,12 @@
     start_at = latest_start(policy, item)
     if item.patience:
         start_at = min(start_at, item.enqueued_at + PATIENT_START_SECONDS)
-    return -item.priority, start_at
+    return item.priority, start_at
 
 
 @order_key.register
 def _(policy: EarliestDeadline, item: QueueItem) -> tuple[float, float]:
-    return -item.priority, item.deadline_at
+    return item.priority, item.deadline_at
 
 
 @order_key.register
@@ -248,4 +248,4 @@
         if not displaces(self._policy):
             return None
         last = self._entries[-1][2]
-        return last if last.priority < item.priority else None
+        return last if last.priority > item.priority else None
--- a/camphorrun/limits/tests/test_limits.py
+++ b/camphorrun/limits/tests/test_limits.py
@@ -112,8 +112,8 @@
     def test_priority_comes_first(self):
         """Guards against urgent but unimportant work that delays important work."""
         queue = StageQueue(LeastLaxity(), 8)
-        queue.push(item("low", priority=0, deadline_at=1.0), 0.0)
-        queue.push(item("high", priority=5, deadline_at=9.0), 0.0)
+        queue.push(item("low", priority=3, deadline_at=1.0), 0.0)
+        queue.push(item("high", priority=0, deadline_at=9.0), 0.0)
         assert queue.pop(0.0).token == "high"
 
     def test_hopeless_work_is_refused_and_expired(self):
@@ -128,19 +128,19 @@
     def test_full_queue_displaces_only_lower_priority(self):
         """Guards against an unbounded queue and against loss without an answer."""
         queue = StageQueue(EarliestDeadline(), 1)
-        queue.push(item("low"), 0.0)
-        assert queue.push(item("equal"), 0.0).reason == "queue_full"
-        assert queue.push(item("high", priority=1), 0.0).displaced.token == "low"
+        queue.push(item("low", priority=1), 0.0)
+        assert queue.push(item("equal", priority=1), 0.0).reason == "queue_full"
+        assert queue.push(item("high", priority=0), 0.0).displaced.token == "low"
         assert len(queue) == 1
 
     def test_patient_caller_is_not_starved(self):
         """Guards against a reconciliation that waits for ever behind urgent work."""
         queue = StageQueue(LeastLaxity(), 64)
-        queue.push(item("patient", deadline_at=900.0, patience=True), 0.0)
+        queue.push(item("patient", 1, deadline_at=900.0, patience=True), 0.0)
         served = []
         for step in range(200):
             now = step * 0.1
-            queue.push(item(step, 1, now + 2.0, enqueued_at=now), now)
+            queue.push(item(step, 0, now + 2.0, enqueued_at=now), now)
             served.append(queue.pop(now).token)
         assert "patient" in served
 
--- a/tools/bench_decisions.py
+++ b/tools/bench_decisions.py
@@ -31,7 +31,7 @@
 DEFAULT = Setup()
 ADMIT_ALL = replace(DEFAULT, admission="admit_all")
 NO_CONTROL = Setup("random", "first_come", "admit_all", "unbounded", outliers=False)
-PRIORITIES = {("a", 2): 0.2, ("b", 1): 0.4, ("c", 0): 0.4}
+PRIORITIES = {("a", 0): 0.2, ("b", 1): 0.4, ("c", 2): 0.4}
 FLOOD = {(f"n{index}", 0): 0.07 for index in range(9)} | {("flood", 0): 1.0}
 BY_ROUTING = {
     name: replace(DEFAULT, routing=name)
@@ -105,7 +105,7 @@
     late = [req for req in requests if req.at >= settled_at]
     met = [req for req in late if req.met]
     work_s = sum(req.work_s for req in late)
-    top = max(req.priority for req in requests)
+    top = min(req.priority for req in requests)
     others = [req for req in late if req.account != "flood"]
     return {
         "attainment": attainment(late),
