--- a/camphorrun/cli/arguments.py
+++ b/camphorrun/cli/arguments.py
@@ -4,6 +4,8 @@
 
 from .. import __version__
 from .operate import add_ctl
+from .replaying import add_replay
+from .standins import add_standin
 
 EXIT_CODES = """\
 exit codes:
@@ -30,6 +32,8 @@
     _add_daemon(commands, "agent", "run beside one endpoint")
     _add_demo(commands)
     add_ctl(commands)
+    add_replay(commands)
+    add_standin(commands)
     return parser
 
 
--- a/camphorrun/cli/main.py
+++ b/camphorrun/cli/main.py
@@ -6,11 +6,16 @@
 from .arguments import build_parser
 from .daemons import run_daemon
 from .operate import run_ctl
+from .replaying import run_demo_command, run_replay
+from .standins import run_standin
 
 _COMMANDS: dict[str, Callable[[Namespace], int]] = {
     "entry": run_daemon,
     "agent": run_daemon,
     "ctl": run_ctl,
+    "demo": run_demo_command,
+    "replay": run_replay,
+    "standin": run_standin,
 }
 
 
