--- a/camphorrun/cli/arguments.py
+++ b/camphorrun/cli/arguments.py
@@ -31,9 +31,9 @@
     _add_daemon(commands, "entry", "serve callers on an entry host")
     _add_daemon(commands, "agent", "run beside one endpoint")
     _add_demo(commands)
-    add_ctl(commands)
     add_replay(commands)
     add_standin(commands)
+    add_ctl(commands)
     return parser
 
 
--- a/camphorrun/cli/main.py
+++ b/camphorrun/cli/main.py
@@ -12,10 +12,10 @@
 _COMMANDS: dict[str, Callable[[Namespace], int]] = {
     "entry": run_daemon,
     "agent": run_daemon,
-    "ctl": run_ctl,
     "demo": run_demo_command,
     "replay": run_replay,
     "standin": run_standin,
+    "ctl": run_ctl,
 }
 
 
--- a/camphorrun/entry/tests/test_stage_runner.py
+++ b/camphorrun/entry/tests/test_stage_runner.py
@@ -270,7 +270,9 @@
             key = parse_claim_key(world.resolver.claim_key(plan, plan.stages[0]))
             grant = await agent.acquire(key, bytes.fromhex(plan.body_digest), "t")
             agent.finish(grant, ok=True, data=b'"receipt"')
+            following = asyncio.ensure_future(world.follower.run())
             outcome = await world.executor.run(plan)
+            following.cancel()
             assert outcome.status is OutcomeStatus.ANSWERED
             assert outcome.output == b'"receipt"'
 
