--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -139,6 +139,19 @@
         """Guards against a file that lacks a module or starts child processes."""
         asyncio.run(asyncio.wait_for(self._smoke(binary, tmp_path), 120))
 
+    def test_demo_runs_from_the_file(self, binary, tmp_path):
+        """Guards against data files of the demo that the file lacks."""
+
+        async def case():
+            runner = Runner(binary, tmp_path)
+            code, text = await runner.run("demo")
+            await runner.stop()
+            assert code == 0, text[-2000:]
+            assert runner.samples > 10
+            assert runner.children == set()
+
+        asyncio.run(asyncio.wait_for(case(), 120))
+
     async def _smoke(self, binary: Path, directory: Path) -> None:
         runner = Runner(binary, directory)
         async with contextlib.AsyncExitStack() as stack:
