Settle every refusal of a non-idempotent call by the log

An agent's refusal with a code that is not tried elsewhere was passed on as it was, although the same key had run through another entry; an entry that had not read the configuration yet told callers that their credential was wrong, with status not_run. Ruled out: the claims themselves (no key ran twice).

Change: a non-idempotent stage that is given up is always settled by the log; a refusal of an early stage rules out the keys of later ones; an entry that is not ready refuses before it looks at the credential; codes that depend on the configuration have status outcome_unknown when a key is given.

--- a/camphorrun/cli/daemons.py
+++ b/camphorrun/cli/daemons.py
@@ -1,6 +1,7 @@
 """Runs the entry and agent daemons from the command line."""
 
 import asyncio
+import logging as standard_logging
 import signal
 import sys
 from argparse import Namespace
@@ -39,8 +40,7 @@
     if args.check:
         print("settings are valid")
         return EXIT_OK
-    logging.set_verbosity(args.verbosity)
-    logging.use_absl_handler()
+    _set_up_logging(args.verbosity)
     try:
         asyncio.run(_serve(daemon_kind(settings)))
     except (OSError, SupervisionError) as exc:
@@ -49,6 +49,14 @@
     return EXIT_OK
 
 
+def _set_up_logging(verbosity: int) -> None:
+    logging.set_verbosity(verbosity)
+    logging.use_absl_handler()
+    # The library logs several lines at each transition; state changes that matter to
+    # operators are logged by the state machines themselves.
+    standard_logging.getLogger("transitions").setLevel(standard_logging.WARNING)
+
+
 async def _serve(daemon: EntryDaemon | AgentDaemon) -> None:
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/camphorrun/entry/api.py
+++ b/camphorrun/entry/api.py
@@ -22,6 +22,7 @@
 
 KEY_HEADER = "Idempotency-Key"
 MAX_BUFFERED_EVENTS = 4096
+_CONFIGURATION_CODES = frozenset({"bad_credential", "not_ready", "unknown_template"})
 _NOT_RUN_STATUS = {
     "deadline_passed": 400,
     "deadline_unreachable": 503,
@@ -83,19 +84,14 @@
             return await handler(req)
         except RequestError as exc:
             self._metrics.refusals.labels(exc.code).inc()
-            return _error_response(exc)
+            return _json(exc.http_status, _error_body(exc, KEY_HEADER in req.headers))
         except web.HTTPRequestEntityTooLarge:
             self._metrics.refusals.labels("body_too_large").inc()
-            return _error_response(
-                RequestError(
-                    "body is too large",
-                    code="body_too_large",
-                    field="body",
-                    http_status=413,
-                )
-            )
+            exc = RequestError("body is too large", code="body_too_large", field="body")
+            return _json(413, _error_body(exc, KEY_HEADER in req.headers))
 
     async def _request(self, req: web.Request) -> web.StreamResponse:
+        self._check_ready()
         account = self._planner.authenticate(req.headers.get("Authorization", ""))
         body = self._planner.decode_body(await req.read())
         key = req.headers.get(KEY_HEADER, "")
@@ -114,9 +110,20 @@
         """Return why a request may not start at this entry, empty if it may."""
         if plan.deadline_at <= self._timers.now():
             return "deadline_passed"
-        if not self._is_open():
-            return "draining"
-        return "" if self._is_ready() else "not_ready"
+        return "" if self._is_open() else "draining"
+
+    def _check_ready(self) -> None:
+        """Refuse while the configuration in memory may be missing or outdated.
+
+        A client account that is missing then would be told that its credential is
+        wrong.
+        """
+        if not self._is_ready():
+            raise RequestError(
+                "this entry is reading the configuration; use another one",
+                code="not_ready",
+                http_status=503,
+            )
 
     async def _stream(
         self, req: web.Request, plan: RequestPlan, account: Account
@@ -148,11 +155,12 @@
         try:
             outcome = await self._service.run(plan, account, on_part)
         except RequestError as exc:
-            await events.put({"event": "outcome", **_error_body(exc)})
+            await events.put({"event": "outcome", **_error_body(exc, bool(plan.key))})
             return
         await events.put({"event": "outcome", **outcome_body(outcome)})
 
     async def _outcome(self, req: web.Request) -> web.Response:
+        self._check_ready()
         account = self._planner.authenticate(req.headers.get("Authorization", ""))
         key = req.match_info["key"]
         outcome = await self._cache.find(account.name, key, "")
@@ -169,6 +177,7 @@
         return _outcome_response(outcome)
 
     async def _key(self, req: web.Request) -> web.Response:
+        self._check_ready()
         self._planner.authenticate(req.headers.get("Authorization", ""))
         return _json(200, {"prefix": await self._keys.mint()})
 
@@ -226,20 +235,25 @@
     return _json(status, outcome_body(outcome), outcome.retry_after_s)
 
 
-def _error_body(exc: RequestError) -> dict[str, Any]:
+def _error_body(exc: RequestError, has_key: bool) -> dict[str, Any]:
+    """Return the JSON form of a refusal of a request.
+
+    A code that depends on the configuration says nothing about an earlier request with
+    the same key, which may have run through another entry: with a key its status is
+    ``outcome_unknown``. Other codes say that this body can't run.
+    """
+    status = OutcomeStatus.NOT_RUN
+    if has_key and exc.code in _CONFIGURATION_CODES:
+        status = OutcomeStatus.OUTCOME_UNKNOWN
     return {
-        "status": OutcomeStatus.NOT_RUN.value,
+        "status": status.value,
         "code": exc.code,
         "detail": str(exc),
         "field": exc.field,
-        "safe_to_repeat": True,
+        "safe_to_repeat": status is OutcomeStatus.NOT_RUN,
     }
 
 
-def _error_response(exc: RequestError) -> web.Response:
-    return _json(exc.http_status, _error_body(exc))
-
-
 def _json(status: int, body: object, retry_after_s: float = 0.0) -> web.Response:
     headers = {}
     if retry_after_s > 0:
--- a/camphorrun/entry/claim_resolver.py
+++ b/camphorrun/entry/claim_resolver.py
@@ -60,7 +60,9 @@
         """Return the claim key of a stage of a request."""
         return str(claim_key(self._ring, plan.account, plan.key, stage.name))
 
-    async def settle(self, call: StageCall, code: str) -> bytes:
+    async def settle(
+        self, call: StageCall, code: str, retry_after_s: float = 0.0
+    ) -> bytes:
         """Return the output of the call, or raise what can truthfully be said.
 
         Parameters
@@ -69,12 +71,21 @@
             The non-idempotent call.
         code : str
             Why the call is being settled; it becomes the code of a refusal.
+        retry_after_s : float
+            Delay after which the caller may come back, with another key.
         """
         key = parse_claim_key(self.claim_key(call.plan, call.stage))
         digest = bytes.fromhex(call.plan.body_digest)
         reply = await self._void(key, digest)
         self._metrics.claims.labels(f"settle_{type(reply).__name__.lower()}").inc()
-        return await self._follow(reply, call, key, code)
+        if isinstance(reply, Voided):
+            call.started = False
+            raise PipelineError(
+                f"stage {call.stage.name}: {code}",
+                code=code,
+                retry_after_s=retry_after_s,
+            )
+        return await self._follow(reply, call, key)
 
     async def rule_out(self, plan: RequestPlan) -> PipelineError | None:
         """Make a refusal of a request that was not dispatched true for its keys.
@@ -110,28 +121,15 @@
             return Unknown(exc.code)
 
     @singledispatchmethod
-    async def _follow(
-        self, reply: object, call: StageCall, key: ClaimKey, code: str
-    ) -> bytes:
+    async def _follow(self, reply: object, call: StageCall, key: ClaimKey) -> bytes:
         raise TypeError(f"unexpected reply {type(reply).__name__}")
 
     @_follow.register
-    async def _(
-        self, reply: Voided, call: StageCall, key: ClaimKey, code: str
-    ) -> bytes:
-        call.started = False
-        raise PipelineError(f"stage {call.stage.name}: {code}", code=code)
-
-    @_follow.register
-    async def _(
-        self, reply: Unknown, call: StageCall, key: ClaimKey, code: str
-    ) -> bytes:
+    async def _(self, reply: Unknown, call: StageCall, key: ClaimKey) -> bytes:
         raise _unknown(reply.code)
 
     @_follow.register
-    async def _(
-        self, reply: Decided, call: StageCall, key: ClaimKey, code: str
-    ) -> bytes:
+    async def _(self, reply: Decided, call: StageCall, key: ClaimKey) -> bytes:
         decision = reply.decision
         if decision.state is ClaimState.STARTED and not decision.key_reused:
             wait_s = max(0.0, call.plan.deadline_at - self._timers.now())
--- a/camphorrun/entry/request_service.py
+++ b/camphorrun/entry/request_service.py
@@ -1,5 +1,6 @@
 """Runs planned requests: admission, duplicates, execution, outcome."""
 
+import dataclasses
 from collections import OrderedDict
 
 from ..admission import AdmissionController, AdmissionRequest, Refused
@@ -141,9 +142,29 @@
         if isinstance(decision, Refused):
             return await self.refuse(plan, decision.code, decision.retry_after_s)
         try:
-            return await self._executor.run(plan, on_part)
+            outcome = await self._executor.run(plan, on_part)
         finally:
             self._admission.release(plan.account, request.cost, self._timers.now())
+        return await self._confirmed(plan, outcome)
+
+    async def _confirmed(self, plan: RequestPlan, outcome: Outcome) -> Outcome:
+        """Make ``not_run`` true of every non-idempotent stage of the plan.
+
+        A refusal of an early stage alone does not keep the same key from running, or
+        from having run, through another entry.
+        """
+        if outcome.status is not OutcomeStatus.NOT_RUN or plan.repeatable:
+            return outcome
+        error = await self._claims.rule_out(plan)
+        if error is None:
+            return outcome
+        return dataclasses.replace(
+            outcome,
+            status=error.status,
+            code=error.code,
+            detail=str(error),
+            safe_to_repeat=error.safe_to_repeat,
+        )
 
     async def refuse(
         self, plan: RequestPlan, code: str, retry_after_s: float = 0.0
--- a/camphorrun/entry/stage_runner.py
+++ b/camphorrun/entry/stage_runner.py
@@ -63,7 +63,9 @@
         """Return the claim key of a stage of a request."""
         ...
 
-    async def settle(self, call: StageCall, code: str) -> bytes:
+    async def settle(
+        self, call: StageCall, code: str, retry_after_s: float = 0.0
+    ) -> bytes:
         """Return the output of the call, or raise a truthful ``PipelineError``."""
         ...
 
@@ -133,6 +135,8 @@
         progress = _StageProgress()
         while True:
             peer = await self._choose(call, progress)
+            if peer is None:
+                return await self._give_up(call, progress)
             result = await self._attempt(call, peer, progress)
             output = await self._after(result, call, peer, progress)
             if output is not None:
@@ -140,11 +144,18 @@
 
     # Choice of endpoint.
 
-    async def _choose(self, call: StageCall, progress: _StageProgress) -> AgentPeer:
-        """Return a peer for the next attempt, waiting a little for one."""
+    async def _choose(
+        self, call: StageCall, progress: _StageProgress
+    ) -> AgentPeer | None:
+        """Return a peer for the next attempt, waiting a little for one.
+
+        Without a peer, ``progress.last_code`` tells why.
+        """
         give_up_at = self._timers.now() + NO_ENDPOINT_GRACE_SECONDS
         while True:
-            self._check_deadline(call, progress)
+            if self._remaining_s(call) <= 0:
+                progress.last_code = "deadline_exceeded"
+                return None
             peers = self._peers_of(call.stage.service)
             choice = self._router.choose(
                 [peer.state for peer in peers],
@@ -154,10 +165,11 @@
             if not isinstance(choice, NoEndpoint):
                 return next(p for p in peers if p.state is choice.endpoint)
             if choice.reason == "excluded" and progress.last_code:
-                await self._give_up(call, progress, progress.last_code)
+                return None
             if self._timers.now() >= give_up_at:
+                progress.last_code = choice.reason
                 progress.retry_after_s = choice.retry_after_s
-                await self._give_up(call, progress, choice.reason)
+                return None
             await self._timers.sleep(NO_ENDPOINT_POLL_SECONDS)
 
     def _stage_request(self, call: StageCall, progress: _StageProgress) -> StageRequest:
@@ -176,11 +188,6 @@
     def _remaining_s(self, call: StageCall) -> float:
         return call.plan.deadline_at - self._timers.now()
 
-    def _check_deadline(self, call: StageCall, progress: _StageProgress) -> None:
-        if self._remaining_s(call) > 0:
-            return
-        raise self._error(call, progress, "deadline_exceeded")
-
     # One attempt.
 
     async def _attempt(
@@ -338,32 +345,41 @@
 
     async def _move(
         self, call: StageCall, progress: _StageProgress, result: NotStarted
-    ) -> None:
+    ) -> bytes | None:
         """Try another endpoint after a refusal that cost nothing."""
         progress.last_code = result.code
         progress.retry_after_s = result.retry_after_s
         movable = result.code in MOVABLE_CODES
         if not movable or progress.attempt >= MAX_ATTEMPTS:
-            await self._give_up(call, progress, result.code)
+            return await self._give_up(call, progress)
         self._metrics.retries.labels(result.code).inc()
+        return None
 
     async def _retry(
         self, call: StageCall, progress: _StageProgress, code: str
-    ) -> None:
+    ) -> bytes | None:
         """Repeat an idempotent attempt within the deadline and the budget."""
         progress.last_code = code
         if progress.attempt >= MAX_ATTEMPTS or self._remaining_s(call) <= 0:
-            await self._give_up(call, progress, code)
+            return await self._give_up(call, progress)
         if not self._budget.try_withdraw(self._timers.now()):
             self._metrics.refusals.labels("retry_budget").inc()
-            await self._give_up(call, progress, code)
+            return await self._give_up(call, progress)
         self._metrics.retries.labels(code).inc()
         await self._timers.sleep(self._backoff.delay_s(progress.attempt))
+        return None
 
-    async def _give_up(
-        self, call: StageCall, progress: _StageProgress, code: str
-    ) -> None:
-        raise self._error(call, progress, code)
+    async def _give_up(self, call: StageCall, progress: _StageProgress) -> bytes:
+        """Refuse the stage, or settle it by the log if it may not be repeated.
+
+        Without the log a refusal would say "not run" although the same key may have
+        run through another entry.
+        """
+        if call.stage.repeatable:
+            raise self._error(call, progress, progress.last_code)
+        return await self._claims.settle(
+            call, progress.last_code, progress.retry_after_s
+        )
 
     def _error(
         self, call: StageCall, progress: _StageProgress, code: str
--- a/camphorrun/entry/tests/test_stage_runner.py
+++ b/camphorrun/entry/tests/test_stage_runner.py
@@ -1,10 +1,12 @@
 """Tests of attempts, retries and settlement of one stage."""
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
 
+from ...admission import AdmissionController
 from ...claims import (
     ClaimAppender,
     ClaimFollower,
@@ -37,6 +39,8 @@
 from .. import stage_runner
 from ..claim_resolver import LogClaimResolver
 from ..errors import AttemptLostError
+from ..outcome_cache import OutcomeCache
+from ..request_service import RequestService
 from ..stage_runner import StageRunner
 
 _RING = KeyRing((SharedKey(1, b"k" * 16),))
@@ -127,6 +131,21 @@
             body_digest="ab" * 16,
         )
 
+    async def run_elsewhere(self, plan: RequestPlan) -> None:
+        """Let another agent run the call of a plan."""
+        agent = StartCoordinator(
+            self.appender,
+            self.follower,
+            self.timers,
+            host="other",
+            incarnation="other-inc",
+        )
+        key = parse_claim_key(self.resolver.claim_key(plan, plan.stages[0]))
+        grant = await agent.acquire(key, bytes.fromhex(plan.body_digest), "t")
+        agent.finish(grant, ok=True, data=b'"receipt"')
+        await agent.drain(5.0)
+        await self.follower.read_to_end()
+
     @property
     def attempts(self) -> int:
         return sum(len(peer.dispatches) for peer in self.peers)
@@ -260,16 +279,7 @@
         async def scenario():
             world = _World([_CLAIM_LOST])
             plan = await world.plan(repeatable=False)
-            agent = StartCoordinator(
-                world.appender,
-                world.follower,
-                world.timers,
-                host="other",
-                incarnation="other-inc",
-            )
-            key = parse_claim_key(world.resolver.claim_key(plan, plan.stages[0]))
-            grant = await agent.acquire(key, bytes.fromhex(plan.body_digest), "t")
-            agent.finish(grant, ok=True, data=b'"receipt"')
+            await world.run_elsewhere(plan)
             following = asyncio.ensure_future(world.follower.run())
             outcome = await world.executor.run(plan)
             following.cancel()
@@ -278,6 +288,46 @@
 
         _run(scenario)
 
+    def test_refused_attempt_of_a_key_that_ran_elsewhere_is_answered(self):
+        """Guards against "not run" for a key that ran through another entry.
+
+        Seen in tools/chaos.py with seed 3: a request sent through two entries was
+        refused by the second one's agent, and the refusal was passed on as it was.
+        """
+
+        async def scenario():
+            world = _World([_DRAINING])
+            plan = await world.plan(repeatable=False)
+            await world.run_elsewhere(plan)
+            outcome = await world.executor.run(plan)
+            assert outcome.status is OutcomeStatus.ANSWERED
+
+        _run(scenario)
+
+    def test_refused_first_stage_rules_out_the_others(self):
+        """Guards against "not run" while a later stage may have run elsewhere."""
+
+        async def scenario():
+            world = _World([_DRAINING])
+            plan = await world.plan(repeatable=False)
+            await world.run_elsewhere(plan)
+            lookup = PlannedStage(0, "lookup", "s", "op", "")
+            charge = dataclasses.replace(plan.stages[0], index=1, after=("lookup",))
+            plan = dataclasses.replace(plan, stages=(lookup, charge))
+            service = RequestService(
+                world.executor,
+                AdmissionController(),
+                OutcomeCache(None, world.timers),
+                world.resolver,
+                timers=world.timers,
+                metrics=Metrics(),
+            )
+            outcome = await service._confirmed(plan, await world.executor.run(plan))
+            assert outcome.status is OutcomeStatus.OUTCOME_UNKNOWN
+            assert outcome.code == "already_run"
+
+        _run(scenario)
+
     def test_refusal_before_dispatch_rules_the_key_out(self):
         """Guards against "not run" while another entry may still run the key."""
 
--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -64,6 +64,9 @@
 REQUEST_TIMEOUT_SECONDS = 15.0
 CALLER_PATIENCE_SECONDS = 40.0
 RESTART_SECONDS = 0.5
+TERMINATE_SECONDS = 60.0
+# Share of the requests that are sent through two entries at the same time.
+TWIN_SHARE = 0.2
 
 
 def free_port() -> int:
@@ -250,6 +253,7 @@
         self.counts: Counter = Counter()
         self.latencies: list[float] = []
         self.answers: dict[str, set[str]] = {}
+        self.history: dict[str, list[str]] = {}
         self.headers = {"Authorization": f"Bearer {ACCOUNT}:{ACCOUNT_SECRET}"}
         self.prefix = ""
 
@@ -272,8 +276,15 @@
         self.counts["offered"] += 1
         final = ""
         while time.monotonic() - started < CALLER_PATIENCE_SECONDS:
-            url = self.rng.choice(self.system.entry_urls)
-            body = await self.send(url, template, value, key)
+            urls = list(self.system.entry_urls)
+            self.rng.shuffle(urls)
+            if self.rng.random() < TWIN_SHARE:
+                twins = (self.send(url, template, value, key) for url in urls[:2])
+                body, other = await asyncio.gather(*twins)
+                if other is not None:
+                    self.judge(template, value, key, other)
+            else:
+                body = await self.send(urls[0], template, value, key)
             if body is None:
                 self.counts["asked_again"] += 1
                 await asyncio.sleep(0.2)
@@ -321,6 +332,8 @@
         """Count an answer and return what it means for the caller."""
         status = body["status"]
         self.counts[f"code_{body['code']}"] += 1
+        text = f"{time.monotonic():.2f} {status} {body['code']} {body.get('detail')}"
+        self.history.setdefault(key, []).append(text)
         if status == "answered":
             if body["output"] != expected_output(template, value):
                 self.counts["misdelivered"] += 1
@@ -348,31 +361,127 @@
                     body = await resp.json()
                     if resp.status != 404 and body["status"] != "outcome_unknown":
                         self.answers[key].add(body["status"])
+                        text = f"lookup {url} {body['status']} {body['code']}"
+                        self.history[key].append(text)
+
+
+class Injector:
+    """Injects faults at random until the end of a run.
+
+    Two faults may be active at the same time, since ``run`` is started twice.
+    """
+
+    KINDS = (
+        "kill",
+        "kill",
+        "pause",
+        "pause",
+        "terminate",
+        "pause_log",
+        "log_down",
+        "log_slow",
+        "lose_replies",
+        "stall_endpoint",
+    )
 
+    def __init__(
+        self, system: System, session: aiohttp.ClientSession, counts: Counter, seed: int
+    ):
+        self.system = system
+        self.session = session
+        self.counts = counts
+        self.rng = random.Random(seed)
+        self.busy: set[str] = set()
+
+    async def run(self, until: float) -> None:
+        """Inject one fault after another."""
+        while time.monotonic() < until:
+            await asyncio.sleep(self.rng.uniform(0.5, 1.5))
+            kind = self.rng.choice(self.KINDS)
+            self.counts[f"fault_{kind}"] += 1
+            await getattr(self, kind)()
+
+    @contextlib.contextmanager
+    def daemon(self):
+        """Reserve a random daemon, so that no two faults hit the same process."""
+        candidates = [*self.system.agents, *self.system.entries]
+        idle = [each for each in candidates if each.name not in self.busy]
+        process = self.rng.choice(idle)
+        self.busy.add(process.name)
+        try:
+            yield process
+        finally:
+            self.busy.discard(process.name)
 
-async def inject(system: System, rng: random.Random, until: float, counts: Counter):
-    """Kill and pause processes at random until the given time."""
-    while time.monotonic() < until:
-        await asyncio.sleep(rng.uniform(0.5, 1.5))
-        fault = rng.choice(("kill", "kill", "pause", "pause", "pause_log"))
-        counts[f"fault_{fault}"] += 1
-        if fault == "pause_log":
-            await pause(system.platform[0], rng.uniform(0.5, 3.0))
-        elif fault == "pause":
-            process = rng.choice([*system.agents, *system.entries])
-            await pause(process, rng.uniform(0.5, 4.0))
-        else:
-            process = rng.choice([*system.agents, *system.entries])
+    async def kill(self) -> None:
+        """Kill a daemon and start it again."""
+        with self.daemon() as process:
             process.stop()
             await asyncio.sleep(RESTART_SECONDS)
             process.start()
 
+    async def pause(self) -> None:
+        """Stop a daemon for a while."""
+        with self.daemon() as process:
+            process.send(signal.SIGSTOP)
+            await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+            process.send(signal.SIGCONT)
+
+    async def terminate(self) -> None:
+        """Stop a daemon gracefully and start it again; it must exit with 0."""
+        with self.daemon() as process:
+            process.send(signal.SIGTERM)
+            deadline = time.monotonic() + TERMINATE_SECONDS
+            while process.popen.poll() is None and time.monotonic() < deadline:
+                await asyncio.sleep(0.05)
+            if process.popen.poll() != 0:
+                self.counts["bad_exit"] += 1
+            process.stop()
+            process.start()
 
-async def pause(process: Process, seconds: float) -> None:
-    """Stop a process for a while."""
-    process.send(signal.SIGSTOP)
-    await asyncio.sleep(seconds)
-    process.send(signal.SIGCONT)
+    async def pause_log(self) -> None:
+        """Stop the log service for a while."""
+        process = self.system.platform[0]
+        if process.name in self.busy:
+            return
+        self.busy.add(process.name)
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.5, 3.0))
+        process.send(signal.SIGCONT)
+        self.busy.discard(process.name)
+
+    async def log_down(self) -> None:
+        """Let the log service refuse every call for a while."""
+        await self.log_fault({"available": False}, self.rng.uniform(1.0, 6.0))
+
+    async def log_slow(self) -> None:
+        """Let the log service answer slowly for a while."""
+        await self.log_fault({"delay_s": 1.0}, self.rng.uniform(1.0, 6.0))
+
+    async def lose_replies(self) -> None:
+        """Let replies to appends be lost, some after the append took effect."""
+        kinds = ("reply_lost", "lost_before_effect")
+        faults = [self.rng.choice(kinds) for _ in range(10)]
+        await self.log_fault({"appends": faults}, 2.0)
+
+    async def log_fault(self, faults: dict, seconds: float) -> None:
+        """Set faults of the log service and clear them after a while."""
+        url = f"{self.system.log_url}/v1/faults"
+        for body in (faults, {}):
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                async with self.session.post(url, json=body):
+                    pass
+            if body:
+                await asyncio.sleep(seconds)
+
+    async def stall_endpoint(self) -> None:
+        """Let an endpoint stop answering for a while."""
+        url = f"{self.rng.choice(self.system.endpoint_urls)}/v1/profile"
+        for stalled in (True, False):
+            async with self.session.post(url, json={"stalled": stalled}):
+                pass
+            if stalled:
+                await asyncio.sleep(self.rng.uniform(1.0, 5.0))
 
 
 async def publish_all(session: aiohttp.ClientSession, system: System) -> None:
@@ -436,6 +545,7 @@
         times = executed[str(claim_key(RING, ACCOUNT, key, "charge"))]
         if len(answers) > 1:
             counts["contradicted"] += 1
+            print(f"contradicted: {key}: {callers.history.get(key)}", file=sys.stderr)
         if "not_run" in answers and times:
             counts["ran_after_not_run"] += 1
         if "answered" in answers and not times:
@@ -444,7 +554,6 @@
 
 async def run(args: argparse.Namespace, system: System) -> Counter:
     """Run the whole experiment and return the counts."""
-    rng = random.Random(args.seed)
     system.start_platform()
     async with aiohttp.ClientSession() as session:
         await wait_listening(session, f"{system.hosts_url}/v1/hosts")
@@ -462,7 +571,7 @@
         await wait_ready(session, system)
         callers = Callers(system, session, args.seed)
         await callers.fetch_prefix()
-        await drive(args, system, callers, rng)
+        await drive(args, system, callers)
         await asyncio.sleep(3)
         await callers.ask_outcomes()
         compare(callers, await effects(session, system))
@@ -472,23 +581,22 @@
     return callers.counts
 
 
-async def drive(
-    args: argparse.Namespace, system: System, callers: Callers, rng: random.Random
-) -> None:
+async def drive(args: argparse.Namespace, system: System, callers: Callers) -> None:
     """Send requests at a fixed rate while faults are injected."""
     until = time.monotonic() + args.seconds
-    faults = asyncio.ensure_future(inject(system, rng, until, callers.counts))
+    injector = Injector(system, callers.session, callers.counts, args.seed)
+    faults = [asyncio.ensure_future(injector.run(until)) for _ in range(2)]
     tasks = []
     number = 0
     while time.monotonic() < until:
         number += 1
         tasks.append(asyncio.ensure_future(callers.one(number)))
         await asyncio.sleep(1 / args.rate)
-    await faults
-    await asyncio.gather(*tasks)
+    await asyncio.gather(*faults, *tasks)
 
 
 FAULTS = (
+    "bad_exit",
     "lost",
     "doubled",
     "misdelivered",
