Serve priority 0 first in the queue and in admission

Documents state that priority 0 is the highest; the queue and the admission prefer greater numbers, and nothing converted between them. The new test fails without the conversion.

--- a/camphorrun/agent/tests/test_worker.py
+++ b/camphorrun/agent/tests/test_worker.py
@@ -183,6 +183,25 @@
         _run(scenario)
 
 
+class TestOrder:
+    """Queued work is served in the order that documents state."""
+
+    def test_priority_0_is_served_first(self):
+        """Guards against a queue that serves the least important callers first."""
+
+        async def scenario():
+            world = _World()
+            for number, priority in enumerate((1, 1, 3, 2, 0), start=1):
+                world.send(world.dispatch(number, priority=priority))
+            await world.until(lambda: len(world.runner.calls) == 2)
+            world.runner.release.set()
+            await world.until(lambda: len(world.runner.calls) == 5)
+            served = [call.priority for call in world.runner.calls]
+            assert served == [1, 1, 0, 2, 3]
+
+        _run(scenario)
+
+
 class TestResume:
     """A new link receives exactly what the entry misses."""
 
--- a/camphorrun/configuration/__init__.py
+++ b/camphorrun/configuration/__init__.py
@@ -3,6 +3,7 @@
 from .carry import CarryForwarder
 from .documents import (
     KINDS,
+    LOWEST_PRIORITY,
     Account,
     Document,
     DocumentError,
@@ -36,6 +37,7 @@
     "ACCOUNTS_STREAM",
     "FLEET_STREAM",
     "KINDS",
+    "LOWEST_PRIORITY",
     "Account",
     "ApplyResult",
     "CarryForwarder",
