Compare used concurrency with the whole limit

A limit between 1 and 2 admits one call, which was less than 80% of the fractional value, so the limit could never grow: 472 of 504 samples of the engine limits in the steady scenario were 1, on endpoints that bear 2. The new test fails with the fractional value.

--- a/camphorrun/limits/concurrency.py
+++ b/camphorrun/limits/concurrency.py
@@ -159,7 +159,7 @@
         bounded = min(1.0, max(MIN_GRADIENT, gradient))
         target = self._value * bounded
         # Unused concurrency proves nothing, so the limit grows only while it is used.
-        if gradient >= 1.0 and self._peak_in_flight >= self._value * USED_SHARE:
+        if gradient >= 1.0 and self._peak_in_flight >= self.limit * USED_SHARE:
             target += math.sqrt(self._value) / 2
         self._value = min(self._maximum, max(self._minimum, target))
 
--- a/camphorrun/limits/tests/test_limits.py
+++ b/camphorrun/limits/tests/test_limits.py
@@ -77,6 +77,15 @@
             limit.observe(LatencySample(0.001, 1, 32, False, step * 0.3))
         assert limit.limit <= 8
 
+    def test_limit_of_one_can_grow(self):
+        """Guards against a limit that stays at 1 between two whole numbers."""
+        limit = ConcurrencyLimit(2)
+        limit.observe(LatencySample(0.1, 1, 1, False, 1.0))
+        assert limit.limit == 1
+        for step in range(100):
+            limit.observe(LatencySample(0.1, 1, limit.limit, True, 2.0 + step * 0.1))
+        assert limit.steady_limit >= 2
+
     def test_large_calls_do_not_lower_the_limit(self):
         """Guards against mistaking a larger request for a slower endpoint."""
         limit = ConcurrencyLimit(16)
