--- a/camphorrun/cli/replaying.py
+++ b/camphorrun/cli/replaying.py
@@ -1,6 +1,7 @@
 """The ``replay`` and ``demo`` subcommands."""
 
 import asyncio
+import dataclasses
 import json
 import sys
 from argparse import Namespace
@@ -78,6 +79,8 @@
         scenario, trace = load_scenario(args.scenario)
         if args.limit_s is not None:
             trace = [req for req in trace if req.at_s < args.limit_s]
+            duration_s = min(scenario.duration_s, args.limit_s)
+            scenario = dataclasses.replace(scenario, duration_s=duration_s)
         return _replay(args, scenario, trace)
     except TraceError as exc:
         print(f"camphorrun: {exc}", file=sys.stderr)
--- a/camphorrun/replay/results.py
+++ b/camphorrun/replay/results.py
@@ -143,8 +143,8 @@
 class BoundCheck:
     """A stated outcome with the figure that was measured.
 
-    ``holds`` is None if the run cannot tell, because the figure needs what only
-    stand-ins in this process know.
+    ``holds`` is None if the run cannot tell: no request is in the scope, or the figure
+    needs what only stand-ins in this process know.
     """
 
     bound: Bound
@@ -191,7 +191,8 @@
     checks = []
     for bound in result.scenario.bounds:
         records = [record for record in result.records if _in_scope(record, bound)]
-        if result.work is None and bound.figure in _LOCAL_FIGURES:
+        hidden = result.work is None and bound.figure in _LOCAL_FIGURES
+        if hidden or not records:
             checks.append(BoundCheck(bound, 0.0, None))
             continue
         value = _FIGURES[bound.figure](result, records, bound)
--- a/camphorrun/replay/tests/test_report.py
+++ b/camphorrun/replay/tests/test_report.py
@@ -108,6 +108,11 @@
         work = EndpointWork()
         assert check_bounds(result_of([record(0)], bounds, work=work))[0].holds is True
 
+    def test_bound_without_requests_is_unknown(self):
+        """Guards against a shortened run that claims an outcome of its missing end."""
+        bounds = [Bound("attainment", at_least=0.9, from_s=5.0)]
+        assert check_bounds(result_of([record(0)], bounds))[0].holds is None
+
     def test_missed_bound_is_reported(self):
         """Guards against a report that hides a missed outcome."""
         result = result_of([record(0, latency_s=9.0)], [Bound("attainment", 0.99)])
