--- a/camphorrun/agent/worker.py
+++ b/camphorrun/agent/worker.py
@@ -14,7 +14,6 @@
     StartRefused,
     parse_claim_key,
 )
-from ..configuration import LOWEST_PRIORITY
 from ..core import TimerService
 from ..limits import ConcurrencyLimit, LatencySample, QueueItem, StageQueue
 from ..messages import (
@@ -185,8 +184,7 @@
         units = dispatch.input_units + dispatch.output_units
         return QueueItem(
             token=record,
-            # The queue serves greater numbers first; 0 is the highest in documents.
-            priority=LOWEST_PRIORITY - dispatch.priority,
+            priority=dispatch.priority,
             enqueued_at=record.received_at,
             deadline_at=record.deadline_at,
             downstream_s=dispatch.downstream_s,
--- a/camphorrun/configuration/__init__.py
+++ b/camphorrun/configuration/__init__.py
@@ -3,7 +3,6 @@
 from .carry import CarryForwarder
 from .documents import (
     KINDS,
-    LOWEST_PRIORITY,
     Account,
     Document,
     DocumentError,
@@ -37,7 +36,6 @@
     "ACCOUNTS_STREAM",
     "FLEET_STREAM",
     "KINDS",
-    "LOWEST_PRIORITY",
     "Account",
     "ApplyResult",
     "CarryForwarder",
--- a/camphorrun/entry/request_service.py
+++ b/camphorrun/entry/request_service.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 
 from ..admission import AdmissionController, AdmissionRequest, Refused
-from ..configuration import LOWEST_PRIORITY, Account
+from ..configuration import Account
 from ..core import TimerService
 from ..messages import StageCost
 from ..metrics import Metrics
@@ -132,8 +132,7 @@
         request = AdmissionRequest(
             account=plan.account,
             weight=account.weight,
-            # Admission prefers greater numbers; 0 is the highest in documents.
-            priority=LOWEST_PRIORITY - plan.priority,
+            priority=plan.priority,
             remaining_s=plan.deadline_at - now,
             predicted_s=predicted_s,
             cost=self._executor.work_s(plan),
