End the wait for a claim whose owner is gone

The entry now stops waiting once another process runs on the owner's host or its link has been down for 3 s.

--- a/camphorrun/entry/claim_resolver.py
+++ b/camphorrun/entry/claim_resolver.py
@@ -1,5 +1,6 @@
 """Decides what became of non-idempotent calls, by their claims in the log."""
 
+from collections.abc import Callable
 from functools import singledispatchmethod
 
 from ..claims import (
@@ -26,6 +27,8 @@
     StageCall,
 )
 
+OWNER_CHECK_SECONDS = 0.25
+
 
 class LogClaimResolver:
     """``ClaimResolver`` over the claims stream.
@@ -40,6 +43,8 @@
         What is known of each key.
     timers, metrics
         Clock and counters.
+    is_gone : callable
+        Whether the process of a host with an incarnation can no longer answer.
     """
 
     def __init__(
@@ -49,12 +54,15 @@
         ledger: ClaimLedger,
         timers: TimerService,
         metrics: Metrics,
+        *,
+        is_gone: Callable[[str, str], bool],
     ):
         self._ring = ring
         self._voids = voids
         self._ledger = ledger
         self._timers = timers
         self._metrics = metrics
+        self._is_gone = is_gone
 
     def claim_key(self, plan: RequestPlan, stage: PlannedStage) -> str:
         """Return the claim key of a stage of a request."""
@@ -132,17 +140,27 @@
     async def _(self, reply: Decided, call: StageCall, key: ClaimKey) -> bytes:
         decision = reply.decision
         if decision.state is ClaimState.STARTED and not decision.key_reused:
-            wait_s = max(0.0, call.plan.deadline_at - self._timers.now())
-            decision = await self._wait(key, wait_s, decision)
+            decision = await self._wait(key, call.plan.deadline_at, decision)
         return _output(decision, call)
 
     async def _wait(
-        self, key: ClaimKey, wait_s: float, known: ClaimDecision
+        self, key: ClaimKey, deadline_at: float, decision: ClaimDecision
     ) -> ClaimDecision:
-        try:
-            return await self._voids.outcome(key, wait_s)
-        except ClaimError:
-            return known
+        """Wait for the outcome while its owner may still record one.
+
+        Once the owner is gone, the caller is not kept waiting for the deadline.
+        """
+        while not decision.is_final:
+            left_s = deadline_at - self._timers.now()
+            gone = self._is_gone(decision.host, decision.incarnation)
+            try:
+                wait_s = min(OWNER_CHECK_SECONDS, max(0.0, left_s))
+                decision = await self._voids.outcome(key, wait_s)
+            except ClaimError:
+                return decision
+            if gone or left_s <= 0:
+                return decision
+        return decision
 
 
 def _output(decision: ClaimDecision, call: StageCall) -> bytes:
--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -137,7 +137,12 @@
             host=self.settings.host.name,
         )
         resolver = LogClaimResolver(
-            ring, voids, self._claims.ledger, self.timers, self.metrics
+            ring,
+            voids,
+            self._claims.ledger,
+            self.timers,
+            self.metrics,
+            is_gone=self._pool.is_gone,
         )
         executor = PipelineExecutor(self._build_runner(resolver), self.timers)
         self._cache = OutcomeCache(self._pool, self.timers)
--- a/camphorrun/entry/peer_pool.py
+++ b/camphorrun/entry/peer_pool.py
@@ -26,6 +26,8 @@
 # A host that is missing from the list keeps its link this long while the link is up,
 # because the list lags.
 UNLISTED_GRACE_SECONDS = 10.0
+# A paused agent or a replaced connection answers again within this time as a rule.
+GONE_SECONDS = 3.0
 
 
 class PeerPool:
@@ -103,6 +105,19 @@
         if peer is not None:
             peer.state.set_draining(True)
 
+    def is_gone(self, host: str, incarnation: str) -> bool:
+        """Return whether a process of an agent host can no longer answer.
+
+        That is so once another process runs on the host, or once the link has been
+        down for ``GONE_SECONDS``.
+        """
+        peer = self._peers.get(host)
+        if peer is None:
+            return True
+        if peer.state.link_up:
+            return peer.incarnation != incarnation
+        return self._timers.now() - peer.state.link_changed_at >= GONE_SECONDS
+
     async def close(self) -> None:
         """Close all links."""
         for host in tuple(self._peers):
--- a/camphorrun/entry/tests/test_stage_runner.py
+++ b/camphorrun/entry/tests/test_stage_runner.py
@@ -95,9 +95,15 @@
             self.appender, self.follower, self.timers, host="entry-1"
         )
         metrics = Metrics()
+        self.owner_gone = False
         self.budget = RetryBudget(minimum_per_s=10.0)
         self.resolver = LogClaimResolver(
-            _RING, voids, self.follower.ledger, self.timers, metrics
+            _RING,
+            voids,
+            self.follower.ledger,
+            self.timers,
+            metrics,
+            is_gone=lambda host, incarnation: self.owner_gone,
         )
         runner = StageRunner(
             lambda service: self.peers,
@@ -131,8 +137,8 @@
             body_digest="ab" * 16,
         )
 
-    async def run_elsewhere(self, plan: RequestPlan) -> None:
-        """Let another agent run the call of a plan."""
+    async def run_elsewhere(self, plan: RequestPlan, *, finish: bool = True) -> None:
+        """Let another agent run the call of a plan; it dies without ``finish``."""
         agent = StartCoordinator(
             self.appender,
             self.follower,
@@ -142,7 +148,8 @@
         )
         key = parse_claim_key(self.resolver.claim_key(plan, plan.stages[0]))
         grant = await agent.acquire(key, bytes.fromhex(plan.body_digest), "t")
-        agent.finish(grant, ok=True, data=b'"receipt"')
+        if finish:
+            agent.finish(grant, ok=True, data=b'"receipt"')
         await agent.drain(5.0)
         await self.follower.read_to_end()
 
@@ -304,6 +311,20 @@
 
         _run(scenario)
 
+    def test_lost_owner_ends_the_wait(self):
+        """Guards against an answer held back until the deadline."""
+
+        async def scenario():
+            world = _World([_CLAIM_LOST])
+            world.owner_gone = True
+            plan = await world.plan(repeatable=False, remaining_s=3600.0)
+            await world.run_elsewhere(plan, finish=False)
+            outcome = await world.executor.run(plan)
+            assert outcome.status is OutcomeStatus.OUTCOME_UNKNOWN
+            assert outcome.code == "in_progress"
+
+        _run(scenario)
+
     def test_refused_first_stage_rules_out_the_others(self):
         """Guards against "not run" while a later stage may have run elsewhere."""
 
