--- a/camphorrun/entry/stage_runner.py
+++ b/camphorrun/entry/stage_runner.py
@@ -35,6 +35,7 @@
 from .errors import AttemptLostError
 
 MAX_ATTEMPTS = 4
+DEADLINE_EXCEEDED = "deadline_exceeded"
 FIRST_BACKOFF_SECONDS = 0.01
 MAX_BACKOFF_SECONDS = 0.5
 # Time without any usable endpoint that is bridged, for instance during reconnection.
@@ -154,7 +155,7 @@
         give_up_at = self._timers.now() + NO_ENDPOINT_GRACE_SECONDS
         while True:
             if self._remaining_s(call) <= 0:
-                progress.last_code = "deadline_exceeded"
+                progress.last_code = DEADLINE_EXCEEDED
                 return None
             peers = self._peers_of(call.stage.service)
             choice = self._router.choose(
