--- a/camphorrun/standins/__init__.py
+++ b/camphorrun/standins/__init__.py
@@ -6,6 +6,7 @@
 from .operations import fingerprint, input_units, run_operation, streamed_text
 from .orders import Order, OrderBook, OrderError, OrderState
 from .prefix_cache import CacheEvent, CacheEvents, PrefixCache
+from .tcp_forwarder import TcpForwarder
 from .weight_server import WeightServer
 
 __all__ = [
@@ -23,6 +24,7 @@
     "OrderState",
     "PrefixCache",
     "WeightServer",
+    "TcpForwarder",
     "fingerprint",
     "input_units",
     "run_operation",
