Test plans and platform clients; take a 503 as not executed only on the endpoint's word

A 503 may come from a middle box after the call took effect, and the agent withdraws the claim of a call that did not execute, so a charge could have been reported as not run.

--- a/camphorrun/platform/__init__.py
+++ b/camphorrun/platform/__init__.py
@@ -1,6 +1,7 @@
 """Clients of outside systems: log service, host list, weight store, endpoints."""
 
 from .endpoint_client import (
+    EXECUTED_HEADER,
     FENCING_HEADER,
     KEY_HEADER,
     EndpointCall,
@@ -14,6 +15,7 @@
 from .log_client import AppendReply, AppendRequest, LogClient
 
 __all__ = [
+    "EXECUTED_HEADER",
     "FENCING_HEADER",
     "KEY_HEADER",
     "AppendReply",
--- a/camphorrun/platform/endpoint_client.py
+++ b/camphorrun/platform/endpoint_client.py
@@ -12,6 +12,8 @@
 CONTROL_TIMEOUT_SECONDS = 2.0
 FENCING_HEADER = "X-Fencing-Token"
 KEY_HEADER = "Idempotency-Key"
+# Set to "false" by an endpoint that refuses a call before it executes anything.
+EXECUTED_HEADER = "X-Executed"
 MAX_LINE_BYTES = 1024 * 1024
 
 
@@ -169,8 +171,10 @@
         if resp.status == 200:
             return
         code = resp.headers.get("X-Error-Code", f"status_{resp.status}")
-        # Endpoints answer 429 and 503 before they execute anything.
-        executed = resp.status not in (429, 503)
+        # A rate limit refuses before execution. A 503 may come from something between
+        # or after a partial execution, so it counts only with the endpoint's own word.
+        stated = resp.headers.get(EXECUTED_HEADER, "").lower() == "false"
+        executed = not (resp.status == 429 or stated)
         raise EndpointError(
             f"endpoint: status {resp.status}", code=code, executed=executed
         )
--- a/camphorrun/standins/endpoint_server.py
+++ b/camphorrun/standins/endpoint_server.py
@@ -13,6 +13,7 @@
 from ..core import TimerService
 from ..pipeline import prompt_prefix
 from ..platform import (
+    EXECUTED_HEADER,
     FENCING_HEADER,
     KEY_HEADER,
     EndpointLoad,
@@ -197,7 +198,9 @@
         if not self._passes_fencing(req):
             return _error(409, "stale_fencing_token", "token is outdated")
         if self._queued >= self.profile.max_queue:
-            return _error(503, "endpoint_queue_full", "queue is full")
+            refusal = _error(503, "endpoint_queue_full", "queue is full")
+            refusal.headers[EXECUTED_HEADER] = "false"
+            return refusal
         if self._failures.take(self.profile.fail_share):
             self.usage.failed += 1
             return _error(500, "endpoint_error", "injected failure")
