Let stand-ins grant weights ahead and report room for models

Calls and orders carried offsets of different streams but shared one fencing token, so a call with a claim offset made the endpoint refuse every order. Each kind has a token of its own now. The weight store grants a fetch ahead of the load, and an endpoint can bound its models and say whether it changes its role while calls are in flight.

--- a/camphorrun/standins/endpoint_server.py
+++ b/camphorrun/standins/endpoint_server.py
@@ -40,8 +40,8 @@
 
     Faults: ``fail_share`` of the calls fail at once, ``cut_share`` of the streams break
     after their first part, ``stalled`` stops all progress until it ends, and ``silent``
-    accepts calls and never answers them. ``batch``, the cache and the URL of the weight
-    store cannot change while the endpoint runs.
+    accepts calls and never answers them. ``batch``, the cache, the URL of the weight
+    store, ``max_models`` and ``busy_role_change`` cannot change while it runs.
     """
 
     base_s: float = 0.002
@@ -61,6 +61,8 @@
     cache_event_lag_s: float = 1.0
     cache_loses_every: int = 0
     weight_store_url: str = ""
+    max_models: int = 0
+    busy_role_change: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,7 +131,9 @@
         self._timers = timers
         self.profile = profile
         self.usage = EndpointUsage()
-        self.orders = OrderBook(self._fetch_weights)
+        self.orders = OrderBook(
+            self._fetch_weights, profile.max_models, profile.busy_role_change
+        )
         self._cache = PrefixCache(
             timers,
             profile.cache_prefixes,
@@ -142,7 +146,8 @@
         self._slots = asyncio.Semaphore(profile.batch)
         self._resumed = asyncio.Event()
         self._resumed.set()
-        self._fencing_token = 0
+        # Calls and orders carry offsets of different streams as tokens.
+        self._fencing_tokens = {"calls": 0, "orders": 0}
         self._failures = _Share()
         self._cuts = _Share()
         self._reported = EndpointLoad()
@@ -194,7 +199,7 @@
             self._calls.pop(body.call_id, None)
 
     def _refuse(self, req: web.Request) -> web.Response | None:
-        if not self._passes_fencing(req):
+        if not self._passes_fencing(req, "calls"):
             return _error(409, "stale_fencing_token", "token is outdated")
         if self._queued >= self.profile.max_queue:
             return _error(503, "endpoint_queue_full", "queue is full")
@@ -203,13 +208,13 @@
             return _error(500, "endpoint_error", "injected failure")
         return None
 
-    def _passes_fencing(self, req: web.Request) -> bool:
+    def _passes_fencing(self, req: web.Request, kind: str) -> bool:
         token = int(req.headers.get(FENCING_HEADER, "0"))
         if not self.profile.checks_fencing or not token:
             return True
-        if token < self._fencing_token:
+        if token < self._fencing_tokens[kind]:
             return False
-        self._fencing_token = token
+        self._fencing_tokens[kind] = token
         return True
 
     async def _execute(self, req: web.Request, body: CallBody) -> web.StreamResponse:
@@ -333,7 +338,7 @@
         return _json(self.orders.state())
 
     async def _post_order(self, req: web.Request) -> web.Response:
-        if not self._passes_fencing(req):
+        if not self._passes_fencing(req, "orders"):
             return _error(409, "stale_fencing_token", "token is outdated")
         try:
             order = msgspec.json.decode(await req.read(), type=Order)
--- a/camphorrun/standins/orders.py
+++ b/camphorrun/standins/orders.py
@@ -29,6 +29,8 @@
     models: tuple[str, ...] = ()
     loading: tuple[str, ...] = ()
     role: str = ""
+    max_models: int = 0
+    busy_role_change: bool = False
 
 
 class OrderBook:
@@ -38,10 +40,21 @@
     ----------
     fetch : callable
         Fetches the weights of a model; raises ``OrderError`` if it cannot.
+    max_models : int
+        Models that fit into memory, 0 for any number.
+    busy_role_change : bool
+        Whether the role may change while calls are in flight.
     """
 
-    def __init__(self, fetch: Callable[[str], Awaitable[None]]):
+    def __init__(
+        self,
+        fetch: Callable[[str], Awaitable[None]],
+        max_models: int = 0,
+        busy_role_change: bool = False,
+    ):
         self._fetch = fetch
+        self._max_models = max_models
+        self._busy_role_change = busy_role_change
         self._models: list[str] = []
         self._loading: list[str] = []
         self._role = ""
@@ -49,7 +62,13 @@
 
     def state(self) -> OrderState:
         """Return the present state."""
-        return OrderState(tuple(self._models), tuple(self._loading), self._role)
+        return OrderState(
+            tuple(self._models),
+            tuple(self._loading),
+            self._role,
+            self._max_models,
+            self._busy_role_change,
+        )
 
     async def carry_out(self, order: Order) -> OrderState:
         """Carry out an order and return the new state; repeating it has no effect.
@@ -73,6 +92,9 @@
             return
         if model in self._loading:
             raise OrderError(f"{model} is being loaded", code="in_progress")
+        taken = len(self._models) + len(self._loading)
+        if self._max_models and taken >= self._max_models:
+            raise OrderError(f"no memory for {model}", code="no_memory")
         self._loading.append(model)
         try:
             await self._fetch(model)
--- a/camphorrun/standins/weight_server.py
+++ b/camphorrun/standins/weight_server.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's weight store over HTTP, rate-limited."""
 
 import math
+from collections import Counter
 
 from aiohttp import web
 
@@ -35,6 +36,8 @@
         self._transfer_s = transfer_s
         self._credit = burst
         self._credited_at = timers.now()
+        # Grants taken ahead of their fetch, by model.
+        self._open_grants: Counter[str] = Counter()
         self.granted = 0
         self.refused = 0
 
@@ -42,6 +45,7 @@
         """Return the HTTP application."""
         app = web.Application()
         app.router.add_get("/v1/weights/{model}", self._get)
+        app.router.add_post("/v1/weights/{model}/grants", self._grant)
         return app
 
     def try_grant(self) -> float:
@@ -57,10 +61,25 @@
         self.granted += 1
         return 0.0
 
-    async def _get(self, _req: web.Request) -> web.Response:
+    async def _grant(self, req: web.Request) -> web.Response:
         wait_s = self.try_grant()
         if wait_s > 0:
-            headers = {"Retry-After": str(math.ceil(wait_s))}
-            return web.Response(status=429, headers=headers)
+            return _refusal(wait_s)
+        self._open_grants[req.match_info["model"]] += 1
+        return web.Response(status=204)
+
+    async def _get(self, req: web.Request) -> web.Response:
+        model = req.match_info["model"]
+        if self._open_grants[model] > 0:
+            self._open_grants[model] -= 1
+        else:
+            wait_s = self.try_grant()
+            if wait_s > 0:
+                return _refusal(wait_s)
         await self._timers.sleep(self._transfer_s)
         return web.Response(body=b"weights")
+
+
+def _refusal(wait_s: float) -> web.Response:
+    headers = {"Retry-After": str(math.ceil(wait_s))}
+    return web.Response(status=429, headers=headers)
