Refuse a placement that removes the last home of a model in use

ctl publish reads the accounts for a placement and refuses it with last_home if a model of an enabled template would be held by no other host; drained hosts do not count. TestPlacements fails with check_last_home off and with drained hosts counted.

--- a/camphorrun/configuration/__init__.py
+++ b/camphorrun/configuration/__init__.py
@@ -20,6 +20,13 @@
     stream_of,
 )
 from .follower import RecentRecords, SnapshotSource, StreamFollower
+from .homes import (
+    PlacementIndex,
+    check_last_home,
+    held_models,
+    model_name,
+    used_models,
+)
 from .publisher import PublishResult, PublishStatus, publish
 from .records import (
     ACCOUNTS_STREAM,
@@ -48,6 +55,7 @@
     "Drain",
     "Entry",
     "Placement",
+    "PlacementIndex",
     "PublishResult",
     "PublishStatus",
     "RecentRecords",
@@ -60,12 +68,16 @@
     "Template",
     "TemplateParameters",
     "check_document",
+    "check_last_home",
     "check_services",
     "decode_document",
     "decode_record",
     "document_name",
     "encode_document",
     "encode_record",
+    "held_models",
+    "model_name",
     "publish",
     "stream_of",
+    "used_models",
 ]
--- a/camphorrun/configuration/publisher.py
+++ b/camphorrun/configuration/publisher.py
@@ -1,17 +1,20 @@
 """Publication of a change, with resolution of lost append acknowledgements."""
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
 
 from ..core import LogError, LogStore
 from .documents import (
     DocumentError,
+    Placement,
     check_services,
     decode_document,
     document_name,
     stream_of,
 )
 from .follower import StreamFollower
+from .homes import check_last_home
 from .records import MAX_BODY_BYTES, ConfigurationChange, encode_record
 from .view import ApplyResult, ConfigurationView, Decision
 
@@ -48,6 +51,7 @@
     log: LogStore,
     target: ConfigurationView | StreamFollower,
     change: ConfigurationChange,
+    used_models: Collection[str] = (),
 ) -> PublishResult:
     """Append a change and read on until its result is known.
 
@@ -59,6 +63,8 @@
         Holder of the stream of the change; it is read forward.
     change : ConfigurationChange
         The change; its change id must be new.
+    used_models : collection of str
+        Models that client accounts use; a placement must not remove their last home.
 
     Returns
     -------
@@ -71,7 +77,7 @@
         If the document is invalid; nothing is appended.
     """
     view = target.view if isinstance(target, StreamFollower) else target
-    _check(view, change)
+    _check(view, change, used_models)
     value = encode_record(change)
     may_be_appended = False
     for _ in range(MAX_APPENDS):
@@ -94,7 +100,9 @@
     return PublishResult(PublishStatus.UNCERTAIN, change.change_id)
 
 
-def _check(view: ConfigurationView, change: ConfigurationChange) -> None:
+def _check(
+    view: ConfigurationView, change: ConfigurationChange, used: Collection[str]
+) -> None:
     if stream_of(change.kind) != view.stream:
         raise DocumentError(f"kind: not in stream {view.stream}", field="kind")
     if change.deleted:
@@ -105,6 +113,8 @@
     if document_name(document) != change.name:
         raise DocumentError(f"name: expected {change.name!r}", field="name")
     check_services(document, lambda name: view.get("service", name) is not None)
+    if isinstance(document, Placement):
+        check_last_home(view, document, used)
 
 
 async def _read_on(
--- a/camphorrun/operators/changes.py
+++ b/camphorrun/operators/changes.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ..configuration import (
+    ACCOUNTS_STREAM,
     ApplyResult,
     ConfigurationChange,
     ConfigurationView,
@@ -21,6 +22,7 @@
     encode_document,
     publish,
     stream_of,
+    used_models,
 )
 from ..core import LogError, LogRecord, new_identifier
 from .console import CommandResult, CommandStatus, OperatorError, table
@@ -74,6 +76,9 @@
 ) -> CommandResult:
     """Publish an encoded document; an empty body deletes the key."""
     view = await read_view(ctx, stream_of(kind))
+    used = frozenset()
+    if kind == "placement":
+        used = used_models(await read_view(ctx, ACCOUNTS_STREAM))
     replaced = view.version(kind, name) if expected is None else expected
     change = ConfigurationChange(
         change_id=new_identifier("chg"),
@@ -85,7 +90,7 @@
         deleted=not body,
     )
     try:
-        result = await publish(ctx.log, view, change)
+        result = await publish(ctx.log, view, change, used)
     except DocumentError as exc:
         raise OperatorError(str(exc), code=exc.code, field=exc.field) from exc
     return _publish_result(view, change, result)
--- a/camphorrun/operators/tests/test_ctl.py
+++ b/camphorrun/operators/tests/test_ctl.py
@@ -103,6 +103,35 @@
         run(case)
 
 
+class TestPlacements:
+    """Publication of placements."""
+
+    def test_last_home_of_a_model_in_use_is_refused(self, tmp_path):
+        """Guards against a publication after which no endpoint serves a model."""
+
+        async def case(_system, ctx):
+            await publish_examples(ctx)
+
+            async def place(host, *models):
+                document = {"host": host, "models": models}
+                return await publish_file(ctx, write(tmp_path, "placement", document))
+
+            await place("h1", "model-a@1", "unused")
+            with pytest.raises(OperatorError) as caught:
+                await place("h1", "other")
+            assert caught.value.code == "last_home"
+            assert "model-a" in str(caught.value)
+            await place("h1", "model-a@2")
+            await place("h2", "model-a@1")
+            await drain_host(ctx, "h2", "test")
+            with pytest.raises(OperatorError):
+                await place("h1", "other")
+            await delete_document(ctx, "drain", "h2")
+            await place("h1", "other")
+
+        run(case)
+
+
 class TestFleet:
     """Status, waiting and explanations over all hosts."""
 
