Choose and give the next order towards a placement

next_order loads before it unloads while there is room, never unloads a last home or a model of a call, and changes the role when the endpoint allows it. The platform clients read the contents, give orders with a fencing token and take grants of the weight store.

--- /dev/null
+++ b/camphorrun/placement/__init__.py
@@ -0,0 +1,5 @@
+"""Decides the orders that bring an endpoint to its placement."""
+
+from .orders import EndpointContents, Order, kept_models, next_order
+
+__all__ = ["EndpointContents", "Order", "kept_models", "next_order"]
--- /dev/null
+++ b/camphorrun/placement/tests/test_orders.py
@@ -0,0 +1,68 @@
+"""Tests of the choice of the next order."""
+
+import dataclasses
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ...configuration import Placement, model_name
+from .. import EndpointContents, Order, kept_models, next_order
+
+_MODELS = st.lists(st.sampled_from(("a@1", "a@2", "b", "c")), unique=True).map(tuple)
+
+
+def carried_out(state: EndpointContents, order: Order) -> EndpointContents:
+    models = [model for model in state.models if model != order.model]
+    if order.action == "load":
+        models.append(order.model)
+    role = order.role or state.role
+    return dataclasses.replace(state, models=tuple(models), role=role)
+
+
+class TestNextOrder:
+    """Steps from a present state to a placement."""
+
+    def test_new_version_is_loaded_before_the_old_one_is_unloaded(self):
+        """Guards against a model that is missing while its version changes."""
+        state = EndpointContents(("a@1",))
+        placement = Placement("h", ("a@2",))
+        busy = EndpointContents(("a@1",), ("a@2",))
+        assert next_order(busy, placement, {}) is None
+        load = next_order(state, placement, {})
+        assert load == Order("load", "a@2")
+        unload = next_order(carried_out(state, load), placement, {})
+        assert unload == Order("unload", "a@1")
+
+    def test_role_waits_for_calls_unless_the_endpoint_allows_it(self):
+        """Guards against a role change that interrupts calls."""
+        placement = Placement("h", (), "decode")
+        busy = EndpointContents(in_flight=1)
+        assert next_order(busy, placement, {}) is None
+        allowed = dataclasses.replace(busy, busy_role_change=True)
+        assert next_order(allowed, placement, {}) == Order("role", role="decode")
+
+    def test_model_of_a_call_is_not_unloaded(self):
+        """Guards against an unload that interrupts calls."""
+        state = EndpointContents(("a@1",), in_use=frozenset({"a"}))
+        assert next_order(state, Placement("h", ()), {"a": 1}) is None
+
+    @settings(derandomize=True, max_examples=300)
+    @given(_MODELS, _MODELS, st.integers(2, 4), st.sets(st.sampled_from("abc")))
+    def test_steps_end_and_keep_last_homes(self, present, wanted, room, elsewhere):
+        """Guards against endless orders, full memory and lost last homes."""
+        placement = Placement("h", wanted[:room], "r")
+        homes = dict.fromkeys(elsewhere, 1)
+        state = EndpointContents(present[:room], max_models=room)
+        served = {model_name(model) for model in state.models} - elsewhere
+        for _ in range(12):
+            order = next_order(state, placement, homes)
+            if order is None:
+                break
+            state = carried_out(state, order)
+            assert len(state.models) <= room
+            assert served <= {model_name(model) for model in state.models}
+        assert order is None and state.role == "r"
+        kept = kept_models(state, placement, homes)
+        missing = set(placement.models) - set(state.models)
+        assert not missing or len(state.models) == room
+        assert set(state.models) - set(placement.models) == set(kept)
--- a/camphorrun/platform/__init__.py
+++ b/camphorrun/platform/__init__.py
@@ -12,6 +12,7 @@
 from .errors import EndpointError, PlatformError
 from .host_list import HostEntry, HostList, HostListClient
 from .log_client import AppendReply, AppendRequest, LogClient
+from .weight_store import WeightsRefusedError, WeightStoreClient
 
 __all__ = [
     "FENCING_HEADER",
@@ -29,4 +30,6 @@
     "LogClient",
     "PlatformError",
     "StreamPart",
+    "WeightStoreClient",
+    "WeightsRefusedError",
 ]
--- a/camphorrun/platform/endpoint_client.py
+++ b/camphorrun/platform/endpoint_client.py
@@ -6,10 +6,13 @@
 import aiohttp
 import msgspec
 
+from ..placement import EndpointContents, Order
 from .errors import EndpointError
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 CONTROL_TIMEOUT_SECONDS = 2.0
+# A load answers when the weights are in memory.
+ORDER_TIMEOUT_SECONDS = 300.0
 FENCING_HEADER = "X-Fencing-Token"
 KEY_HEADER = "Idempotency-Key"
 MAX_LINE_BYTES = 1024 * 1024
@@ -66,6 +69,7 @@
 
 _PART = msgspec.json.Decoder(StreamPart)
 _REPLY = msgspec.json.Decoder(EndpointReply)
+_CONTENTS = msgspec.json.Decoder(EndpointContents)
 _BODY_FIELDS = (
     "call_id",
     "operation",
@@ -146,6 +150,41 @@
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as exc:
             raise _converted(exc) from exc
 
+    async def contents(self) -> EndpointContents:
+        """Return what the endpoint serves or raise ``EndpointError``."""
+        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_SECONDS)
+        return await self._contents_of(
+            self._session.get(f"{self._base_url}/v1/orders", timeout=timeout)
+        )
+
+    async def give_order(self, order: Order, fencing_token: int) -> EndpointContents:
+        """Carry out an order and return the state after it.
+
+        Raises
+        ------
+        EndpointError
+            With code ``stale_fencing_token`` if the endpoint has seen a higher token.
+        """
+        timeout = aiohttp.ClientTimeout(
+            total=ORDER_TIMEOUT_SECONDS, sock_connect=CONNECT_TIMEOUT_SECONDS
+        )
+        return await self._contents_of(
+            self._session.post(
+                f"{self._base_url}/v1/orders",
+                data=msgspec.json.encode(order),
+                headers={FENCING_HEADER: str(fencing_token)},
+                timeout=timeout,
+            )
+        )
+
+    async def _contents_of(self, request) -> EndpointContents:
+        try:
+            async with request as resp:
+                await self._check(resp)
+                return _CONTENTS.decode(await resp.read())
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as exc:
+            raise _converted(exc) from exc
+
     def _post(self, call: EndpointCall, timeout_s: float):
         headers = {"Content-Type": "application/json"}
         if call.key:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,6 +13,7 @@
     ("settings",),
     ("limits", "retries"),
     ("routing", "admission", "configuration", "claims", "pipeline"),
+    ("placement",),
     ("platform", "transport", "relay"),
     ("daemon",),
     ("entry", "agent", "standins"),
@@ -26,6 +27,7 @@
     "configuration",
     "limits",
     "pipeline",
+    "placement",
     "retries",
     "routing",
 )
