Drive the endpoint to its placement from the agent

OrderDriver compares endpoint and placement every second and after changes, and gives one order at a time while its view is fresh, also directly before sending.

--- a/camphorrun/agent/attempts.py
+++ b/camphorrun/agent/attempts.py
@@ -95,6 +95,14 @@
         """Attempts that are queued, claiming or running."""
         return len(self._records) - len(self._finished)
 
+    def unfinished_models(self) -> frozenset[str]:
+        """Return the models of attempts that are queued, claiming or running."""
+        return frozenset(
+            record.dispatch.model
+            for record in self._records.values()
+            if record.state is not AttemptState.FINISHED
+        )
+
     def find(self, attempt: AttemptId) -> AttemptRecord | None:
         """Return the record of an attempt, if it is known."""
         return self._records.get(attempt)
--- a/camphorrun/agent/daemon.py
+++ b/camphorrun/agent/daemon.py
@@ -17,11 +17,18 @@
 from ..limits import ConcurrencyLimit, StageQueue, queue_policy_by_name
 from ..messages import DrainNotice, Hello, Ping, Pong
 from ..metrics import Metrics
-from ..platform import EndpointClient, HostEntry, HostListClient, LogClient
+from ..platform import (
+    EndpointClient,
+    HostEntry,
+    HostListClient,
+    LogClient,
+    WeightStoreClient,
+)
 from ..settings import AgentSettings, key_ring
 from ..transport import LINK_PATH, Link, LinkListener
 from .attempts import AttemptStore
 from .endpoint_runner import EndpointRunner
+from .orders import EndpointUse, OrderDriver
 from .outcome_store import OutcomeStore
 from .worker import AgentWorker, send_part
 
@@ -89,8 +96,11 @@
         )
         self._worker = self._build_worker(session)
         self._listener = self._build_listener()
+        self._orders = self._build_orders(session)
         self._sync.subscribe(self._check_drain)
+        self._sync.subscribe(self._orders.wake)
         self._sync.start(self._supervisor)
+        self._supervisor.add("orders", self._orders.run)
         if settings.platform.host_list_url:
             hosts = HostListClient(session, settings.platform.host_list_url)
             watcher = HostWatcher(hosts, self.timers, self._on_hosts)
@@ -113,6 +123,23 @@
             metrics=self.metrics,
         )
 
+    def _build_orders(self, session: aiohttp.ClientSession) -> OrderDriver:
+        settings = self.settings
+        weights_url = settings.platform.weight_store_url
+        return OrderDriver(
+            settings.host.name,
+            EndpointClient(session, settings.endpoint.url),
+            WeightStoreClient(session, weights_url) if weights_url else None,
+            self._sync.followers[FLEET_STREAM],
+            self._endpoint_use,
+            timers=self.timers,
+            metrics=self.metrics,
+        )
+
+    def _endpoint_use(self) -> EndpointUse:
+        models = self._worker.models_in_use()
+        return EndpointUse(self._worker.load().in_flight, models)
+
     def _build_listener(self) -> LinkListener:
         host = self.settings.host
         local = Hello(
@@ -174,6 +201,7 @@
             "queued": load.queued,
             "limit": load.limit,
             "pending_claims": self._claims.pending,
+            "orders": self._orders.status(),
         }
 
     # Drain.
@@ -191,6 +219,7 @@
 
     def _on_drain(self, reason: str) -> None:
         self._worker.refuse_new_work("draining")
+        self._orders.stop()
         self._listener.broadcast(DrainNotice(reason))
 
     async def _serve_until_drained(self, supervised: asyncio.Future) -> None:
--- a/camphorrun/agent/worker.py
+++ b/camphorrun/agent/worker.py
@@ -93,6 +93,10 @@
         """Attempts whose result was not acknowledged yet, with unfinished ones."""
         return len(self._store)
 
+    def models_in_use(self) -> frozenset[str]:
+        """Return the models of attempts that are queued or running."""
+        return self._store.unfinished_models()
+
     def refuse_new_work(self, code: str) -> None:
         """Refuse dispatches with ``code`` from now on; empty accepts again."""
         self._refusal = code
--- a/camphorrun/settings/roles.py
+++ b/camphorrun/settings/roles.py
@@ -158,6 +158,8 @@
     _check_url(settings.platform.log_url, "platform.log_url")
     if settings.platform.host_list_url:
         _check_url(settings.platform.host_list_url, "platform.host_list_url")
+    if settings.platform.weight_store_url:
+        _check_url(settings.platform.weight_store_url, "platform.weight_store_url")
     _check_url(settings.endpoint.url, "endpoint.url")
     if not settings.endpoint.service:
         raise SettingsError(
