--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -9,7 +9,7 @@
 from ..admission import AdmissionController
 from ..admission import policy_by_name as admission_policy_by_name
 from ..claims import ClaimAppender, ClaimFollower, ClaimLedger, VoidCoordinator
-from ..configuration import CarryForwarder
+from ..configuration import CarryForwarder, PlacementIndex
 from ..core import LoopTimerService, Supervisor, TimerService, new_identifier
 from ..daemon import (
     AdminRoutes,
@@ -171,6 +171,7 @@
             claims=resolver,
             timers=self.timers,
             metrics=self.metrics,
+            holds=PlacementIndex(self._sync.view(FLEET_STREAM)).holds,
         )
 
     def _application(self) -> web.Application:
--- a/camphorrun/entry/stage_runner.py
+++ b/camphorrun/entry/stage_runner.py
@@ -92,6 +92,8 @@
         Settles non-idempotent calls.
     timers, metrics
         Clock and counters.
+    holds : callable, optional
+        Whether a host serves a model; by default each host serves every model.
     """
 
     def __init__(
@@ -105,8 +107,10 @@
         claims: ClaimResolver,
         timers: TimerService,
         metrics: Metrics,
+        holds: Callable[[str, str], bool] = lambda _host, _model: True,
     ):
         self._peers_of = peers_of
+        self._holds = holds
         self._router = router
         self._estimator = estimator
         self._budget = budget
@@ -117,7 +121,7 @@
 
     def predicted_s(self, plan: RequestPlan, stage: PlannedStage) -> float:
         """Return the predicted service time and queue wait of a stage in seconds."""
-        states = [peer.state for peer in self._peers_of(stage.service)]
+        states = [peer.state for peer in self._candidates(stage)]
         wait_s = self._estimator.queue_wait_s(stage.service, states, self._timers.now())
         return wait_s + self.work_s(plan, stage)
 
@@ -140,12 +144,20 @@
 
     # Choice of endpoint.
 
+    def _candidates(self, stage: PlannedStage) -> list[AgentPeer]:
+        """Return the peers of the service that hold the model of a stage."""
+        return [
+            peer
+            for peer in self._peers_of(stage.service)
+            if self._holds(peer.listed.host, stage.model)
+        ]
+
     async def _choose(self, call: StageCall, progress: _StageProgress) -> AgentPeer:
         """Return a peer for the next attempt, waiting a little for one."""
         give_up_at = self._timers.now() + NO_ENDPOINT_GRACE_SECONDS
         while True:
             self._check_deadline(call, progress)
-            peers = self._peers_of(call.stage.service)
+            peers = self._candidates(call.stage)
             choice = self._router.choose(
                 [peer.state for peer in peers],
                 self._stage_request(call, progress),
--- a/camphorrun/entry/tests/test_stage_runner.py
+++ b/camphorrun/entry/tests/test_stage_runner.py
@@ -84,6 +84,7 @@
     def __init__(self, *scripts: list[str]):
         self.timers = LoopTimerService()
         self.peers = [_Peer(f"host-{i}", list(s)) for i, s in enumerate(scripts)]
+        self.without_model: set[str] = set()
         self.log = MemoryLog(self.timers)
         self.follower = ClaimFollower(self.log, ClaimLedger(), self.timers)
         self.appender = ClaimAppender(self.log, self.timers)
@@ -104,6 +105,7 @@
             claims=self.resolver,
             timers=self.timers,
             metrics=metrics,
+            holds=lambda host, _model: host not in self.without_model,
         )
         self.executor = PipelineExecutor(runner, self.timers)
 
@@ -150,6 +152,22 @@
 
         _run(scenario)
 
+    def test_host_that_does_not_hold_the_model_gets_no_attempt(self):
+        """Guards against calls for a model that the endpoint has not loaded."""
+
+        async def scenario():
+            world = _World([_OK], [_OK])
+            world.without_model.add("host-0")
+            for _ in range(5):
+                await world.executor.run(await world.plan())
+            assert [len(peer.dispatches) for peer in world.peers] == [0, 5]
+            world.without_model.add("host-1")
+            outcome = await world.executor.run(await world.plan())
+            assert outcome.status is OutcomeStatus.NOT_RUN
+            assert outcome.code == "no_endpoint"
+
+        _run(scenario)
+
     def test_empty_budget_ends_the_request_at_once(self):
         """Guards against retries that amplify an overload."""
 
