Test that the agent daemon runs its order driver

A placement published with ctl has to reach the endpoint of a running agent. The test fails (after the bound of 30 s) with the child left out of the supervisor.

--- a/camphorrun/operators/tests/test_ctl.py
+++ b/camphorrun/operators/tests/test_ctl.py
@@ -131,6 +131,22 @@
 
         run(case)
 
+    def test_agent_loads_what_is_published(self, tmp_path):
+        """Guards against an agent that does not run its order driver."""
+
+        async def case(system, ctx):
+            endpoint = system.endpoints["generate"][0]
+            document = {"host": endpoint.host, "models": ["a"], "role": "decode"}
+            await publish_file(ctx, write(tmp_path, "placement", document))
+            while endpoint.server.orders.state().role != "decode":
+                await asyncio.sleep(0.02)
+            listed = next(h for h in await ctx.hosts() if h.host == endpoint.host)
+            orders = (await ctx.ask(listed, "/v1/status")).body["orders"]
+            assert orders["desired"]["models"] == ["a"]
+            assert endpoint.server.orders.state().models == ("a",)
+
+        run(case)
+
 
 class TestFleet:
     """Status, waiting and explanations over all hosts."""
