--- a/camphorrun/entry/stage_runner.py
+++ b/camphorrun/entry/stage_runner.py
@@ -30,7 +30,13 @@
     prompt_prefix,
 )
 from ..retries import Backoff, RetryBudget
-from ..routing import NoEndpoint, Router, StageEstimator, StageRequest
+from ..routing import (
+    EndpointState,
+    NoEndpoint,
+    Router,
+    StageEstimator,
+    StageRequest,
+)
 from .agent_peer import AgentPeer, AttemptResult
 from .errors import AttemptLostError
 
@@ -121,7 +127,7 @@
 
     def predicted_s(self, plan: RequestPlan, stage: PlannedStage) -> float:
         """Return the predicted service time and queue wait of a stage in seconds."""
-        states = [peer.state for peer in self._candidates(stage)]
+        states = self._candidates(stage)
         wait_s = self._estimator.queue_wait_s(stage.service, states, self._timers.now())
         return wait_s + self.work_s(plan, stage)
 
@@ -131,6 +137,14 @@
             stage.service, stage.model, plan.input_units, stage.output_units
         )
 
+    def _candidates(self, stage: PlannedStage) -> list[EndpointState]:
+        """Return the endpoints of the service that hold the model of a stage."""
+        return [
+            peer.state
+            for peer in self._peers_of(stage.service)
+            if self._holds(peer.listed.host, stage.model)
+        ]
+
     async def run(self, call: StageCall) -> bytes:
         """Return the JSON output of the stage or raise ``PipelineError``."""
         self._budget.deposit(self._timers.now())
@@ -144,22 +158,14 @@
 
     # Choice of endpoint.
 
-    def _candidates(self, stage: PlannedStage) -> list[AgentPeer]:
-        """Return the peers of the service that hold the model of a stage."""
-        return [
-            peer
-            for peer in self._peers_of(stage.service)
-            if self._holds(peer.listed.host, stage.model)
-        ]
-
     async def _choose(self, call: StageCall, progress: _StageProgress) -> AgentPeer:
         """Return a peer for the next attempt, waiting a little for one."""
         give_up_at = self._timers.now() + NO_ENDPOINT_GRACE_SECONDS
         while True:
             self._check_deadline(call, progress)
-            peers = self._candidates(call.stage)
+            peers = self._peers_of(call.stage.service)
             choice = self._router.choose(
-                [peer.state for peer in peers],
+                self._candidates(call.stage),
                 self._stage_request(call, progress),
                 self._timers.now(),
             )
