--- a/camphorrun/entry/stage_runner.py
+++ b/camphorrun/entry/stage_runner.py
@@ -30,7 +30,13 @@
     prompt_prefix,
 )
 from ..retries import Backoff, RetryBudget
-from ..routing import NoEndpoint, Router, StageEstimator, StageRequest
+from ..routing import (
+    EndpointState,
+    NoEndpoint,
+    Router,
+    StageEstimator,
+    StageRequest,
+)
 from .agent_peer import AgentPeer, AttemptResult
 from .errors import AttemptLostError
 
@@ -95,6 +101,8 @@
         Settles non-idempotent calls.
     timers, metrics
         Clock and counters.
+    holds : callable, optional
+        Whether a host serves a model; by default each host serves every model.
     """
 
     def __init__(
@@ -108,8 +116,10 @@
         claims: ClaimResolver,
         timers: TimerService,
         metrics: Metrics,
+        holds: Callable[[str, str], bool] = lambda _host, _model: True,
     ):
         self._peers_of = peers_of
+        self._holds = holds
         self._router = router
         self._estimator = estimator
         self._budget = budget
@@ -120,7 +130,7 @@
 
     def predicted_s(self, plan: RequestPlan, stage: PlannedStage) -> float:
         """Return the predicted service time and queue wait of a stage in seconds."""
-        states = [peer.state for peer in self._peers_of(stage.service)]
+        states = self._candidates(stage)
         wait_s = self._estimator.queue_wait_s(stage.service, states, self._timers.now())
         return wait_s + self.work_s(plan, stage)
 
@@ -130,6 +140,14 @@
             stage.service, stage.model, plan.input_units, stage.output_units
         )
 
+    def _candidates(self, stage: PlannedStage) -> list[EndpointState]:
+        """Return the endpoints of the service that hold the model of a stage."""
+        return [
+            peer.state
+            for peer in self._peers_of(stage.service)
+            if self._holds(peer.listed.host, stage.model)
+        ]
+
     async def run(self, call: StageCall) -> bytes:
         """Return the JSON output of the stage or raise ``PipelineError``."""
         self._budget.deposit(self._timers.now())
@@ -159,7 +177,7 @@
                 return None
             peers = self._peers_of(call.stage.service)
             choice = self._router.choose(
-                [peer.state for peer in peers],
+                self._candidates(call.stage),
                 self._stage_request(call, progress),
                 self._timers.now(),
             )
--- a/camphorrun/platform/__init__.py
+++ b/camphorrun/platform/__init__.py
@@ -13,6 +13,7 @@
 from .errors import EndpointError, PlatformError
 from .host_list import HostEntry, HostList, HostListClient
 from .log_client import AppendReply, AppendRequest, LogClient
+from .weight_store import WeightsRefusedError, WeightStoreClient
 
 __all__ = [
     "EXECUTED_HEADER",
@@ -31,4 +32,6 @@
     "LogClient",
     "PlatformError",
     "StreamPart",
+    "WeightStoreClient",
+    "WeightsRefusedError",
 ]
