--- /dev/null
+++ b/tools/mutations.py
@@ -0,0 +1,280 @@
+"""Switches one mechanism off at a time and checks that its test fails.
+
+Usage: python -m tools.mutations [--only TEXT]
+
+Each mutation replaces one piece of source text in a scratch copy of the working tree and
+runs the tests that guard the promise behind it. A mutation survives if they still pass;
+the exit code is 0 only if none survives and every piece of text was found.
+"""
+
+import argparse
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+TIMEOUT_SECONDS = 120
+
+
+@dataclass(frozen=True, slots=True)
+class Mutation:
+    """A mechanism, the text that switches it off, and the tests that must fail."""
+
+    mechanism: str
+    path: str
+    old: str
+    new: str
+    tests: str
+
+
+AGENT = "camphorrun/agent/tests/test_worker.py"
+ENTRY = "camphorrun/entry/tests/test_stage_runner.py"
+CLAIMS = "camphorrun/claims/tests"
+VIEW = "camphorrun/configuration/tests"
+LINKS = "camphorrun/transport/tests/test_links.py"
+SILENCE = "camphorrun/demo/tests/test_silent_connections.py"
+SEALING = "camphorrun/messages/tests/test_messages.py"
+
+MUTATIONS = (
+    Mutation(
+        "first claim record of a key wins",
+        "camphorrun/claims/ledger.py",
+        "        if record.key in self._claims:\n",
+        "        if False:\n",
+        CLAIMS,
+    ),
+    Mutation(
+        "late Start is invalid",
+        "camphorrun/claims/ledger.py",
+        "if time_ms > record.stamp_ms + self._lifetime_ms:\n"
+        '            return self._count("late")',
+        'if False:\n            return self._count("late")',
+        CLAIMS,
+    ),
+    Mutation(
+        "only the owner finishes or withdraws a claim",
+        "camphorrun/claims/ledger.py",
+        "if (claim.offset, claim.index) != (record.start_offset, record.start_index):",
+        "if False:",
+        CLAIMS,
+    ),
+    Mutation(
+        "the agent calls only after its own Start won",
+        "camphorrun/claims/coordinator.py",
+        "        if self._owns(decision, token):\n            return StartGranted",
+        "        if True:\n            return StartGranted",
+        CLAIMS,
+    ),
+    Mutation(
+        "the agent claims before a non-idempotent call",
+        "camphorrun/agent/worker.py",
+        "        if record.dispatch.repeatable:\n            return await self._call",
+        "        if True:\n            return await self._call",
+        AGENT,
+    ),
+    Mutation(
+        "a dispatch that arrives twice runs once",
+        "camphorrun/agent/worker.py",
+        "        if record is not None:\n            self._replay(record, link, 0)\n"
+        "            return\n",
+        "",
+        AGENT,
+    ),
+    Mutation(
+        "an attempt reported unknown never runs",
+        "camphorrun/agent/worker.py",
+        "        if self._store.is_refused(message.attempt):",
+        "        if False:",
+        AGENT,
+    ),
+    Mutation(
+        "a dispatch for another incarnation is refused",
+        "camphorrun/agent/worker.py",
+        "        if dispatch.incarnation != self._incarnation:",
+        "        if False:",
+        AGENT,
+    ),
+    Mutation(
+        "a non-idempotent call is not cut off by a cancellation",
+        "camphorrun/agent/worker.py",
+        "if record.dispatch.repeatable and record.task is not None:",
+        "if record.task is not None:",
+        AGENT,
+    ),
+    Mutation(
+        "a resumed stream starts at the missing part",
+        "camphorrun/agent/worker.py",
+        "for part in record.parts[next_sequence:]:",
+        "for part in record.parts:",
+        AGENT,
+    ),
+    Mutation(
+        "a lost non-idempotent attempt is settled by the log",
+        "camphorrun/entry/stage_runner.py",
+        "        if call.stage.repeatable:\n            raise self._error",
+        "        if True:\n            raise self._error",
+        ENTRY,
+    ),
+    Mutation(
+        "an unknown void is never not_run",
+        "camphorrun/entry/claim_resolver.py",
+        "    async def _(self, reply: Unknown, call: StageCall, key: ClaimKey) -> bytes:"
+        "\n        raise _unknown(reply.code)",
+        "    async def _(self, reply: Unknown, call: StageCall, key: ClaimKey) -> bytes:"
+        "\n        call.started = False\n        raise PipelineError('not run')",
+        ENTRY,
+    ),
+    Mutation(
+        "a refused early stage rules out later keys",
+        "camphorrun/entry/request_service.py",
+        "if outcome.status is not OutcomeStatus.NOT_RUN or plan.repeatable:",
+        "if True:",
+        ENTRY,
+    ),
+    Mutation(
+        "the wait for a lost owner ends",
+        "camphorrun/entry/claim_resolver.py",
+        "if gone or left_s <= 0:",
+        "if left_s <= 0:",
+        ENTRY,
+    ),
+    Mutation(
+        "retries are taken from a budget",
+        "camphorrun/entry/stage_runner.py",
+        "if not self._budget.try_withdraw(self._timers.now()):",
+        "if False:",
+        ENTRY,
+    ),
+    Mutation(
+        "a restarted stream tells its caller",
+        "camphorrun/entry/stage_runner.py",
+        "            if part.sequence == 0 and progress.parts_sent:\n",
+        "            if False:\n",
+        ENTRY,
+    ),
+    Mutation(
+        "not_run only if no stage started",
+        "camphorrun/pipeline/executor.py",
+        "if status is OutcomeStatus.NOT_RUN and any(call.started for call in calls):",
+        "if False:",
+        "camphorrun/pipeline/tests",
+    ),
+    Mutation(
+        "compare-and-set by log order",
+        "camphorrun/configuration/view.py",
+        "if change.expected != version:",
+        "if False:",
+        VIEW,
+    ),
+    Mutation(
+        "a snapshot with a lower position is ignored",
+        "camphorrun/configuration/view.py",
+        "        return snapshot.position > self.position\n",
+        "        return True\n",
+        VIEW,
+    ),
+    Mutation(
+        "a paused reader is not synchronised",
+        "camphorrun/configuration/follower.py",
+        "        self._pauses += 1\n        self._synchronised = False\n",
+        "        self._pauses += 1\n",
+        VIEW,
+    ),
+    Mutation(
+        "a silent link is replaced",
+        "camphorrun/transport/dialer.py",
+        "        if self._is_silent():\n            self.link.abort()",
+        "        if False:\n            self.link.abort()",
+        f"{LINKS} {SILENCE}",
+    ),
+    Mutation(
+        "frames are authenticated",
+        "camphorrun/messages/sealing.py",
+        "if not hmac.compare_digest(digest, expected):",
+        "if False:",
+        SEALING,
+    ),
+    Mutation(
+        "frames are accepted once and in order",
+        "camphorrun/messages/sealing.py",
+        'if int.from_bytes(sequence, "big") != self._received + 1:',
+        "if False:",
+        SEALING,
+    ),
+    Mutation(
+        "a draining agent refuses new work",
+        "camphorrun/agent/worker.py",
+        "        return self._refusal\n",
+        '        return ""\n',
+        AGENT,
+    ),
+    Mutation(
+        "a 503 counts as executed without the endpoint's word",
+        "camphorrun/platform/endpoint_client.py",
+        "resp.status == 429 or stated",
+        "resp.status in (429, 503)",
+        "camphorrun/platform/tests",
+    ),
+)
+
+
+def copy_tree(target: Path) -> None:
+    """Copy the tracked files of the working tree."""
+    listed = subprocess.run(
+        ["git", "ls-files"], cwd=ROOT, capture_output=True, text=True, check=True
+    )
+    for name in listed.stdout.split("\n"):
+        source = ROOT / name
+        if name and source.is_file():
+            (target / name).parent.mkdir(parents=True, exist_ok=True)
+            shutil.copy2(source, target / name)
+
+
+def tests_fail(tree: Path, tests: str) -> bool:
+    """Run tests in a tree; a run without end counts as failed."""
+    command = [sys.executable, "-m", "pytest", "-q", "-x", *tests.split()]
+    try:
+        done = subprocess.run(
+            command, cwd=tree, capture_output=True, timeout=TIMEOUT_SECONDS, check=False
+        )
+    except subprocess.TimeoutExpired:
+        return True
+    return done.returncode == 1
+
+
+def check(tree: Path, mutation: Mutation) -> str:
+    """Apply a mutation, run its tests and undo it; return the result."""
+    path = tree / mutation.path
+    text = path.read_text()
+    if text.count(mutation.old) != 1:
+        return f"text found {text.count(mutation.old)} times"
+    path.write_text(text.replace(mutation.old, mutation.new))
+    try:
+        return "caught" if tests_fail(tree, mutation.tests) else "survived"
+    finally:
+        path.write_text(text)
+
+
+def main() -> int:
+    """Run from the command line and return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--only", default="", help="part of a mechanism's name")
+    args = parser.parse_args()
+    chosen = [each for each in MUTATIONS if args.only in each.mechanism]
+    bad = 0
+    with tempfile.TemporaryDirectory() as directory:
+        tree = Path(directory)
+        copy_tree(tree)
+        for mutation in chosen:
+            result = check(tree, mutation)
+            bad += result != "caught"
+            print(f"{result:10} {mutation.mechanism}", flush=True)
+    print(f"{len(chosen) - bad} passed, {bad} failed")
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
