--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -202,3 +202,16 @@
         families = Metrics().registry.collect()
         names = {f"{f.name}_total" if f.type == "counter" else f.name for f in families}
         assert set(rows(page("docs/metrics.md"))) == names
+
+
+class TestPromises:
+    """The page of promises names tests that exist."""
+
+    def test_named_tests_exist(self):
+        """Guards against a promise whose test was renamed or removed."""
+        sources = [path.read_text() for path in ROOT.rglob("tests/*.py")]
+        known = set(re.findall(r"class (Test\w+)|def (test_\w+)", "".join(sources)))
+        names = {name for pair in known for name in pair}
+        named = set(re.findall(r"\b(Test[A-Z]\w+|test_\w+)", page("docs/promises.md")))
+        modules = {path.stem for path in ROOT.rglob("tests/*.py")} | {"test_binary"}
+        assert named - names - modules == set()
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -2,9 +2,9 @@
 
 Usage: python -m tools.mutations [--only TEXT]
 
-Each mutation replaces one piece of source text in a scratch copy of the working tree and
-runs the tests that guard the promise behind it. A mutation survives if they still pass;
-the exit code is 0 only if none survives and every piece of text was found.
+Each mutation replaces one piece of source text in a scratch copy of the working tree
+and runs the tests that guard the promise behind it. A mutation survives if they still
+pass; the exit code is 0 only if none survives and every piece of text was found.
 """
 
 import argparse
@@ -121,10 +121,8 @@
     Mutation(
         "an unknown void is never not_run",
         "camphorrun/entry/claim_resolver.py",
-        "    async def _(self, reply: Unknown, call: StageCall, key: ClaimKey) -> bytes:"
-        "\n        raise _unknown(reply.code)",
-        "    async def _(self, reply: Unknown, call: StageCall, key: ClaimKey) -> bytes:"
-        "\n        call.started = False\n        raise PipelineError('not run')",
+        "        raise _unknown(reply.code)\n",
+        "        call.started = False\n        raise PipelineError('not run')\n",
         ENTRY,
     ),
     Mutation(
