Connect relay, announcements and claims settings in the daemons

Cause: the relay, the announcement and ClaimParticipant existed but no daemon used them, so a log outage kept a new daemon unready and an unlisted agent unused.

--- a/camphorrun/agent/daemon.py
+++ b/camphorrun/agent/daemon.py
@@ -5,19 +5,23 @@
 import aiohttp
 from aiohttp import web
 
-from ..claims import ClaimAppender, ClaimFollower, ClaimLedger, StartCoordinator
 from ..core import LoopTimerService, Supervisor, TimerService, new_identifier
 from ..daemon import (
     AdminRoutes,
+    Announcer,
+    ClaimMetrics,
     ConfigurationSync,
     HostWatcher,
     Lifecycle,
+    RelayNode,
+    claim_participant,
     start_server,
 )
 from ..limits import ConcurrencyLimit, StageQueue, queue_policy_by_name
 from ..messages import DrainNotice, Hello, Ping, Pong
 from ..metrics import Metrics
 from ..platform import EndpointClient, HostEntry, HostListClient, LogClient
+from ..relay import Announce
 from ..settings import AgentSettings, key_ring
 from ..transport import LINK_PATH, Link, LinkListener
 from .attempts import AttemptStore
@@ -62,6 +66,7 @@
             finally:
                 await self._supervisor.stop()
                 await self._listener.close()
+                await self._claims.close()
                 await runner.cleanup()
 
     def drain(self, reason: str) -> None:
@@ -71,32 +76,51 @@
     def _build(self, session: aiohttp.ClientSession) -> None:
         settings = self.settings
         log = LogClient(session, settings.platform.log_url)
-        follower = ClaimFollower(log, ClaimLedger(), self.timers)
-        self._claims = StartCoordinator(
-            ClaimAppender(log, self.timers),
-            follower,
-            self.timers,
-            host=settings.host.name,
-            incarnation=self.incarnation,
-        )
+        self._claims = claim_participant(log, self.timers, settings, self.incarnation)
+        ClaimMetrics(self._claims, self.metrics, self.timers)
+        keys = key_ring(settings.keys)
+        self._relay = RelayNode(settings.host, keys, self.timers, self.metrics)
+        self._announcer = self._build_announcer()
         self._sync = ConfigurationSync(
             log,
             (FLEET_STREAM,),
-            follower,
-            None,
+            self._claims.follower,
+            self._relay.peers,
             timers=self.timers,
             metrics=self.metrics,
         )
         self._worker = self._build_worker(session)
         self._listener = self._build_listener()
         self._sync.subscribe(self._check_drain)
+        self._sync.subscribe_state(self._update_refusal)
+        self._update_refusal()
         self._sync.start(self._supervisor)
+        self._relay.start(self._supervisor, self._sync)
         if settings.platform.host_list_url:
             hosts = HostListClient(session, settings.platform.host_list_url)
             watcher = HostWatcher(hosts, self.timers, self._on_hosts)
             self._supervisor.add("host-list", watcher.run)
+            self._supervisor.add("announce", self._announcer.run)
         self.lifecycle.subscribe_drain(self._on_drain)
 
+    def _build_announcer(self) -> Announcer:
+        host = self.settings.host
+        message = Announce(
+            host.name,
+            host.listen,
+            "agent",
+            self.settings.endpoint.service,
+            host.availability_zone,
+            self.incarnation,
+        )
+        return Announcer(
+            message,
+            key_ring(self.settings.keys),
+            self.timers,
+            self.metrics,
+            is_open=lambda: self.lifecycle.accepts_work,
+        )
+
     def _build_worker(self, session: aiohttp.ClientSession) -> AgentWorker:
         settings = self.settings
         endpoint = EndpointClient(session, settings.endpoint.url)
@@ -104,7 +128,7 @@
         return AgentWorker(
             self.incarnation,
             EndpointRunner(endpoint, self.timers, send_part),
-            self._claims,
+            self._claims.starts,
             queue=StageQueue(policy, settings.max_queue),
             limit=ConcurrencyLimit(settings.initial_limit),
             store=AttemptStore(settings.result_keep_s, settings.result_keep_bytes),
@@ -169,11 +193,12 @@
             "synchronised": self._sync.synchronised,
             "positions": self._sync.positions(),
             "not_current": self._sync.not_current(),
+            "relay_refused": self._relay.refused(),
             "unfinished": self._worker.unfinished,
             "in_flight": load.in_flight,
             "queued": load.queued,
             "limit": load.limit,
-            "pending_claims": self._claims.pending,
+            "pending_claims": self._claims.starts.pending,
         }
 
     # Drain.
@@ -185,14 +210,25 @@
             self.lifecycle.drain(f"configuration: {drain.reason}")
 
     def _on_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
+        self._relay.update(hosts)
+        self._announcer.update(hosts)
         name = self.settings.host.name
         if any(entry.host == name and entry.state == "leaving" for entry in hosts):
             self.lifecycle.drain("host list marks the host as leaving")
 
     def _on_drain(self, reason: str) -> None:
-        self._worker.refuse_new_work("draining")
+        self._update_refusal()
         self._listener.broadcast(DrainNotice(reason))
 
+    def _update_refusal(self) -> None:
+        """Refuse dispatches while the agent drains or may act on outdated state."""
+        if self.lifecycle.state in ("draining", "stopped"):
+            self._worker.refuse_new_work("draining")
+        elif not self._sync.synchronised:
+            self._worker.refuse_new_work("not_synchronised")
+        else:
+            self._worker.refuse_new_work("")
+
     async def _serve_until_drained(self, supervised: asyncio.Future) -> None:
         drained = asyncio.ensure_future(self._finish_drain())
         done, _ = await asyncio.wait(
@@ -207,5 +243,5 @@
         await self.lifecycle.wait_for_drain()
         while self._worker.known_attempts:
             await self.timers.sleep(DRAIN_POLL_SECONDS)
-        await self._claims.drain(CLAIMS_DRAIN_SECONDS)
+        await self._claims.starts.drain(CLAIMS_DRAIN_SECONDS)
         self.lifecycle.stopped()
--- a/camphorrun/configuration/follower.py
+++ b/camphorrun/configuration/follower.py
@@ -1,6 +1,7 @@
 """Reader of one configuration stream, from the log or from peers."""
 
 import asyncio
+import contextlib
 import random
 from collections import deque
 from collections.abc import Callable
@@ -22,6 +23,9 @@
 SNAPSHOT_RETRY_SECONDS = 30.0
 # Time that the log gets to deliver what a peer already has.
 PEER_GRACE_SECONDS = 0.5
+# Interval at which peers are asked while the log is unavailable; a change must be in
+# effect everywhere within 3 s, and one exchange takes up to 2 s with a lost peer.
+PEER_POLL_SECONDS = 0.5
 # Recent records kept for peers that are behind.
 MAX_RECENT_BYTES = 1024 * 1024
 MAX_REPLY_BYTES = 256 * 1024
@@ -131,7 +135,9 @@
         self._confirmed_at: float | None = None
         self._next_snapshot_at = 0.0
         self._peer_position = 0
+        self._peer_answers = 0
         self._peer_ahead = asyncio.Event()
+        self._state_subscribers: list[Callable[[], None]] = []
 
     @property
     def stream(self) -> str:
@@ -162,13 +168,17 @@
         """Call ``subscriber`` with the set of keys after each change."""
         self._subscribers.append(subscriber)
 
+    def subscribe_synchronised(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` after each change of ``synchronised``."""
+        self._state_subscribers.append(callback)
+
     def mark_paused(self) -> None:
         """Require another read to the end, after the process was stopped."""
         self._pauses += 1
-        self._synchronised = False
         self._confirmed_at = None
         # Heartbeats from before the pause may be outdated, too.
         self._peer_position = 0
+        self._set_synchronised(False)
 
     def note_peer_position(self, position: int) -> None:
         """Take note of the position that a peer reported in a heartbeat."""
@@ -176,6 +186,11 @@
         if self._peer_position > self.position:
             self._peer_ahead.set()
 
+    def note_peer_answer(self, position: int) -> None:
+        """Take note of the position in a peer's answer to a request."""
+        self._peer_answers += 1
+        self.note_peer_position(position)
+
     async def run(self) -> None:
         """Read the stream until cancelled."""
         failures = 0
@@ -184,7 +199,8 @@
                 await self.read_once()
                 failures = 0
             except LogError:
-                await self._read_from_peers(failures)
+                if failures == 0:
+                    await self.poll_peers()
                 await self._timers.sleep(self._backoff(failures))
                 failures += 1
 
@@ -197,6 +213,35 @@
             if self._peer_position > self.position:
                 await self.fetch_from_peers()
 
+    async def run_peer_poll(self) -> None:
+        """Ask peers while the log fails, and read again soon after a pause.
+
+        Heartbeats reach neither an entry that lacks a stream which agents do not
+        read, nor a daemon without links.
+        """
+        while True:
+            await self._timers.sleep(self._rng.uniform(0.5, 1.0) * PEER_POLL_SECONDS)
+            if not self._log_available:
+                await self.poll_peers()
+            elif self._pauses and not self._synchronised:
+                # The long poll from before the pause confirms nothing.
+                with contextlib.suppress(LogError):
+                    await self.read_once()
+
+    async def poll_peers(self) -> None:
+        """Fetch from peers; their position stands for the end of a failing log.
+
+        Only an answer to this request counts. A heartbeat may have waited in a socket
+        since before a pause.
+        """
+        pauses, answers = self._pauses, self._peer_answers
+        await self.fetch_from_peers()
+        reached = self.position >= self._peer_position > 0
+        if self._peer_answers == answers:
+            return
+        if reached and pauses == self._pauses and not self._log_available:
+            self._set_synchronised(True)
+
     async def read_once(self) -> LogPage:
         """Read and apply one page, waiting for new records only at the end.
 
@@ -256,16 +301,14 @@
             # A settled snapshot at the same position is of use, too.
             await self._install_from_peers(self.position - 1)
         if pauses == self._pauses:
-            self._synchronised = True
+            self._set_synchronised(True)
 
-    async def _read_from_peers(self, failures: int) -> None:
-        """Use peers while the log is unavailable."""
-        pauses = self._pauses
-        if self.position == 0 or self.position < self._peer_position or failures == 0:
-            await self.fetch_from_peers()
-        reached = self.position >= self._peer_position > 0
-        if reached and pauses == self._pauses:
-            self._synchronised = True
+    def _set_synchronised(self, synchronised: bool) -> None:
+        if synchronised is self._synchronised:
+            return
+        self._synchronised = synchronised
+        for callback in self._state_subscribers:
+            callback()
 
     async def _install_from_peers(self, position: int) -> None:
         if self._source is None:
@@ -281,6 +324,7 @@
             return
         if installed:
             self._peer_position = max(self._peer_position, self.position)
+            self._peer_answers += 1
             self._count("snapshot_installed")
             self._notify()
 
@@ -292,7 +336,7 @@
     def _notify(self) -> None:
         if self._metrics is not None:
             gauge = self._metrics.position.labels(self.stream)
-            gauge.set(self.position + 1)
+            gauge.set(self.position)
         changed = self.view.take_changed()
         if changed:
             for subscriber in self._subscribers:
--- a/camphorrun/core/tests/test_core.py
+++ b/camphorrun/core/tests/test_core.py
@@ -104,3 +104,18 @@
             return fut.cancelled()
 
         assert asyncio.run(scenario())
+
+    def test_cancellation_at_the_time_limit_is_kept(self):
+        """Guards against a child that survives the stop of its supervisor."""
+        timers = ManualTimerService()
+
+        async def scenario():
+            forever = asyncio.get_running_loop().create_future()
+            waiting = asyncio.ensure_future(bounded(timers, forever, 1.0))
+            await asyncio.sleep(0)
+            timers.advance(1.0)
+            waiting.cancel()
+            await asyncio.wait([waiting])
+            assert waiting.cancelled()
+
+        asyncio.run(scenario())
--- a/camphorrun/core/waiting.py
+++ b/camphorrun/core/waiting.py
@@ -17,6 +17,8 @@
     TimeoutError
         If the time has passed.
     """
+    current = asyncio.current_task()
+    cancellations = current.cancelling()
     task = asyncio.ensure_future(awaitable)
     timed_out = False
 
@@ -29,7 +31,8 @@
     try:
         return await task
     except asyncio.CancelledError:
-        if timed_out:
+        # A caller that is cancelled as the time ends must still end.
+        if timed_out and current.cancelling() == cancellations:
             raise TimeoutError(f"no result within {timeout_s} s") from None
         raise
     finally:
--- a/camphorrun/daemon/__init__.py
+++ b/camphorrun/daemon/__init__.py
@@ -1,17 +1,24 @@
-"""Parts that entry and agent daemons share: lifecycle, admin routes, host list."""
+"""Parts that entry and agent daemons share: lifecycle, admin routes, hosts, relay."""
 
 from .admin import AdminRoutes
+from .announcer import Announcer
+from .claim_parts import ClaimMetrics, claim_participant
 from .configuration_sync import ConfigurationSync
 from .hosts import HostWatcher
 from .lifecycle import Lifecycle
 from .policies import check_policies
+from .relay_node import RelayNode
 from .server import start_server
 
 __all__ = [
     "AdminRoutes",
+    "Announcer",
+    "ClaimMetrics",
     "ConfigurationSync",
     "HostWatcher",
     "Lifecycle",
+    "RelayNode",
     "check_policies",
+    "claim_participant",
     "start_server",
 ]
--- /dev/null
+++ b/camphorrun/daemon/announcer.py
@@ -0,0 +1,112 @@
+"""Announces an agent to the entries, whose host list may not have it yet."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from absl import logging
+
+from ..core import TimerService, bounded
+from ..messages import KeyRing
+from ..metrics import Metrics
+from ..platform import HostEntry
+from ..relay import Announce, RelayClient, RelayError
+
+ANNOUNCE_SECONDS = 30.0
+# Spreads the announcements of many agents to an entry that has just been listed.
+FIRST_DELAY_SECONDS = 1.0
+
+
+class Announcer:
+    """Sends ``Announce`` until every listed entry has acknowledged it.
+
+    While the agent itself is not in the host list, it is repeated to all entries,
+    because an entry that was restarted has forgotten it.
+
+    Parameters
+    ----------
+    message : Announce
+        The announcement; it names the incarnation.
+    keys : KeyRing
+        Shared keys.
+    timers, metrics
+        Clock and counters.
+    is_open : callable
+        Whether the agent takes work; a draining agent is not announced.
+    rng : random.Random, optional
+        Jitter.
+    """
+
+    def __init__(
+        self,
+        message: Announce,
+        keys: KeyRing,
+        timers: TimerService,
+        metrics: Metrics,
+        *,
+        is_open: Callable[[], bool],
+        rng: random.Random | None = None,
+    ):
+        self._message = message
+        self._keys = keys
+        self._timers = timers
+        self._metrics = metrics
+        self._is_open = is_open
+        self._rng = rng or random.Random()
+        self._entries: frozenset[tuple[str, str]] = frozenset()
+        self._acknowledged: set[tuple[str, str]] = set()
+        self._is_listed = False
+        self._wake = asyncio.Event()
+
+    def update(self, hosts: tuple[HostEntry, ...]) -> None:
+        """Follow the host list."""
+        self._is_listed = any(entry.host == self._message.host for entry in hosts)
+        entries = frozenset(
+            (entry.host, entry.relay_address)
+            for entry in hosts
+            if entry.role == "entry" and entry.relay_address
+        )
+        self._acknowledged &= entries
+        if entries - self._entries:
+            self._wake.set()
+        self._entries = entries
+
+    async def run(self) -> None:
+        """Announce until cancelled."""
+        while True:
+            await self._wait()
+            self._wake.clear()
+            await self._timers.sleep(self._rng.uniform(0.0, FIRST_DELAY_SECONDS))
+            if self._is_open():
+                await self.announce_due()
+
+    def due(self) -> list[tuple[str, str]]:
+        """Return host and relay address of the entries to announce to."""
+        if not self._is_listed:
+            return sorted(self._entries)
+        return sorted(self._entries - self._acknowledged)
+
+    async def announce_due(self) -> None:
+        """Send one announcement to each entry that is due, concurrently."""
+        await asyncio.gather(*(self._announce(entry) for entry in self.due()))
+
+    async def _wait(self) -> None:
+        interval_s = self._rng.uniform(0.75, 1.25) * ANNOUNCE_SECONDS
+        try:
+            await bounded(self._timers, self._wake.wait(), interval_s)
+        except TimeoutError:
+            return
+
+    async def _announce(self, entry: tuple[str, str]) -> None:
+        host, address = entry
+        client = RelayClient(address, self._keys)
+        try:
+            await client.announce(self._message)
+        except RelayError as exc:
+            self._metrics.drops.labels(f"announce_{exc.code}").inc()
+            return
+        finally:
+            client.close()
+        if entry not in self._acknowledged:
+            logging.info("%s has acknowledged the announcement", host)
+            self._acknowledged.add(entry)
--- /dev/null
+++ b/camphorrun/daemon/claim_parts.py
@@ -0,0 +1,106 @@
+"""Claims of a daemon, built from its settings and shown in its metrics."""
+
+from ..claims import ClaimParticipant
+from ..core import LogStore, TimerService
+from ..metrics import Metrics
+from ..settings import AgentSettings, EntrySettings
+
+SHOW_SECONDS = 1.0
+OTHER_RESULT = "other"
+# Label values are listed, so that a code of the log service cannot add one.
+RESULTS = frozenset(
+    {
+        "appender_appends",
+        "appender_append_uncertain",
+        "appender_log_unavailable",
+        "appender_records",
+        "appender_refused",
+        "follower_pages",
+        "follower_read_failed",
+        "follower_refused",
+        "follower_wait_expired",
+        "ledger_before_horizon",
+        "ledger_late",
+        "ledger_lost",
+        "ledger_result_dropped",
+        "ledger_unreadable",
+        "ledger_without_effect",
+        "start_background_dropped",
+        "start_background_retry",
+        "start_granted",
+        "start_lost",
+        "start_refused_append_uncertain",
+        "start_refused_claims_overloaded",
+        "start_refused_key_expired",
+        "start_refused_log_unavailable",
+        "start_withdrawal_dropped",
+    }
+)
+# Sizes are no results.
+_IGNORED = frozenset({"appender_bytes"})
+
+
+def claim_participant(
+    log: LogStore,
+    timers: TimerService,
+    settings: AgentSettings | EntrySettings,
+    incarnation: str,
+) -> ClaimParticipant:
+    """Return the parts of a daemon for the claims stream."""
+    return ClaimParticipant(
+        log,
+        timers,
+        host=settings.host.name,
+        incarnation=incarnation,
+        lifetime_ms=int(settings.claims.key_lifetime_s * 1000),
+        appends_per_s=settings.claims.appends_per_s,
+    )
+
+
+class ClaimMetrics:
+    """Copies the counters of the claims to ``camphorrun_claims_total``.
+
+    Parameters
+    ----------
+    claims : ClaimParticipant
+        Owner of the counters.
+    metrics : Metrics
+        Collectors.
+    timers : TimerService
+        Clock.
+    """
+
+    def __init__(
+        self, claims: ClaimParticipant, metrics: Metrics, timers: TimerService
+    ):
+        self._sources = {
+            "appender": claims.appender.counters,
+            "follower": claims.follower.counters,
+            "ledger": claims.ledger.counters,
+            "start": claims.starts.counters,
+        }
+        self._metrics = metrics
+        self._shown: dict[tuple[str, str], int] = {}
+        timers.subscribe(SHOW_SECONDS, self.show)
+
+    def show(self) -> None:
+        """Add what was counted since the last call."""
+        for part, counters in self._sources.items():
+            for reason, count in counters.items():
+                self._add(part, reason, count)
+
+    def _add(self, part: str, reason: str, count: int) -> None:
+        added = count - self._shown.get((part, reason), 0)
+        self._shown[part, reason] = count
+        name = _label(part, reason)
+        if added > 0 and name not in _IGNORED:
+            self._metrics.claims.labels(name if name in RESULTS else OTHER_RESULT).inc(
+                added
+            )
+
+
+def _label(part: str, reason: str) -> str:
+    """Return the label value, for instance ``start_granted`` for ``StartGranted``."""
+    for kind in ("Granted", "Lost", "Refused"):
+        reason = reason.replace(f"Start{kind}", kind.lower())
+    return f"{part}_{reason}"
--- a/camphorrun/daemon/configuration_sync.py
+++ b/camphorrun/daemon/configuration_sync.py
@@ -10,6 +10,8 @@
 from ..metrics import Metrics
 
 POSITION_METRIC_SECONDS = 1.0
+# Counting goes through all keys, of which there are 49,000 client accounts.
+NOT_CURRENT_METRIC_SECONDS = 15.0
 
 
 class ConfigurationSync:
@@ -49,6 +51,9 @@
             for stream in streams
         }
         self._pauses: PauseDetector | None = None
+        self._state_subscribers: list[Callable[[], None]] = []
+        for follower in self.followers.values():
+            follower.subscribe_synchronised(self._on_state)
 
     @property
     def synchronised(self) -> bool:
@@ -74,6 +79,15 @@
             if name in self.followers:
                 self.followers[name].note_peer_position(position)
 
+    def note_peer_answer(self, stream: str, position: int) -> None:
+        """Take note of the position in a peer's answer to a request."""
+        if stream in self.followers:
+            self.followers[stream].note_peer_answer(position)
+
+    def subscribe_state(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` when ``synchronised`` may have changed."""
+        self._state_subscribers.append(callback)
+
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` after each change of the configuration."""
         for follower in self.followers.values():
@@ -84,15 +98,28 @@
         for name, follower in self.followers.items():
             supervisor.add(f"follow-{name}", follower.run)
             supervisor.add(f"catch-up-{name}", follower.run_catch_up)
+            supervisor.add(f"poll-peers-{name}", follower.run_peer_poll)
         supervisor.add("follow-claims", self._claims.run)
         self._pauses = PauseDetector(self._timers, self._on_pause)
         self._timers.subscribe(POSITION_METRIC_SECONDS, self._show_positions)
+        self._timers.subscribe(NOT_CURRENT_METRIC_SECONDS, self.show_not_current)
 
     def _on_pause(self, gap_s: float) -> None:
         logging.warning("process was stopped for %.1f s; reading the log again", gap_s)
         for follower in self.followers.values():
             follower.mark_paused()
 
+    def _on_state(self) -> None:
+        self._metrics.synchronised.set(self.synchronised)
+        for callback in self._state_subscribers:
+            callback()
+
     def _show_positions(self) -> None:
         for name, position in self.positions().items():
             self._metrics.position.labels(name).set(position)
+
+    def show_not_current(self) -> None:
+        """Set the gauge of keys whose last body is not understood."""
+        for name, follower in self.followers.items():
+            count = len(follower.view.not_current())
+            self._metrics.not_current.labels(name).set(count)
--- /dev/null
+++ b/camphorrun/daemon/relay_node.py
@@ -0,0 +1,87 @@
+"""The relay of a daemon: its server, and the peers of the host list."""
+
+from collections.abc import Callable
+
+from ..configuration import ACCOUNTS_STREAM
+from ..core import Supervisor, TimerService
+from ..messages import KeyRing
+from ..metrics import Metrics
+from ..platform import HostEntry
+from ..relay import Announce, RelayPeers, RelayServer
+from ..settings import HostSettings
+from .configuration_sync import ConfigurationSync
+
+
+class RelayNode:
+    """Connects the configuration of a daemon with that of its peers.
+
+    Parameters
+    ----------
+    host : HostSettings
+        Identity; the server runs only if ``relay_listen`` is set.
+    keys : KeyRing
+        Shared keys.
+    timers, metrics
+        Clock and counters.
+
+    Attributes
+    ----------
+    peers : RelayPeers
+        Snapshot source over the relay addresses of the host list.
+    """
+
+    def __init__(
+        self, host: HostSettings, keys: KeyRing, timers: TimerService, metrics: Metrics
+    ):
+        self._host = host
+        self._keys = keys
+        self._timers = timers
+        self._metrics = metrics
+        self._hosts: tuple[HostEntry, ...] = ()
+        self._sync: ConfigurationSync | None = None
+        self._server: RelayServer | None = None
+        self.peers = RelayPeers(
+            keys, self._addresses, on_position=self._on_position, metrics=metrics
+        )
+
+    def start(
+        self,
+        supervisor: Supervisor,
+        sync: ConfigurationSync,
+        on_announce: Callable[[Announce], None] | None = None,
+    ) -> None:
+        """Serve the followers of ``sync``, which must use ``peers`` as its source."""
+        self._sync = sync
+        if not self._host.relay_listen:
+            return
+        self._server = RelayServer(
+            self._host.relay_listen,
+            self._keys,
+            sync.followers,
+            self._timers,
+            on_announce=on_announce,
+            metrics=self._metrics,
+        )
+        supervisor.add("relay", self._server.run)
+
+    def update(self, hosts: tuple[HostEntry, ...]) -> None:
+        """Follow the host list."""
+        self._hosts = hosts
+
+    def refused(self) -> dict[str, int]:
+        """Return how many frames the server refused, by code."""
+        return dict(self._server.refused) if self._server is not None else {}
+
+    def _addresses(self, stream: str) -> list[str]:
+        """Return the peers that follow a stream; only entries follow accounts."""
+        return [
+            entry.relay_address
+            for entry in self._hosts
+            if entry.relay_address
+            and entry.host != self._host.name
+            and (stream != ACCOUNTS_STREAM or entry.role == "entry")
+        ]
+
+    def _on_position(self, stream: str, position: int) -> None:
+        if self._sync is not None:
+            self._sync.note_peer_answer(stream, position)
--- a/camphorrun/demo/local_system.py
+++ b/camphorrun/demo/local_system.py
@@ -112,7 +112,7 @@
             for _ in range(spec.replicas):
                 await self.add_endpoint(spec)
         for _ in range(self._entry_count):
-            self._add_entry()
+            self.add_entry()
 
     async def stop(self) -> None:
         """Stop everything, entries first, so that no link breaks under them."""
@@ -125,17 +125,19 @@
         for runner in self._runners:
             await runner.cleanup()
 
-    async def add_endpoint(self, spec: ServiceSpec) -> LocalEndpoint:
-        """Start an endpoint with its agent and list its host."""
+    async def add_endpoint(
+        self, spec: ServiceSpec, *, listed: bool = True
+    ) -> LocalEndpoint:
+        """Start an endpoint with its agent and list its host unless told not to."""
         number = next(self._host_numbers)
         host = f"{spec.name}-{number}"
         zone = self._zones[number % len(self._zones)]
         server = EndpointServer(self.timers, spec.profile)
         address = f"{LOOPBACK}:{free_port()}"
         runner = await start_server(server.application(), address)
-        listen = f"{LOOPBACK}:{free_port()}"
+        listen, relay = (f"{LOOPBACK}:{free_port()}" for _ in range(2))
         settings = AgentSettings(
-            host=HostSettings(host, zone, REGION, listen),
+            host=HostSettings(host, zone, REGION, listen, relay),
             platform=self.platform,
             endpoint=EndpointSettings(
                 f"http://{address}", spec.name, spec.kind, spec.reports_load
@@ -149,18 +151,20 @@
         task = asyncio.ensure_future(agent.run())
         endpoint = LocalEndpoint(host, zone, spec, server, agent, task, runner)
         self.endpoints.setdefault(spec.name, []).append(endpoint)
-        self.host_list.put(
-            HostEntry(host, listen, "agent", zone, REGION, service=spec.name)
-        )
+        if listed:
+            self.host_list.put(
+                HostEntry(host, listen, "agent", zone, REGION, spec.name, relay)
+            )
         return endpoint
 
-    def _add_entry(self) -> None:
+    def add_entry(self) -> str:
+        """Start an entry, list its host and return its base URL."""
         number = next(self._host_numbers)
         host = f"entry-{number}"
         zone = self._zones[number % len(self._zones)]
-        listen = f"{LOOPBACK}:{free_port()}"
+        listen, relay = (f"{LOOPBACK}:{free_port()}" for _ in range(2))
         settings = EntrySettings(
-            host=HostSettings(host, zone, REGION, listen),
+            host=HostSettings(host, zone, REGION, listen, relay),
             platform=self.platform,
             keys=SHARED_KEYS,
             operator_credential=OPERATOR_CREDENTIAL,
@@ -171,7 +175,10 @@
         self._entry_zones.append(zone)
         self._entry_tasks.append(asyncio.ensure_future(entry.run()))
         self.entry_urls.append(f"http://{listen}")
-        self.host_list.put(HostEntry(host, listen, "entry", zone, REGION))
+        self.host_list.put(
+            HostEntry(host, listen, "entry", zone, REGION, relay_address=relay)
+        )
+        return self.entry_urls[-1]
 
     async def wait_ready(self, timeout_s: float = 10.0) -> None:
         """Wait until every entry is ready and linked to every agent.
--- a/camphorrun/entry/agent_peer.py
+++ b/camphorrun/entry/agent_peer.py
@@ -35,6 +35,8 @@
 AttemptResult = ResultEnd | NotStarted | ClaimLost
 PartCallback = Callable[[ResultPart], None]
 OutcomeCallback = Callable[[OutcomeReply], None]
+PositionsCallback = Callable[[dict[str, int]], None]
+IncarnationCallback = Callable[[str, str], None]
 
 
 class _PendingAttempt:
@@ -75,6 +77,10 @@
         Stream positions of this process, for heartbeats.
     on_outcome : callable
         Receives answers to outcome queries.
+    on_positions : callable
+        Receives the stream positions of the agent.
+    on_incarnation : callable
+        Receives host and incarnation of the agent when a link is up.
     """
 
     def __init__(
@@ -86,6 +92,8 @@
         *,
         positions: Callable[[], dict[str, int]],
         on_outcome: OutcomeCallback,
+        on_positions: PositionsCallback = lambda _positions: None,
+        on_incarnation: IncarnationCallback = lambda _host, _incarnation: None,
     ):
         self.listed = listed
         self.state = state
@@ -96,6 +104,8 @@
         self._metrics = metrics
         self._positions = positions
         self._on_outcome = on_outcome
+        self._on_positions = on_positions
+        self._on_incarnation = on_incarnation
         self._pending: dict[AttemptId, _PendingAttempt] = {}
         self._loss_timer = None
 
@@ -160,6 +170,7 @@
         if self.incarnation and peer.incarnation != self.incarnation:
             self._fail_all("agent_replaced")
         self.incarnation = peer.incarnation
+        self._on_incarnation(self.listed.host, peer.incarnation)
         self.state.on_link(True, self._timers.now())
         self.state.set_draining(False)
         for pending in tuple(self._pending.values()):
@@ -203,6 +214,7 @@
     def _(self, message: Pong, link: Link) -> None:
         self._report(message.load)
         self.peer_positions = message.positions
+        self._on_positions(message.positions)
         self.state.set_draining(message.draining)
 
     @handle.register
--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -8,14 +8,16 @@
 
 from ..admission import AdmissionController
 from ..admission import policy_by_name as admission_policy_by_name
-from ..claims import ClaimAppender, ClaimFollower, ClaimLedger, VoidCoordinator
 from ..configuration import CarryForwarder
 from ..core import LoopTimerService, Supervisor, TimerService, new_identifier
 from ..daemon import (
     AdminRoutes,
+    ClaimMetrics,
     ConfigurationSync,
     HostWatcher,
     Lifecycle,
+    RelayNode,
+    claim_participant,
     start_server,
 )
 from ..messages import Hello
@@ -78,6 +80,7 @@
             finally:
                 await self._supervisor.stop()
                 await self._pool.close()
+                await self._claims.close()
                 await runner.cleanup()
 
     def drain(self, reason: str) -> None:
@@ -89,12 +92,18 @@
     def _build(self, session: aiohttp.ClientSession) -> None:
         platform = self.settings.platform
         log = LogClient(session, platform.log_url)
-        self._claims = ClaimFollower(log, ClaimLedger(), self.timers)
+        self._claims = claim_participant(
+            log, self.timers, self.settings, self.incarnation
+        )
+        ClaimMetrics(self._claims, self.metrics, self.timers)
+        self._relay = RelayNode(
+            self.settings.host, key_ring(self.settings.keys), self.timers, self.metrics
+        )
         self._sync = ConfigurationSync(
             log,
             (FLEET_STREAM, ACCOUNTS_STREAM),
-            self._claims,
-            None,
+            self._claims.follower,
+            self._relay.peers,
             timers=self.timers,
             metrics=self.metrics,
         )
@@ -103,9 +112,10 @@
             admission_policy_by_name(self.settings.policy.admission),
             self.settings.max_requests,
         )
-        self._build_service(log)
+        self._build_service()
         self._sync.subscribe(self._apply_drains)
         self._sync.start(self._supervisor)
+        self._relay.start(self._supervisor, self._sync, self._pool.announce)
         for stream, follower in self._sync.followers.items():
             carrier = CarryForwarder(
                 log, follower.view, self.timers, metrics=self.metrics
@@ -126,18 +136,13 @@
             self.timers,
             self.metrics,
             positions=self._sync.positions,
+            on_positions=self._sync.note_peer_positions,
         )
 
-    def _build_service(self, log: LogClient) -> None:
+    def _build_service(self) -> None:
         ring = key_ring(self.settings.keys)
-        voids = VoidCoordinator(
-            ClaimAppender(log, self.timers),
-            self._claims,
-            self.timers,
-            host=self.settings.host.name,
-        )
         resolver = LogClaimResolver(
-            ring, voids, self._claims.ledger, self.timers, self.metrics
+            ring, self._claims.voids, self._claims.ledger, self.timers, self.metrics
         )
         executor = PipelineExecutor(self._build_runner(resolver), self.timers)
         self._cache = OutcomeCache(self._pool, self.timers)
@@ -152,7 +157,7 @@
         self._planner = Planner(
             self._sync.view(FLEET_STREAM), self._sync.view(ACCOUNTS_STREAM), ring
         )
-        self._keys = KeyService(ring, self._claims, resolver)
+        self._keys = KeyService(ring, self._claims.follower, resolver)
 
     def _build_runner(self, resolver: LogClaimResolver) -> StageRunner:
         policy = self.settings.policy
@@ -212,6 +217,7 @@
             "synchronised": self._sync.synchronised,
             "positions": self._sync.positions(),
             "not_current": self._sync.not_current(),
+            "relay_refused": self._relay.refused(),
             "in_flight": self._service.in_flight,
             "oldest_request": self._service.running(),
             "agents": {
@@ -238,6 +244,7 @@
         name = self.settings.host.name
         if any(entry.host == name and entry.state == "leaving" for entry in hosts):
             self.lifecycle.drain("host list marks the host as leaving")
+        self._relay.update(hosts)
         self._pool.update(hosts)
         self._apply_drains()
 
--- a/camphorrun/entry/peer_pool.py
+++ b/camphorrun/entry/peer_pool.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import xxhash
+from absl import logging
 
 from ..core import TimerService, bounded
 from ..messages import (
@@ -17,15 +18,20 @@
 )
 from ..metrics import Metrics
 from ..platform import HostEntry
+from ..relay import Announce
 from ..routing import EndpointState
+from ..settings import SettingsError, check_address
 from ..transport import LinkDialer
 from .agent_peer import AgentPeer
+from .incarnations import Incarnations
 
 OUTCOME_HOMES = 2
 OUTCOME_QUERY_TIMEOUT_SECONDS = 0.25
 # A host that is missing from the list keeps its link this long while the link is up,
 # because the list lags.
 UNLISTED_GRACE_SECONDS = 10.0
+# Announced agents that are not listed yet; a lag of the list concerns few hosts.
+MAX_ANNOUNCED = 512
 
 
 class PeerPool:
@@ -37,6 +43,8 @@
         As for ``LinkDialer``.
     positions : callable
         Stream positions of this process, for heartbeats.
+    on_positions : callable
+        Receives the stream positions of agents.
     """
 
     def __init__(
@@ -48,6 +56,7 @@
         metrics: Metrics,
         *,
         positions: Callable[[], dict[str, int]],
+        on_positions: Callable[[dict[str, int]], None] = lambda _positions: None,
     ):
         self._session = session
         self._keys = keys
@@ -55,6 +64,10 @@
         self._timers = timers
         self._metrics = metrics
         self._positions = positions
+        self._on_positions = on_positions
+        self._incarnations = Incarnations()
+        # Hosts known by announcement that no list has named yet.
+        self._announced: set[str] = set()
         self._peers: dict[str, AgentPeer] = {}
         self._tasks: dict[str, asyncio.Task] = {}
         self._missing_since: dict[str, float] = {}
@@ -78,6 +91,7 @@
         """
         listed = {entry.host: entry for entry in hosts if entry.role == "agent"}
         for entry in listed.values():
+            self._announced.discard(entry.host)
             self.add(entry)
         for host in tuple(self._peers):
             if host not in listed:
@@ -97,6 +111,48 @@
         elif entry.state == "leaving":
             peer.state.set_draining(True)
 
+    def announce(self, message: Announce) -> bool:
+        """Keep a link to an agent that announced itself; return whether it is new.
+
+        An announcement never replaces a link that is up: it may be a replay. It is
+        refused if its incarnation has been replaced by a later one, or is invalid.
+        """
+        refusal = self._refusal_of(message)
+        if refusal:
+            self._metrics.drops.labels(refusal).inc()
+            return False
+        peer = self._peers.get(message.host)
+        if peer is not None and (
+            peer.state.link_up or peer.listed.address == message.address
+        ):
+            return False
+        entry = HostEntry(
+            message.host,
+            message.address,
+            "agent",
+            message.availability_zone,
+            service=message.service,
+        )
+        logging.info("%s announced itself at %s", entry.host, entry.address)
+        if peer is None:
+            self._announced.add(entry.host)
+        self.add(entry)
+        return True
+
+    def _refusal_of(self, message: Announce) -> str:
+        if message.role != "agent" or not message.host or not message.service:
+            return "announce_invalid"
+        try:
+            check_address(message.address, "address")
+        except SettingsError:
+            return "announce_invalid"
+        if self._incarnations.is_replaced(message.host, message.incarnation):
+            return "announce_outdated"
+        is_new = message.host not in self._peers
+        if is_new and len(self._announced) >= MAX_ANNOUNCED:
+            return "announce_overflow"
+        return ""
+
     def drain(self, host: str) -> None:
         """Send no new work to a host."""
         peer = self._peers.get(host)
@@ -168,6 +224,8 @@
             self._metrics,
             positions=self._positions,
             on_outcome=self._on_outcome,
+            on_positions=self._on_positions,
+            on_incarnation=self._incarnations.note,
         )
         peer.dialer = LinkDialer(
             self._session,
@@ -187,14 +245,21 @@
     def _handle_missing(self, host: str) -> None:
         peer = self._peers[host]
         since = self._missing_since.setdefault(host, self._timers.now())
-        waited_s = self._timers.now() - since
-        is_gone = not peer.state.link_up or waited_s >= UNLISTED_GRACE_SECONDS
+        is_late = self._timers.now() - since >= UNLISTED_GRACE_SECONDS
+        if host in self._announced:
+            # No list has named it, so only its link tells whether it is alive.
+            if peer.state.link_up:
+                self._missing_since[host] = self._timers.now()
+            is_gone = not peer.state.link_up and is_late
+        else:
+            is_gone = not peer.state.link_up or is_late
         if is_gone and not peer.is_busy():
             self._remove(host)
 
     def _remove(self, host: str) -> None:
         peer = self._peers.pop(host)
         self._missing_since.pop(host, None)
+        self._announced.discard(host)
         self._by_service[peer.listed.service].remove(peer)
         self._tasks.pop(host).cancel()
         peer.close("host_removed")
--- a/camphorrun/metrics/registry.py
+++ b/camphorrun/metrics/registry.py
@@ -94,10 +94,19 @@
         self.links = self._gauge("links_up", "Links that answer heartbeats.")
         self.position = Gauge(
             "camphorrun_stream_position",
-            "Next offset to read, by stream.",
+            "Last offset applied, by stream.",
             ("stream",),
             registry=self.registry,
         )
+        self.not_current = Gauge(
+            "camphorrun_not_current",
+            "Keys whose last change has a newer schema, by stream.",
+            ("stream",),
+            registry=self.registry,
+        )
+        self.synchronised = self._gauge(
+            "synchronised", "1 if the configuration was read to its end, else 0."
+        )
 
     def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
         return Counter(f"camphorrun_{name}", text, labels, registry=self.registry)
--- a/camphorrun/relay/client.py
+++ b/camphorrun/relay/client.py
@@ -139,7 +139,10 @@
     keys : KeyRing
         Shared keys.
     addresses : callable
-        Returns the present addresses of the peers.
+        Returns the present addresses of the peers that hold a stream.
+    on_position : callable, optional
+        Called with stream and position of each peer that answered a request for its
+        snapshot, also of one that is not ahead.
     rng : random.Random, optional
         Selects peers, so that load is spread.
     metrics : Metrics, optional
@@ -149,21 +152,23 @@
     def __init__(
         self,
         keys: KeyRing,
-        addresses: Callable[[], list[str]],
+        addresses: Callable[[str], list[str]],
         *,
+        on_position: Callable[[str, int], None] | None = None,
         rng: random.Random | None = None,
         metrics: Metrics | None = None,
         timeout_ms: int = TIMEOUT_MS,
     ):
         self._keys = keys
         self._addresses = addresses
+        self._on_position = on_position
         self._rng = rng or random.Random()
         self._metrics = metrics
         self._timeout_ms = timeout_ms
 
     async def snapshot(self, stream: str, position: int) -> bytes | None:
         """Return the snapshot with the highest position among several peers."""
-        clients = self._select()
+        clients = self._select(stream)
         try:
             pages = await asyncio.gather(
                 *(self._first_page(client, stream, position) for client in clients)
@@ -183,7 +188,7 @@
 
     async def records(self, stream: str, offset: int) -> tuple[LogRecord, ...]:
         """Return records of the first peer that keeps them."""
-        clients = self._select()
+        clients = self._select(stream)
         try:
             for client in clients:
                 try:
@@ -197,8 +202,8 @@
         finally:
             _close_all(clients)
 
-    def _select(self) -> list[RelayClient]:
-        addresses = self._addresses()
+    def _select(self, stream: str) -> list[RelayClient]:
+        addresses = self._addresses(stream)
         count = min(SNAPSHOT_PEERS, len(addresses))
         return [
             RelayClient(address, self._keys, timeout_ms=self._timeout_ms)
@@ -209,10 +214,13 @@
         self, client: RelayClient, stream: str, position: int
     ) -> SnapshotPage | None:
         try:
-            return await client.fetch_first_page(stream, position)
+            page = await client.fetch_first_page(stream, position)
         except RelayError as exc:
             self._count(exc)
             return None
+        if self._on_position is not None:
+            self._on_position(stream, page.position)
+        return page
 
     async def _rest(self, client: RelayClient, first: SnapshotPage) -> bytes | None:
         try:
--- a/camphorrun/relay/tests/test_relay.py
+++ b/camphorrun/relay/tests/test_relay.py
@@ -203,7 +203,7 @@
                 _served(_follower(7)) as (_, high),
             ):
                 addresses = [low, high, _free_address()]
-                peers = RelayPeers(KEYS, lambda: addresses, timeout_ms=300)
+                peers = RelayPeers(KEYS, lambda _: addresses, timeout_ms=300)
                 follower = _follower(0, source=peers, log=log)
                 assert await follower.fetch_from_peers()
                 return follower.position
--- a/camphorrun/settings/__init__.py
+++ b/camphorrun/settings/__init__.py
@@ -3,6 +3,7 @@
 from .decoding import SettingsError, check_address, decode_settings, load_settings
 from .roles import (
     AgentSettings,
+    ClaimSettings,
     EndpointSettings,
     EntrySettings,
     HostSettings,
@@ -16,6 +17,7 @@
 
 __all__ = [
     "AgentSettings",
+    "ClaimSettings",
     "EndpointSettings",
     "EntrySettings",
     "HostSettings",
--- a/camphorrun/settings/roles.py
+++ b/camphorrun/settings/roles.py
@@ -80,6 +80,25 @@
     seed: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimSettings:
+    """Claims on non-idempotent calls.
+
+    ``appends_per_s`` is this daemon's share of the several hundred appends a second
+    that the log service takes from all daemons together. ``key_lifetime_s`` must be the
+    same in all daemons, since the readers of the log decide by it.
+    """
+
+    appends_per_s: float = 20.0
+    key_lifetime_s: float = 86400.0
+
+    def __post_init__(self):
+        for name in ("appends_per_s", "key_lifetime_s"):
+            value = getattr(self, name)
+            if not 0 < value < float("inf"):
+                raise ValueError(f"claims.{name}: expected more than 0, got {value}")
+
+
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
     """Settings of the ``entry`` role.
@@ -96,6 +115,7 @@
     max_body_bytes: int = 4 * 1024 * 1024
     max_requests: int = 2000
     drain_grace_s: float = 1.0
+    claims: ClaimSettings = field(default_factory=ClaimSettings)
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +132,7 @@
     max_queue: int = 256
     result_keep_s: float = 30.0
     result_keep_bytes: int = 16 * 1024 * 1024
+    claims: ClaimSettings = field(default_factory=ClaimSettings)
 
 
 @dataclass(frozen=True, slots=True)
--- a/camphorrun/settings/tests/test_settings.py
+++ b/camphorrun/settings/tests/test_settings.py
@@ -53,6 +53,8 @@
             ({"max_queue": 0}, "max_queue"),
             ({"result_keep_s": -1.0}, "result_keep_s"),
             ({"result_keep_bytes": 0}, "result_keep_bytes"),
+            ({"claims": {"appends_per_s": 0}}, "claims"),
+            ({"claims": {"key_lifetime_s": -1.0}}, "claims"),
         ],
     )
     def test_mistake_is_refused_with_its_field(self, changes, field):
