Derive the load of each role at the target scale

The design page refers to docs/CAPACITY.md, which did not exist.

Tests check that the page's commands cover every slope and that the classes it names exist; both fail with a renamed command and a renamed class on the page.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -12,6 +12,7 @@
 from camphorrun import settings
 from camphorrun.cli import main
 from camphorrun.metrics import Metrics
+from tools.capacity import EXISTING, SLOPES, build_parser
 
 ROOT = Path(camphorrun.__file__).parent
 REPOSITORY = ROOT.parent
@@ -202,3 +203,23 @@
         families = Metrics().registry.collect()
         names = {f"{f.name}_total" if f.type == "counter" else f.name for f in families}
         assert set(rows(page("docs/metrics.md"))) == names
+
+
+class TestCapacityPage:
+    """The page can be measured again and names parts that exist."""
+
+    PAGE = page("docs/CAPACITY.md")
+
+    def test_commands_measure_every_slope(self):
+        """Guards against figures whose command is gone, and slopes without a page."""
+        lines = re.findall(r"^python -m tools\.capacity (.+)$", self.PAGE, re.MULTILINE)
+        slopes = {build_parser().parse_args(shlex.split(line)).slope for line in lines}
+        assert slopes == {*SLOPES, *EXISTING}
+
+    def test_mechanisms_exist(self):
+        """Guards against loads that are attributed to classes of the past."""
+        named = re.findall(r"`([a-z]+)\.([A-Z]\w+)`", self.PAGE)
+        assert len(named) >= 15
+        for subpackage, name in named:
+            sources = (path.read_text() for path in (ROOT / subpackage).glob("*.py"))
+            assert any(f"class {name}" in source for source in sources), name
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -10,6 +10,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import itertools
 import json
 import subprocess
@@ -106,18 +107,22 @@
 # Links.
 
 
-async def measure_entry_links(bench_of: Callable, sizes: list[int]) -> Result:
-    """Measure an idle entry that is linked to N agents."""
+async def measure_entry_links(
+    bench_of: Callable, sizes: list[int], down: bool
+) -> Result:
+    """Measure an idle entry with N listed agents, linked or refusing connections."""
     rows = []
     for size in sizes:
         bench = bench_of()
         await bench.start_platform()
         address = f"127.0.0.1:{free_port()}"
-        with _Peers("listen", address):
+        with contextlib.nullcontext() if down else _Peers("listen", address):
             for number in range(size):
                 await bench.list_host(f"agent-{number}", address, "agent", "generate")
             process, url = bench.start_entry()
-            await bench.wait_status(url, lambda s, n=size: linked_agents(s) >= n)
+            await bench.wait_status(url, lambda s, n=size: len(s["agents"]) >= n)
+            if not down:
+                await bench.wait_status(url, lambda s, n=size: linked_agents(s) >= n)
             await asyncio.sleep(SETTLE_SECONDS)
             ports = {LINKS: address.rpartition(":")[2]} | _platform_ports(bench)
             for row in await _idle_rows(bench, process, ports):
@@ -147,6 +152,28 @@
     return {"rows": rows, "fits": fits(rows, "links", _LINK_FIGURES)}
 
 
+async def measure_host_list(bench_of: Callable, sizes: list[int]) -> Result:
+    """Measure an agent without links that polls a list of N hosts."""
+    rows = []
+    for size in sizes:
+        bench = bench_of()
+        await bench.start_platform()
+        for number in range(size):
+            name, address = (
+                f"agent-{number:04d}",
+                f"10.0.{number // 256}.{number % 256}",
+            )
+            await bench.list_host(name, f"{address}:9000", "agent", "generate")
+        process, url = bench.start_agent("generate", "http://127.0.0.1:9")
+        await bench.wait_status(url, lambda s: s["synchronised"])
+        await asyncio.sleep(SETTLE_SECONDS)
+        for row in await _idle_rows(bench, process, _platform_ports(bench)):
+            rows.append({"hosts": size} | row)
+        bench.stop()
+    names = ("core_percent", "memory_mb", "hosts_bytes_per_s")
+    return {"rows": rows, "fits": fits(rows, "hosts", names)}
+
+
 _LINK_FIGURES = (
     "core_percent",
     "memory_mb",
@@ -324,13 +351,19 @@
     if args.slope == "accounts":
         return measure_accounts(bench_of, args.sizes or [1_000, 10_000, 49_000])
     if args.slope == "entry-links":
-        return measure_entry_links(bench_of, args.sizes or [10, 40, 120, 370])
+        return measure_entry_links(
+            bench_of, args.sizes or [10, 40, 120, 370], args.down
+        )
     if args.slope == "agent-links":
         return measure_agent_links(bench_of, args.sizes or [4, 16, 64, 128], args.busy)
+    if args.slope == "host-list":
+        return measure_host_list(bench_of, args.sizes or [0, 100, 370, 600])
     if args.slope == "requests":
         return measure_requests(bench_of, args.sizes or [100, 300, 900], args.width)
     if args.slope == "tokens":
-        return measure_tokens(bench_of, args.sizes or [50, 100, 200], args.gaps)
+        return measure_tokens(
+            bench_of, args.sizes or [50, 100, 200], args.gaps, args.streams
+        )
     if args.slope == "changes":
         sizes = args.sizes or [50, 150, 450]
         return measure_changes(bench_of, sizes, args.readers)
@@ -343,6 +376,7 @@
     "changes",
     "claims",
     "entry-links",
+    "host-list",
     "requests",
     "tokens",
 )
@@ -381,18 +415,25 @@
         print(form.format(name, *figures, len(line["points"])))
 
 
-def main() -> None:
-    """Parse arguments, measure and print."""
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
     parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
     parser.add_argument("slope", choices=[*SLOPES, *EXISTING])
     parser.add_argument("--sizes", type=int, nargs="+", help="sizes to measure at")
     parser.add_argument("--busy", action="store_true", help="heartbeats of busy links")
+    parser.add_argument("--down", action="store_true", help="agents refuse links")
     parser.add_argument("--width", type=int, default=8, help="concurrent callers")
+    parser.add_argument("--streams", type=int, default=96, help="concurrent streams")
     parser.add_argument("--batch", type=int, default=10, help="claims per append")
     parser.add_argument("--gaps", type=float, nargs="+", default=[5, 15, 50])
     parser.add_argument("--readers", type=int, nargs="+", default=[10, 40, 120])
     parser.add_argument("--output", type=Path, help="file for the JSON")
-    args = parser.parse_args()
+    return parser
+
+
+def main() -> None:
+    """Parse arguments, measure and print."""
+    args = build_parser().parse_args()
     if args.slope in EXISTING:
         results = run_existing(EXISTING[args.slope])
     else:
--- a/tools/capacity_requests.py
+++ b/tools/capacity_requests.py
@@ -206,7 +206,7 @@
 
 
 async def measure_tokens(
-    bench_of: Callable, sizes: list[int], gaps_ms: list[float]
+    bench_of: Callable, sizes: list[int], gaps_ms: list[float], streams: int
 ) -> Result:
     """Measure processor time per streamed token at several distances of tokens."""
     results: Result = {"rows": {}, "fits": {}}
@@ -218,7 +218,7 @@
         rows = []
         for _ in range(WINDOWS):
             for size in sizes:
-                row = await path.many("generate", 32, 32, max_output=size)
+                row = await path.many("generate", streams, streams, max_output=size)
                 row["tokens"] = row["answered"] * size
                 row["tokens_per_message"] = row["tokens"] / max(1, row["events"])
                 rows.append(row)
