--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -31,7 +31,13 @@
 from camphorrun.platform import LogClient
 from tools.bench_claims import _start_batch
 from tools.bench_configuration import account_value
-from tools.capacity_requests import measure_requests, measure_tokens
+from tools.capacity_requests import (
+    SERVICE,
+    measure_requests,
+    measure_tokens,
+    publish_pipelines,
+    unanswered_requests,
+)
 from tools.capacity_system import (
     WINDOWS,
     Bench,
@@ -49,16 +55,20 @@
 from tools.chaos import Process, free_port
 
 SETTLE_SECONDS = 6.0
+# So many that every link has attempts in flight, whichever agents are chosen.
+IN_FLIGHT_PER_LINK = 4
 # Two idle heartbeats and one long poll of the claims stream.
 WINDOW_SECONDS = 10.0
 LOG, HOSTS, LINKS = "log", "hosts", "links"
 
 
-async def _idle_rows(bench: Bench, process: Process, ports: dict) -> list[Result]:
+async def _idle_rows(
+    process: Process, ports: dict[str, str], windows: int = WINDOWS
+) -> list[Result]:
     """Return what an idle daemon uses, for several windows of time."""
     pid = process.popen.pid
     rows = []
-    for _ in range(WINDOWS):
+    for _ in range(windows):
         window = await watch(pid, WINDOW_SECONDS)
         row = {"core_percent": 100 * window.processor_s / window.seconds}
         row["memory_mb"] = resident_mb(pid)
@@ -108,29 +118,45 @@
 
 
 async def measure_entry_links(
-    bench_of: Callable, sizes: list[int], down: bool
+    bench_of: Callable, sizes: list[int], down: bool, busy: bool
 ) -> Result:
-    """Measure an idle entry with N listed agents, linked or refusing connections."""
+    """Measure an entry with N listed agents, by the state of its links.
+
+    The links are idle, or ``busy`` with requests that no agent answers, or ``down``
+    because the agents refuse connections.
+    """
     rows = []
     for size in sizes:
         bench = bench_of()
         await bench.start_platform()
+        await publish_pipelines(bench)
         address = f"127.0.0.1:{free_port()}"
         with contextlib.nullcontext() if down else _Peers("listen", address):
             for number in range(size):
-                await bench.list_host(f"agent-{number}", address, "agent", "generate")
+                await bench.list_host(f"agent-{number}", address, "agent", SERVICE)
             process, url = bench.start_entry()
-            await bench.wait_status(url, lambda s, n=size: len(s["agents"]) >= n)
-            if not down:
-                await bench.wait_status(url, lambda s, n=size: linked_agents(s) >= n)
-            await asyncio.sleep(SETTLE_SECONDS)
-            ports = {LINKS: address.rpartition(":")[2]} | _platform_ports(bench)
-            for row in await _idle_rows(bench, process, ports):
-                rows.append({"links": size} | row)
+            linked = 0 if down else size
+            await bench.wait_status(
+                url, lambda s, n=size, m=linked: _has_agents(s, n, m)
+            )
+            row = {
+                "links": size,
+                "start_processor_s": processor_seconds(process.popen.pid),
+            }
+            in_flight = IN_FLIGHT_PER_LINK * size if busy else 0
+            async with unanswered_requests(bench, url, in_flight):
+                await asyncio.sleep(SETTLE_SECONDS)
+                ports = {LINKS: address.rpartition(":")[2]} | _platform_ports(bench)
+                for figures in await _idle_rows(process, ports, 2 if busy else WINDOWS):
+                    rows.append(row | {"in_flight": in_flight} | figures)
         bench.stop()
     return {"rows": rows, "fits": fits(rows, "links", _LINK_FIGURES)}
 
 
+def _has_agents(status: dict, known: int, linked: int) -> bool:
+    return len(status["agents"]) >= known and linked_agents(status) >= linked
+
+
 async def measure_agent_links(
     bench_of: Callable, sizes: list[int], busy: bool
 ) -> Result:
@@ -146,7 +172,7 @@
         with _Peers("dial", address, *arguments):
             await asyncio.sleep(SETTLE_SECONDS)
             ports = {LINKS: "accepted"} | _platform_ports(bench)
-            for row in await _idle_rows(bench, process, ports):
+            for row in await _idle_rows(process, ports):
                 rows.append({"links": size} | row)
         bench.stop()
     return {"rows": rows, "fits": fits(rows, "links", _LINK_FIGURES)}
@@ -167,7 +193,7 @@
         process, url = bench.start_agent("generate", "http://127.0.0.1:9")
         await bench.wait_status(url, lambda s: s["synchronised"])
         await asyncio.sleep(SETTLE_SECONDS)
-        for row in await _idle_rows(bench, process, _platform_ports(bench)):
+        for row in await _idle_rows(process, _platform_ports(bench)):
             rows.append({"hosts": size} | row)
         bench.stop()
     names = ("core_percent", "memory_mb", "hosts_bytes_per_s")
@@ -175,6 +201,7 @@
 
 
 _LINK_FIGURES = (
+    "start_processor_s",
     "core_percent",
     "memory_mb",
     "links_bytes_per_s",
@@ -352,7 +379,7 @@
         return measure_accounts(bench_of, args.sizes or [1_000, 10_000, 49_000])
     if args.slope == "entry-links":
         return measure_entry_links(
-            bench_of, args.sizes or [10, 40, 120, 370], args.down
+            bench_of, args.sizes or [10, 40, 120, 370], args.down, args.busy
         )
     if args.slope == "agent-links":
         return measure_agent_links(bench_of, args.sizes or [4, 16, 64, 128], args.busy)
@@ -420,7 +447,9 @@
     parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
     parser.add_argument("slope", choices=[*SLOPES, *EXISTING])
     parser.add_argument("--sizes", type=int, nargs="+", help="sizes to measure at")
-    parser.add_argument("--busy", action="store_true", help="heartbeats of busy links")
+    parser.add_argument(
+        "--busy", action="store_true", help="links with attempts in flight"
+    )
     parser.add_argument("--down", action="store_true", help="agents refuse links")
     parser.add_argument("--width", type=int, default=8, help="concurrent callers")
     parser.add_argument("--streams", type=int, default=96, help="concurrent streams")
--- a/tools/capacity_requests.py
+++ b/tools/capacity_requests.py
@@ -1,6 +1,7 @@
 """Processor time and latency of requests and of streamed tokens, for one core."""
 
 import asyncio
+import contextlib
 import hashlib
 import itertools
 import time
@@ -31,6 +32,7 @@
 ACCOUNT = "capacity"
 ACCOUNT_SECRET = "capacity-secret"
 REPLICAS = 2
+SERVICE = "plain"
 
 
 class RequestPath:
@@ -46,10 +48,7 @@
         """Start the path with two replicas of each service."""
         bench = self._bench
         await bench.start_platform()
-        values = [document_value("service", Service(name)) for name in services]
-        values += [document_value("template", each) for each in _templates()]
-        await bench.append("fleet", values)
-        await bench.append("accounts", [document_value("account", _account())])
+        await publish_pipelines(bench)
         for service in services:
             for number in range(REPLICAS):
                 url = await bench.start_endpoint(batch=64, **profile)
@@ -120,6 +119,33 @@
         return processor_seconds(self.entry.popen.pid), agents
 
 
+async def publish_pipelines(bench: Bench) -> None:
+    """Append the service, the templates and the client account of the callers."""
+    values = [document_value("service", Service(SERVICE))]
+    values += [document_value("template", each) for each in _templates()]
+    await bench.append("fleet", values)
+    await bench.append("accounts", [document_value("account", _account())])
+
+
+@contextlib.asynccontextmanager
+async def unanswered_requests(bench: Bench, url: str, count: int):
+    """Keep requests in flight that no agent answers."""
+
+    async def send(number: int) -> None:
+        body = {"input": {"text": f"{number} " + "word " * PAYLOAD_WORDS}}
+        path = f"{url}/v1/pipelines/one/requests"
+        async with bench.session.post(path, json=body, headers=_headers()) as resp:
+            await resp.read()
+
+    tasks = [asyncio.ensure_future(send(number)) for number in range(count)]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def _ready(status: dict, agents: int) -> bool:
     known = status["positions"]["accounts"] and status["positions"]["fleet"]
     return bool(known) and status["synchronised"] and linked_agents(status) >= agents
@@ -133,19 +159,19 @@
     chain = []
     before: tuple[str, ...] = ()
     for name in ("s1", "s2", "s3", "s4"):
-        chain.append(Stage(name, "plain", "run", before))
+        chain.append(Stage(name, SERVICE, "run", before))
         before = (name,)
     return [
-        Template("one", (Stage("s1", "plain", "run"),)),
+        Template("one", (Stage("s1", SERVICE, "run"),)),
         Template("four", tuple(chain)),
-        Template("charge", (Stage("s1", "plain", "run", repeatable=False),)),
-        Template("generate", (Stage("s1", "plain", "run", stream=True),)),
+        Template("charge", (Stage("s1", SERVICE, "run", repeatable=False),)),
+        Template("generate", (Stage("s1", SERVICE, "run", stream=True),)),
     ]
 
 
 def _account() -> Account:
     digest = hashlib.sha256(ACCOUNT_SECRET.encode()).hexdigest()
-    parameters = TemplateParameters(deadline_ms=30_000)
+    parameters = TemplateParameters(deadline_ms=60_000)
     return Account(ACCOUNT, (digest,), {t.name: parameters for t in _templates()})
 
 
@@ -153,7 +179,7 @@
     """Measure processor time per request and the latency that the path adds."""
     bench = bench_of()
     path = RequestPath(bench)
-    await path.start(("plain",))
+    await path.start((SERVICE,))
     results: Result = {"rows": {}, "fits": {}}
     for template in ("one", "four", "charge"):
         await path.many(template, 50, width)
@@ -213,7 +239,7 @@
     for gap_ms in gaps_ms:
         bench = bench_of()
         path = RequestPath(bench)
-        await path.start(("plain",), output_unit_s=gap_ms / 1000)
+        await path.start((SERVICE,), output_unit_s=gap_ms / 1000)
         await path.many("generate", 16, 16, max_output=8)
         rows = []
         for _ in range(WINDOWS):
