Eject outliers in the entry and judge timeouts by the agent's answer

Cause: no daemon evaluated the outlier detector, latencies included the queue, and every timeout counted as a failure of the endpoint, so overload looked like an outlier. A load report showed the halved limit of a probe.

Latency is fed without queue time. After a timeout the agent's answer to the cancellation tells whether the attempt was queued; without an answer within 1 s the endpoint is held responsible. Failed attempts carry their cost. Results that nobody waits for are acknowledged. Reports use the steady limit.

Checked: the tests fail without the queue rule, without the verdict timer, without the acknowledgement and without the subscription.

--- a/camphorrun/agent/worker.py
+++ b/camphorrun/agent/worker.py
@@ -29,6 +29,7 @@
     ResultEnd,
     ResultPart,
     Resume,
+    StageCost,
     StoreOutcome,
 )
 from ..metrics import Metrics
@@ -100,9 +101,13 @@
     def load(self) -> LoadReport:
         """Return the present load."""
         service_time_s = self._limit.service_time_s(1.0)
-        wait_s = len(self._queue) * service_time_s / self._limit.limit
+        wait_s = len(self._queue) * service_time_s / self._limit.steady_limit
         return LoadReport(
-            self._running, self._limit.limit, len(self._queue), wait_s, service_time_s
+            self._running,
+            self._limit.steady_limit,
+            len(self._queue),
+            wait_s,
+            service_time_s,
         )
 
     @singledispatchmethod
@@ -213,10 +218,10 @@
         try:
             final = await self._claim_and_run(record, in_flight)
         except asyncio.CancelledError:
-            final = _failed(record, "cancelled", "cancelled by the entry")
+            final = self._failed(record, "cancelled", "cancelled by the entry")
         except Exception as exc:
             logging.exception("attempt %s failed", record.dispatch.attempt)
-            final = _failed(record, "internal", repr(exc))
+            final = self._failed(record, "internal", repr(exc))
         finally:
             self._running -= 1
         self._finish(record, final)
@@ -261,7 +266,7 @@
             final = await self._runner.run(record, fencing_token)
         except EndpointError as exc:
             self._observe(record, in_flight, ok=False)
-            return _failed(record, exc.code, str(exc), executed=exc.executed)
+            return self._failed(record, exc.code, str(exc), executed=exc.executed)
         except asyncio.CancelledError:
             await self._runner.cancel(record)
             raise
@@ -279,6 +284,26 @@
             now - record.received_at
         )
 
+    def _failed(
+        self, record: AttemptRecord, code: str, detail: str, *, executed: bool = True
+    ) -> ResultEnd:
+        """Return the end of a failed attempt with the time that it took."""
+        now = self._timers.now()
+        started_at = record.started_at or now
+        cost = StageCost(
+            busy_s=now - started_at,
+            queue_s=started_at - record.received_at,
+            bytes_in=len(record.dispatch.payload),
+        )
+        return ResultEnd(
+            record.dispatch.attempt,
+            ok=False,
+            code=code,
+            detail=detail,
+            executed=executed,
+            cost=cost,
+        )
+
     def _finish(self, record: AttemptRecord, final: FinalMessage) -> None:
         final = _with_load(final, self.load())
         self._store.finish(record, final, self._timers.now())
@@ -337,14 +362,6 @@
     return f"{attempt.request_id}.{attempt.stage}.{attempt.attempt}"
 
 
-def _failed(
-    record: AttemptRecord, code: str, detail: str, *, executed: bool = True
-) -> ResultEnd:
-    return ResultEnd(
-        record.dispatch.attempt, ok=False, code=code, detail=detail, executed=executed
-    )
-
-
 def _claim_refusal(
     result: StartLost | StartRefused, attempt: AttemptId
 ) -> ClaimLost | NotStarted:
--- a/camphorrun/entry/agent_peer.py
+++ b/camphorrun/entry/agent_peer.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from functools import singledispatchmethod
 
-from ..core import TimerService, bounded
+from ..core import TimerHandle, TimerService, bounded
 from ..messages import (
     AttemptId,
     AttemptUnknown,
@@ -31,6 +31,9 @@
 
 # A link that is down this long is not waited for: the attempt counts as lost.
 LINK_LOSS_GRACE_SECONDS = 1.0
+# Time in which the agent says whether an attempt that ran out of time was queued or
+# running. Without an answer the endpoint is held responsible.
+VERDICT_SECONDS = 1.0
 
 AttemptResult = ResultEnd | NotStarted | ClaimLost
 PartCallback = Callable[[ResultPart], None]
@@ -97,6 +100,7 @@
         self._positions = positions
         self._on_outcome = on_outcome
         self._pending: dict[AttemptId, _PendingAttempt] = {}
+        self._timed_out: dict[AttemptId, TimerHandle] = {}
         self._loss_timer = None
 
     async def attempt(
@@ -131,6 +135,7 @@
         try:
             result = await bounded(self._timers, pending.fut, timeout_s)
         except TimeoutError as exc:
+            self._await_verdict(attempt)
             self._send(Cancel(attempt))
             raise AttemptLostError("no result in time", code="timeout") from exc
         except asyncio.CancelledError:
@@ -139,6 +144,24 @@
         self._send(ResultAck(attempt))
         return result, pending.parts
 
+    def _await_verdict(self, attempt: AttemptId) -> None:
+        """Leave open whether a timeout is the fault of the endpoint."""
+        self._timed_out[attempt] = self._timers.call_after(
+            VERDICT_SECONDS, lambda: self._judge_timeout(attempt, None)
+        )
+
+    def _judge_timeout(self, attempt: AttemptId, result: AttemptResult | None) -> None:
+        """Count a timeout as a failure unless the attempt mostly waited in the queue.
+
+        A service in overload lets attempts run out of time in its queues, which says
+        nothing against the endpoint; one that never answers keeps them running.
+        """
+        self._timed_out.pop(attempt).cancel()
+        if isinstance(result, NotStarted | ClaimLost) or mostly_queued(result):
+            self.state.on_cancel()
+        else:
+            self.state.on_result(False, 0.0, self._timers.now())
+
     def send(self, message: object) -> bool:
         """Send a message; return whether there was a link."""
         return self._send(message)
@@ -218,7 +241,7 @@
     @handle.register
     def _(self, message: ResultEnd, link: Link) -> None:
         self._report(message.load)
-        pending = self._match(message.attempt)
+        pending = self._match(message.attempt, message)
         if pending is None:
             return
         if pending.next_sequence != message.parts and message.ok:
@@ -230,11 +253,11 @@
     @handle.register
     def _(self, message: NotStarted, link: Link) -> None:
         self._report(message.load)
-        self._resolve(self._match(message.attempt), message)
+        self._resolve(self._match(message.attempt, message), message)
 
     @handle.register
     def _(self, message: ClaimLost, link: Link) -> None:
-        self._resolve(self._match(message.attempt), message)
+        self._resolve(self._match(message.attempt, message), message)
 
     @handle.register
     def _(self, message: AttemptUnknown, link: Link) -> None:
@@ -251,8 +274,17 @@
     def _(self, message: OutcomeReply, link: Link) -> None:
         self._on_outcome(message)
 
-    def _match(self, attempt: AttemptId) -> _PendingAttempt | None:
+    def _match(
+        self, attempt: AttemptId, result: AttemptResult | None = None
+    ) -> _PendingAttempt | None:
+        if result is not None and attempt in self._timed_out:
+            self._judge_timeout(attempt, result)
+            self._send(ResultAck(attempt))
+            return None
         pending = self._pending.get(attempt)
+        if result is not None and pending is None:
+            # The agent keeps a result until it is acknowledged, and a drain waits.
+            self._send(ResultAck(attempt))
         if pending is None or pending.fut.done():
             self._metrics.drops.labels("unmatched_reply").inc()
             return None
@@ -264,3 +296,9 @@
 
     def _report(self, load: LoadReport) -> None:
         self.state.on_report(load, self._timers.now())
+
+
+def mostly_queued(result: object) -> bool:
+    """Return whether a failed attempt waited longer than it ran."""
+    cost = getattr(result, "cost", None)
+    return cost is not None and cost.queue_s > cost.busy_s
--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -30,6 +30,7 @@
 from .explain_route import ExplainRoute
 from .key_service import KeyService
 from .outcome_cache import OutcomeCache
+from .outlier_monitor import OutlierMonitor
 from .peer_pool import PeerPool
 from .planner import Planner
 from .request_service import RequestService
@@ -115,6 +116,7 @@
         watcher = HostWatcher(hosts, self.timers, self._on_hosts)
         self._supervisor.add("host-list", watcher.run)
         self.timers.subscribe(CAPACITY_SECONDS, self._note_capacity)
+        OutlierMonitor(self._pool, self.timers, self.metrics).start()
 
     def _build_pool(self, session: aiohttp.ClientSession) -> PeerPool:
         host = self.settings.host
--- a/camphorrun/entry/peer_pool.py
+++ b/camphorrun/entry/peer_pool.py
@@ -66,6 +66,10 @@
         """Return the peers of a service."""
         return self._by_service.get(service, [])
 
+    def services(self) -> tuple[str, ...]:
+        """Return the services that have had a peer."""
+        return tuple(self._by_service)
+
     def all(self) -> list[AgentPeer]:
         """Return all peers."""
         return list(self._peers.values())
--- a/camphorrun/entry/stage_runner.py
+++ b/camphorrun/entry/stage_runner.py
@@ -31,7 +31,7 @@
 )
 from ..retries import Backoff, RetryBudget
 from ..routing import NoEndpoint, Router, StageEstimator, StageRequest
-from .agent_peer import AgentPeer, AttemptResult
+from .agent_peer import AgentPeer, AttemptResult, mostly_queued
 from .errors import AttemptLostError
 
 MAX_ATTEMPTS = 4
@@ -264,8 +264,14 @@
         if isinstance(result, NotStarted | ClaimLost):
             peer.state.on_cancel()
             return
+        if isinstance(result, AttemptLostError) and name == "timeout":
+            # The peer counts it as soon as the agent says whether it was queued.
+            return
+        if name == "endpoint_timeout" and mostly_queued(result):
+            peer.state.on_cancel()
+            return
         ok = isinstance(result, ResultEnd) and result.ok
-        peer.state.on_result(ok, seconds, now)
+        peer.state.on_result(ok, max(0.0, seconds - cost.queue_s), now)
         if ok:
             stage = call.stage
             self._estimator.observe(
--- /dev/null
+++ b/camphorrun/entry/tests/test_agent_peer.py
@@ -0,0 +1,125 @@
+"""Tests of what the end of an attempt says about its endpoint."""
+
+import asyncio
+
+import pytest
+
+from ...core import LoopTimerService, ManualTimerService
+from ...messages import (
+    AttemptId,
+    Cancel,
+    Dispatch,
+    NotStarted,
+    ResultAck,
+    ResultEnd,
+    StageCost,
+)
+from ...metrics import Metrics
+from ...platform import HostEntry
+from ...routing import EjectionState, EndpointState
+from .. import agent_peer
+from ..agent_peer import AgentPeer
+from ..errors import AttemptLostError
+from ..outlier_monitor import OutlierMonitor
+
+_ATTEMPT = AttemptId("req", 0, 1)
+
+
+class _Dialer:
+    """Records what is sent."""
+
+    def __init__(self):
+        self.sent: list[object] = []
+
+    def send(self, message: object) -> None:
+        self.sent.append(message)
+
+
+def _peer(timers) -> AgentPeer:
+    listed = HostEntry("host-1", "127.0.0.1:1", "agent", "a", service="s")
+    peer = AgentPeer(
+        listed,
+        EndpointState("host-1", "a", "s"),
+        timers,
+        Metrics(),
+        positions=dict,
+        on_outcome=lambda reply: None,
+    )
+    peer.dialer = _Dialer()
+    return peer
+
+
+def _dispatch() -> Dispatch:
+    return Dispatch(_ATTEMPT, "inc", "s", "op", "", "a", 1, True, 1.0, b"{}")
+
+
+async def _time_out(answer: object) -> AgentPeer:
+    """Return a peer whose attempt ran out of time, after the agent's answer."""
+    peer = _peer(LoopTimerService())
+    with pytest.raises(AttemptLostError):
+        await peer.attempt(_dispatch(), None, 0.001)
+    assert isinstance(peer.dialer.sent[-1], Cancel)
+    if answer is None:
+        await asyncio.sleep(0.05)
+    else:
+        peer.handle(answer, None)
+    return peer
+
+
+class TestTimeouts:
+    """A timeout is held against the endpoint only if the call was running."""
+
+    @pytest.mark.parametrize(
+        ("answer", "failures"),
+        [
+            (NotStarted(_ATTEMPT, "cancelled"), 0),
+            (ResultEnd(_ATTEMPT, False, cost=StageCost(busy_s=0.1, queue_s=0.9)), 0),
+            (ResultEnd(_ATTEMPT, False, cost=StageCost(busy_s=0.9, queue_s=0.1)), 1),
+            (None, 1),
+        ],
+        ids=["queued", "mostly queued", "running", "no answer"],
+    )
+    def test_who_is_responsible(self, answer, failures, monkeypatch):
+        """Guards against ejection for overload, and against none for silence."""
+        monkeypatch.setattr(agent_peer, "VERDICT_SECONDS", 0.01)
+        peer = asyncio.run(_time_out(answer))
+        assert peer.state.samples == failures
+        assert peer.state.in_flight == 0
+
+    def test_unwanted_results_are_acknowledged(self):
+        """Guards against results that hold up the drain of an agent."""
+        peer = _peer(ManualTimerService())
+        peer.handle(ResultEnd(_ATTEMPT, False, code="cancelled"), None)
+        assert peer.dialer.sent == [ResultAck(_ATTEMPT)]
+
+
+class _Pool:
+    """One service with its peers."""
+
+    def __init__(self, peers: list[AgentPeer]):
+        self.peers = peers
+
+    def services(self) -> tuple[str, ...]:
+        return ("s",)
+
+    def of_service(self, service: str) -> list[AgentPeer]:
+        return self.peers
+
+
+class TestOutlierMonitor:
+    """Ejections happen in the entry and are counted."""
+
+    def test_failing_endpoint_is_ejected_and_counted(self):
+        """Guards against an ejection logic that nothing drives."""
+        timers = ManualTimerService()
+        peers = [_peer(timers) for _ in range(4)]
+        metrics = Metrics()
+        OutlierMonitor(_Pool(peers), timers, metrics).start()
+        for index, peer in enumerate(peers):
+            for _ in range(8):
+                peer.state.on_result(index > 0, 0.1, timers.now())
+        timers.advance(1.0)
+        assert peers[0].state.ejection is EjectionState.EJECTED
+        assert peers[1].state.ejection is EjectionState.ACTIVE
+        text = metrics.render().decode()
+        assert 'ejections_total{reason="failing",service="s"} 1.0' in text
--- a/camphorrun/metrics/registry.py
+++ b/camphorrun/metrics/registry.py
@@ -74,6 +74,11 @@
         self.attempts = self._counter(
             "attempts", "Attempts ended, by service and result.", ("service", "result")
         )
+        self.ejections = self._counter(
+            "ejections",
+            "Endpoints ejected, probed and reinstated, by service and reason.",
+            ("service", "reason"),
+        )
         self.request_seconds = Histogram(
             "camphorrun_request_seconds",
             "Time from acceptance to outcome.",
