Size calls by kind in limits and estimates; admit per service

Cause: an endpoint that encodes in 0.04 s and generates in 0.64 s was judged by one fit over the sum of units, so the limit fell to one and estimates refused feasible work. One total capacity over all services hid the bottleneck, and refused requests counted as missed deadlines.

Change: sizes and estimates by operation and model (CallSizes). AdmissionGroup has one controller per service; the scarcest decides first, cost is released as stages end, and a miss counts at the service with most excess. Capacity is the sum of steady limits of usable endpoints over the live entries.

--- a/camphorrun/admission/__init__.py
+++ b/camphorrun/admission/__init__.py
@@ -9,13 +9,17 @@
     Refused,
     policy_by_name,
 )
+from .group import AdmissionGroup, AdmissionTicket, GroupRequest
 from .shares import LevelDemand, water_level
 
 __all__ = [
     "AdmissionController",
+    "AdmissionGroup",
     "AdmissionRequest",
+    "AdmissionTicket",
     "AdmitAll",
     "Admitted",
+    "GroupRequest",
     "LevelDemand",
     "Predictive",
     "Refused",
--- a/camphorrun/admission/controller.py
+++ b/camphorrun/admission/controller.py
@@ -133,11 +133,35 @@
 
     def release(self, account: str, cost: float, now: float) -> None:
         """Record the end of an admitted request."""
-        self.in_flight = max(0, self.in_flight - 1)
+        self.abandon(0.0)
+        self.release_cost(cost, now)
+
+    def release_cost(self, cost: float, now: float) -> None:
+        """Record completed work of an admitted request that goes on elsewhere."""
         self.outstanding_cost = max(0.0, self.outstanding_cost - cost)
         self._completed = self._completion_rate(now) + cost / COMPLETION_SECONDS
         self._completed_at = now
 
+    def abandon(self, cost: float) -> None:
+        """Record the end of an admitted request; ``cost`` of it was not worked off."""
+        self.in_flight = max(0, self.in_flight - 1)
+        self.outstanding_cost = max(0.0, self.outstanding_cost - cost)
+
+    def withdraw(self, request: AdmissionRequest) -> None:
+        """Undo the admission of a request that another service refused."""
+        self.abandon(request.cost)
+        level = self._levels.get(request.priority)
+        if level is not None:
+            level.refund(request.account, request.cost)
+
+    def scarcity(self, now: float) -> float:
+        """Return the offered demand as a share of what is admitted."""
+        rate = self._allowed_rate(now)
+        demand = sum(level.total.rate_at(now) for level in self._levels.values())
+        if rate <= 0:
+            return math.inf
+        return demand / rate
+
     def on_capacity(self, capacity_cost_per_s: float, now: float) -> None:
         """Set the capacity available to this entry."""
         reported = max(0.0, capacity_cost_per_s)
--- a/camphorrun/admission/shares.py
+++ b/camphorrun/admission/shares.py
@@ -91,6 +91,12 @@
         self.level = water_level(rates, capacity)
         return 0.0
 
+    def refund(self, account: str, cost: float) -> None:
+        """Give back the credit of a request that was refused elsewhere."""
+        demand = self.accounts.get(account)
+        if demand is not None and math.isfinite(demand.credit):
+            demand.credit += cost
+
     def admits(self, account: str, cost: float, now: float) -> bool:
         """Decide on one request, already counted by ``add``, and charge its cost."""
         if math.isinf(self.level):
--- a/camphorrun/admission/tests/test_admission.py
+++ b/camphorrun/admission/tests/test_admission.py
@@ -6,9 +6,11 @@
 
 from .. import (
     AdmissionController,
+    AdmissionGroup,
     AdmissionRequest,
     AdmitAll,
     Admitted,
+    GroupRequest,
     Refused,
 )
 
@@ -133,3 +135,62 @@
         """Guards against a division by a weight of zero."""
         with pytest.raises(ValueError, match="weight"):
             request(weight=0.0)
+
+
+def group_request(needs, account="a", priority=0):
+    return GroupRequest(account, 1.0, priority, 4.0, 0.5, needs)
+
+
+class TestAdmissionGroup:
+    """Each service is a bottleneck of its own."""
+
+    def admitted_share(self, capacities, seconds=40.0):
+        """Offer two pipelines at 20 a second each; return admitted shares."""
+        rng = Random(1)
+        group = AdmissionGroup()
+        both, one = {"x": 1.0, "y": 1.0}, {"x": 1.0}
+        counts = {"both": 0, "one": 0}
+        now = 0.0
+        while now < seconds:
+            group.on_capacity(capacities, now)
+            for name, needs in (("both", both), ("one", one)):
+                ticket = group.admit(group_request(needs), now)
+                if isinstance(ticket, Refused):
+                    continue
+                counts[name] += now > 10.0
+                for service, cost in needs.items():
+                    group.finish_stage(ticket, service, cost, cost, now)
+                group.finish(ticket, True, now)
+            now += rng.expovariate(20.0)
+        offered = 20.0 * (seconds - 10.0)
+        return {name: count / offered for name, count in counts.items()}
+
+    def test_bottleneck_is_not_hidden_by_spare_capacity_elsewhere(self):
+        """Guards against one total, in which the idle service hides the full one."""
+        shares = self.admitted_share({"x": 100.0, "y": 10.0})
+        assert shares["both"] < 0.65
+
+    def test_refusal_at_one_service_takes_nothing_from_another(self):
+        """Guards against requests refused at x for demand that y refuses anyway."""
+        shares = self.admitted_share({"x": 32.0, "y": 10.0})
+        assert shares["both"] > 0.4
+        assert shares["one"] > 0.85
+
+    def test_costs_end_with_the_request(self):
+        """Guards against cost that stays behind and closes admission for ever."""
+        group = AdmissionGroup(max_requests=1)
+        ticket = group.admit(group_request({"x": 1.0, "y": 1.0}), 0.0)
+        assert group.admit(group_request({"x": 1.0}), 0.0).code == "overloaded"
+        group.finish_stage(ticket, "x", 1.0, 0.1, 0.1)
+        group.finish(ticket, None, 0.2)
+        assert group.in_flight == 0
+        for controller in group._controllers.values():
+            assert (controller.in_flight, controller.outstanding_cost) == (0, 0.0)
+
+    def test_miss_is_attributed_to_the_service_that_caused_it(self):
+        """Guards against a healthy service that is throttled for a slow one."""
+        group = AdmissionGroup()
+        ticket = group.admit(group_request({"x": 1.0, "y": 0.1}), 0.0)
+        group.finish_stage(ticket, "x", 1.0, 1.1, 1.1)
+        group.finish_stage(ticket, "y", 0.1, 3.0, 4.1)
+        assert ticket.slowest() == "y"
--- a/camphorrun/agent/worker.py
+++ b/camphorrun/agent/worker.py
@@ -100,7 +100,7 @@
 
     def load(self) -> LoadReport:
         """Return the present load."""
-        service_time_s = self._limit.service_time_s(1.0)
+        service_time_s = self._limit.mean_service_time_s
         wait_s = len(self._queue) * service_time_s / self._limit.steady_limit
         return LoadReport(
             self._running,
@@ -186,14 +186,15 @@
 
     def _queue_item(self, record: AttemptRecord) -> QueueItem:
         dispatch = record.dispatch
-        units = dispatch.input_units + dispatch.output_units
         return QueueItem(
             token=record,
             priority=dispatch.priority,
             enqueued_at=record.received_at,
             deadline_at=record.deadline_at,
             downstream_s=dispatch.downstream_s,
-            estimate_s=self._limit.service_time_s(units),
+            estimate_s=self._limit.service_time_s(
+                dispatch.input_units, dispatch.output_units, _kind(dispatch)
+            ),
             patience=dispatch.remaining_s >= PATIENT_DEADLINE_SECONDS,
         )
 
@@ -276,9 +277,16 @@
     def _observe(self, record: AttemptRecord, in_flight: int, *, ok: bool) -> None:
         now = self._timers.now()
         dispatch = record.dispatch
-        units = dispatch.input_units + dispatch.output_units
-        elapsed_s = now - record.started_at
-        self._limit.observe(LatencySample(elapsed_s, units, in_flight, ok, now))
+        sample = LatencySample(
+            now - record.started_at,
+            dispatch.input_units,
+            in_flight,
+            ok,
+            now,
+            dispatch.output_units,
+            _kind(dispatch),
+        )
+        self._limit.observe(sample)
         self._metrics.attempts.labels(dispatch.service, "ok" if ok else "failed").inc()
         self._metrics.stage_seconds.labels(dispatch.service).observe(
             now - record.received_at
@@ -358,6 +366,11 @@
         return
 
 
+def _kind(dispatch: Dispatch) -> str:
+    """Return the kind of work, whose service time depends on its units alone."""
+    return f"{dispatch.operation}/{dispatch.model}"
+
+
 def _attempt_token(attempt: AttemptId) -> str:
     return f"{attempt.request_id}.{attempt.stage}.{attempt.attempt}"
 
--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -6,7 +6,7 @@
 import aiohttp
 from aiohttp import web
 
-from ..admission import AdmissionController
+from ..admission import AdmissionGroup
 from ..admission import policy_by_name as admission_policy_by_name
 from ..claims import ClaimAppender, ClaimFollower, ClaimLedger, VoidCoordinator
 from ..configuration import CarryForwarder
@@ -23,7 +23,7 @@
 from ..pipeline import PipelineExecutor
 from ..platform import HostEntry, HostListClient, LogClient
 from ..retries import Backoff, budget_by_name
-from ..routing import Router, StageEstimator, policy_by_name
+from ..routing import Router, StageEstimator, policy_by_name, service_capacity
 from ..settings import EntrySettings, key_ring
 from .api import CallerRoutes
 from .claim_resolver import LogClaimResolver
@@ -65,6 +65,7 @@
         self.lifecycle = Lifecycle(settings.host.name, self.incarnation)
         self._supervisor = Supervisor(settings.host.name, self.timers)
         self._rng = random.Random(settings.policy.seed or None)
+        self._live_entries = 1
 
     async def run(self) -> None:
         """Serve until a drain has ended."""
@@ -100,7 +101,7 @@
             metrics=self.metrics,
         )
         self._pool = self._build_pool(session)
-        self._admission = AdmissionController(
+        self._admission = AdmissionGroup(
             admission_policy_by_name(self.settings.policy.admission),
             self.settings.max_requests,
         )
@@ -228,18 +229,22 @@
         }
 
     def _note_capacity(self) -> None:
-        """Tell admission how much work the linked endpoints can do a second."""
-        capacity = sum(
-            peer.state.limit
-            for peer in self._pool.all()
-            if peer.state.link_up and not peer.state.draining
-        )
-        self._admission.on_capacity(float(capacity), self.timers.now())
+        """Tell admission how much work each service can do a second for this entry."""
+        capacities = {
+            service: service_capacity(
+                [peer.state for peer in self._pool.of_service(service)]
+            )
+            / self._live_entries
+            for service in self._pool.services()
+        }
+        self._admission.on_capacity(capacities, self.timers.now())
 
     def _on_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
         name = self.settings.host.name
         if any(entry.host == name and entry.state == "leaving" for entry in hosts):
             self.lifecycle.drain("host list marks the host as leaving")
+        live = sum(entry.role == "entry" and entry.state == "live" for entry in hosts)
+        self._live_entries = max(1, live)
         self._pool.update(hosts)
         self._apply_drains()
 
--- a/camphorrun/entry/request_service.py
+++ b/camphorrun/entry/request_service.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from ..admission import AdmissionController, AdmissionRequest, Refused
+from ..admission import AdmissionGroup, AdmissionTicket, GroupRequest, Refused
 from ..configuration import Account
 from ..core import TimerService
 from ..messages import StageCost
@@ -13,12 +13,15 @@
     PartHandler,
     PipelineError,
     PipelineExecutor,
+    PlannedStage,
     RequestPlan,
 )
 from .claim_resolver import LogClaimResolver
 from .outcome_cache import OutcomeCache
 
 MAX_EXPLAINED = 2000
+# Codes of requests that were admitted and then ran out of time.
+MISSED_CODES = frozenset({"deadline_exceeded", "deadline_unreachable", "timeout"})
 
 
 class RequestService:
@@ -28,7 +31,7 @@
     ----------
     executor : PipelineExecutor
         Runs the stages.
-    admission : AdmissionController
+    admission : AdmissionGroup
         Decides whether a request may start.
     cache : OutcomeCache
         Outcomes of keyed requests.
@@ -41,7 +44,7 @@
     def __init__(
         self,
         executor: PipelineExecutor,
-        admission: AdmissionController,
+        admission: AdmissionGroup,
         cache: OutcomeCache,
         claims: LogClaimResolver,
         *,
@@ -128,22 +131,38 @@
         self, plan: RequestPlan, account: Account, on_part: PartHandler | None
     ) -> Outcome:
         now = self._timers.now()
-        predicted_s = self._executor.predicted_s(plan)
-        request = AdmissionRequest(
+        work_s = self._executor.work_s(plan)
+        request = GroupRequest(
             account=plan.account,
             weight=account.weight,
             priority=plan.priority,
             remaining_s=plan.deadline_at - now,
-            predicted_s=predicted_s,
-            cost=self._executor.work_s(plan),
+            predicted_s=self._executor.predicted_s(plan),
+            needs=_needs(plan, work_s),
         )
-        decision = self._admission.admit(request, now)
-        if isinstance(decision, Refused):
-            return await self.refuse(plan, decision.code, decision.retry_after_s)
+        ticket = self._admission.admit(request, now)
+        if isinstance(ticket, Refused):
+            return await self.refuse(plan, ticket.code, ticket.retry_after_s)
+        return await self._run_admitted(plan, ticket, work_s, on_part)
+
+    async def _run_admitted(
+        self,
+        plan: RequestPlan,
+        ticket: AdmissionTicket,
+        work_s: dict[str, float],
+        on_part: PartHandler | None,
+    ) -> Outcome:
+        def stage_ended(stage: PlannedStage, spent_s: float, ok: bool) -> None:
+            cost, now = work_s[stage.name] if ok else 0.0, self._timers.now()
+            self._admission.finish_stage(ticket, stage.service, cost, spent_s, now)
+
+        outcome = None
         try:
-            return await self._executor.run(plan, on_part)
+            outcome = await self._executor.run(plan, on_part, stage_ended)
+            return outcome
         finally:
-            self._admission.release(plan.account, request.cost, self._timers.now())
+            now = self._timers.now()
+            self._admission.finish(ticket, _met_deadline(plan, outcome, now), now)
 
     async def refuse(
         self, plan: RequestPlan, code: str, retry_after_s: float = 0.0
@@ -175,11 +194,6 @@
         self._metrics.outcomes.labels(*labels).inc()
         self._metrics.account_outcomes.add(plan.account, outcome.status.value)
         self._metrics.request_seconds.labels(plan.template).observe(seconds)
-        met = (
-            outcome.status is OutcomeStatus.ANSWERED
-            and self._timers.now() <= plan.deadline_at
-        )
-        self._admission.on_outcome(met, self._timers.now())
         self._remember(plan, outcome)
 
     def _remember(self, plan: RequestPlan, outcome: Outcome) -> None:
@@ -189,6 +203,25 @@
             self._recent.popitem(last=False)
 
 
+def _needs(plan: RequestPlan, work_s: dict[str, float]) -> dict[str, float]:
+    """Return the predicted service seconds by service."""
+    needs: dict[str, float] = {}
+    for stage in plan.stages:
+        needs[stage.service] = needs.get(stage.service, 0.0) + work_s[stage.name]
+    return needs
+
+
+def _met_deadline(
+    plan: RequestPlan, outcome: Outcome | None, now: float
+) -> bool | None:
+    """Return whether the deadline was met, None if time was not the reason."""
+    if outcome is None:
+        return None
+    if outcome.status is OutcomeStatus.ANSWERED:
+        return now <= plan.deadline_at
+    return False if outcome.code in MISSED_CODES else None
+
+
 def total_cost(outcome: Outcome) -> dict[str, StageCost]:
     """Return the cost of all attempts of each stage of a request, by stage name."""
     totals: dict[str, StageCost] = {}
--- a/camphorrun/entry/stage_runner.py
+++ b/camphorrun/entry/stage_runner.py
@@ -124,7 +124,7 @@
     def work_s(self, plan: RequestPlan, stage: PlannedStage) -> float:
         """Return the predicted service time of a stage in seconds."""
         return self._estimator.estimate_s(
-            stage.service, stage.model, plan.input_units, stage.output_units
+            stage.service, _kind(stage), plan.input_units, stage.output_units
         )
 
     async def run(self, call: StageCall) -> bytes:
@@ -276,7 +276,7 @@
             stage = call.stage
             self._estimator.observe(
                 stage.service,
-                stage.model,
+                _kind(stage),
                 call.plan.input_units,
                 stage.output_units,
                 cost.busy_s,
@@ -386,6 +386,11 @@
         )
 
 
+def _kind(stage: PlannedStage) -> str:
+    """Return the kind of work, whose service time depends on its units alone."""
+    return f"{stage.operation}/{stage.model}"
+
+
 def _joined(result: ResultEnd, parts: list[bytes]) -> ResultEnd:
     """Return the final message of a stream with its text as a JSON string."""
     text = b"".join(parts).decode()
--- a/camphorrun/limits/concurrency.py
+++ b/camphorrun/limits/concurrency.py
@@ -10,7 +10,7 @@
 import math
 from dataclasses import dataclass
 
-from .fit import LinearFit
+from .sizes import CallSizes
 
 # Accepted ratio of the latency at the limit to the latency at half the limit.
 TOLERANCE = 1.5
@@ -21,8 +21,6 @@
 # Time constant of the present latency.
 SHORT_SECONDS = 0.5
 MIN_GRADIENT = 0.7
-# Weight of one call in the mean size of calls.
-UNITS_WEIGHT = 0.02
 FAILURE_FACTOR = 0.9
 USED_SHARE = 0.8
 # A limit that fell to this share since the last probe asks for an early one.
@@ -31,13 +29,19 @@
 
 @dataclass(frozen=True, slots=True)
 class LatencySample:
-    """One finished call; ``in_flight`` is the concurrency when it started."""
+    """One finished call; ``in_flight`` is the concurrency when it started.
+
+    ``kind`` names calls whose service time follows one line over ``units`` of input
+    and ``output_units``, for instance an operation with its model.
+    """
 
     service_time_s: float
     units: float
     in_flight: int
     ok: bool
     now: float
+    output_units: float = 0.0
+    kind: str = ""
 
 
 class ConcurrencyLimit:
@@ -60,10 +64,8 @@
         self._minimum = minimum
         self._maximum = maximum
         self._value = float(initial)
-        self._shape = LinearFit(1, memory=400.0)
-        # Latencies are converted to calls of this size.
-        self._reference_units = 1.0
-        self._mean_units = 1.0
+        # Latencies are converted to calls of the usual mix.
+        self._sizes = CallSizes()
         self._short = 0.0
         self._short_at: float | None = None
         self._baseline = 0.0
@@ -86,9 +88,16 @@
         """The limit without the reduction of a probe, for load reports."""
         return max(self._minimum, int(self._value))
 
-    def service_time_s(self, units: float) -> float:
-        """Return the present estimate for a call of ``units``; 0 if unknown."""
-        return self._short * self._size_factor(units)
+    def service_time_s(
+        self, units: float, output_units: float = 0.0, kind: str = ""
+    ) -> float:
+        """Return the present estimate for a call; 0 if nothing is known."""
+        return self._short * self._sizes.factor(kind, units, output_units)
+
+    @property
+    def mean_service_time_s(self) -> float:
+        """Present service time of a call of the usual mix; 0 if unknown."""
+        return self._short
 
     def observe(self, sample: LatencySample) -> None:
         """Add a finished call and adapt the limit."""
@@ -101,26 +110,13 @@
             self._update(sample.now)
 
     def _add_latency(self, sample: LatencySample) -> None:
-        if self._short_at is None:
-            self._reference_units = self._mean_units = sample.units
-        self._mean_units += UNITS_WEIGHT * (sample.units - self._mean_units)
-        self._shape.observe((sample.units,), sample.service_time_s)
-        latency_s = sample.service_time_s / self._size_factor(sample.units)
+        call = (sample.kind, sample.units, sample.output_units)
+        self._sizes.observe(*call, sample.service_time_s)
+        latency_s = sample.service_time_s / self._sizes.factor(*call)
         self._smooth(latency_s, sample.now)
         if self._probe_until is not None and sample.in_flight <= self.limit:
             self._probe.append(latency_s)
 
-    def _size_factor(self, units: float) -> float:
-        """Return the time of a call relative to one of the reference size.
-
-        Only this ratio is taken from the fit: a change of speed cancels out of it.
-        """
-        reference_s = self._shape.predict((self._reference_units,))
-        expected_s = self._shape.predict((units,))
-        if reference_s <= 0 or expected_s <= 0:
-            return 1.0
-        return expected_s / reference_s
-
     def _smooth(self, latency_s: float, now: float) -> None:
         if self._short_at is None:
             self._short = self._baseline = latency_s
@@ -167,10 +163,10 @@
         self._next_probe_at = None
         self._probe_until = now + PROBE_MAX_SECONDS
         self._probe = []
-        factor = self._size_factor(self._mean_units)
+        factor = self._sizes.mix_factor()
         self._short *= factor
         self._baseline *= factor
-        self._reference_units = self._mean_units
+        self._sizes.rebase()
 
     def _finish_probe(self, now: float) -> None:
         if len(self._probe) < PROBE_SAMPLES and now < self._probe_until:
--- /dev/null
+++ b/camphorrun/limits/sizes.py
@@ -0,0 +1,108 @@
+"""Relative size of calls of different kinds at one endpoint."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from .fit import LinearFit
+
+# Kinds are operations with their models, which configuration bounds; the bound is for
+# a faulty configuration.
+MAX_KINDS = 64
+FIT_MEMORY_SAMPLES = 400.0
+# Weight of one call in the mean call of its kind and in the mix of kinds.
+MEAN_WEIGHT = 0.02
+
+
+@dataclass(slots=True)
+class _Kind:
+    """Fit of one kind, its mean call, and its share of all calls."""
+
+    fit: LinearFit = field(default_factory=lambda: LinearFit(2, FIT_MEMORY_SAMPLES))
+    mean: tuple[float, float] = (0.0, 0.0)
+    share: float = 0.0
+
+
+class CallSizes:
+    """Learns the size of a call relative to the mix of calls.
+
+    An endpoint that encodes in 0.04 s and generates in 0.6 s has no single latency.
+    Dividing each latency by the size of its call makes them comparable. The present
+    speed of the endpoint cancels out of the size, because the call and the mix are
+    predicted by the same fits.
+
+    Examples
+    --------
+    >>> sizes = CallSizes()
+    >>> for _ in range(20):
+    ...     sizes.observe("encode", 10, 0, 0.05)
+    ...     sizes.observe("generate", 10, 0, 0.15)
+    >>> sizes.rebase()
+    >>> round(sizes.factor("encode", 10, 0), 1)
+    0.5
+    """
+
+    __slots__ = ("_kinds", "_mix")
+
+    def __init__(self):
+        self._kinds: OrderedDict[str, _Kind] = OrderedDict()
+        self._mix: dict[str, tuple[float, tuple[float, float]]] = {}
+
+    def observe(
+        self, kind: str, input_units: float, output_units: float, seconds: float
+    ) -> None:
+        """Add the service time of a successful call."""
+        units = (float(input_units), float(output_units))
+        known = self._kinds.get(kind)
+        if known is None:
+            known = self._kinds[kind] = _Kind(mean=units)
+            if len(self._kinds) > MAX_KINDS:
+                self._kinds.popitem(last=False)
+        self._kinds.move_to_end(kind)
+        for other in self._kinds.values():
+            other.share *= 1.0 - MEAN_WEIGHT
+        known.share += MEAN_WEIGHT
+        known.mean = tuple(
+            old + MEAN_WEIGHT * (new - old)
+            for old, new in zip(known.mean, units, strict=True)
+        )
+        known.fit.observe(units, seconds)
+        if not self._mix:
+            self.rebase()
+
+    def rebase(self) -> None:
+        """Relate sizes to the present mix of calls from now on."""
+        self._mix = {
+            name: (known.share, known.mean) for name, known in self._kinds.items()
+        }
+
+    def factor(self, kind: str, input_units: float, output_units: float) -> float:
+        """Return the size of a call in calls of the mix; 1 if it is unknown."""
+        known = self._kinds.get(kind)
+        if known is None:
+            return 1.0
+        return self._relative(known.fit.predict((input_units, output_units)))
+
+    def mix_factor(self) -> float:
+        """Return the size of a call of the present mix, relative to the last base."""
+        total = sum(known.share for known in self._kinds.values())
+        seconds = sum(
+            known.share * known.fit.predict(known.mean)
+            for known in self._kinds.values()
+        )
+        return self._relative(seconds / total) if total > 0 else 1.0
+
+    def _relative(self, seconds: float) -> float:
+        base_s = self._base_s()
+        if base_s <= 0 or seconds <= 0:
+            return 1.0
+        return seconds / base_s
+
+    def _base_s(self) -> float:
+        """Return the service time of a call of the base mix by the present fits."""
+        total = seconds = 0.0
+        for name, (share, mean) in self._mix.items():
+            known = self._kinds.get(name)
+            if known is not None:
+                total += share
+                seconds += share * known.fit.predict(mean)
+        return seconds / total if total > 0 else 0.0
--- a/camphorrun/limits/tests/test_limits.py
+++ b/camphorrun/limits/tests/test_limits.py
@@ -160,3 +160,31 @@
         while (popped := queue.pop(1.0)) is not None:
             left.append(popped.token)
         assert sorted(left) == list(range(len(work)))
+
+
+class TestCallSizes:
+    """Calls of different kinds are comparable."""
+
+    def test_mixed_kinds_do_not_lower_the_limit(self):
+        """Guards against an endpoint starved because its calls differ in size."""
+        limit = ConcurrencyLimit(4)
+        for step in range(4000):
+            kind, seconds = ("encode", 0.04) if step % 4 else ("generate", 0.64)
+            sample = LatencySample(seconds, 100, 4, True, step * 0.02, 0.0, kind)
+            limit.observe(sample)
+        assert limit.steady_limit >= 4
+        assert abs(limit.service_time_s(100, 0.0, "encode") - 0.04) < 0.01
+
+    def test_change_of_speed_is_seen_with_mixed_kinds(self):
+        """Guards against sizes that hide a slowdown of the endpoint."""
+        limit = ConcurrencyLimit(16)
+        for step in range(800):
+            slow = 1.0 if step < 700 else 6.0
+            kind, seconds = ("encode", 0.04) if step % 4 else ("generate", 0.64)
+            sample = LatencySample(
+                seconds * slow, 100, 16, True, step * 0.02, 0.0, kind
+            )
+            limit.observe(sample)
+            if step == 699:
+                before = limit.steady_limit
+        assert limit.steady_limit < before * 0.5
--- a/camphorrun/pipeline/executor.py
+++ b/camphorrun/pipeline/executor.py
@@ -11,6 +11,7 @@
 from .plan import PlannedStage, RequestPlan, final_output, stage_input
 
 PartHandler = Callable[[ResultPart | None], None]
+StageHandler = Callable[[PlannedStage, float, bool], None]
 
 
 @dataclass(slots=True)
@@ -68,7 +69,10 @@
         self._timers = timers
 
     async def run(
-        self, plan: RequestPlan, on_part: PartHandler | None = None
+        self,
+        plan: RequestPlan,
+        on_part: PartHandler | None = None,
+        on_stage_end: StageHandler | None = None,
     ) -> Outcome:
         """Run all stages and return the outcome; never raises ``PipelineError``.
 
@@ -79,12 +83,16 @@
         on_part : callable, optional
             Receives the parts of a streamed final stage; None means that the parts
             so far are void because the stage starts again.
+        on_stage_end : callable, optional
+            Receives each stage that ended, its seconds, and whether it has an output.
         """
         calls: list[StageCall] = []
         outputs: dict[str, bytes] = {}
         try:
             for wave in plan.waves():
-                await self._run_wave(plan, wave, outputs, calls, on_part)
+                wave_calls = [self._call(plan, s, outputs, on_part) for s in wave]
+                calls.extend(wave_calls)
+                await self._run_wave(wave_calls, outputs, on_stage_end)
         except PipelineError as exc:
             return _refusal(plan, exc, calls)
         return Outcome(
@@ -96,27 +104,36 @@
 
     async def _run_wave(
         self,
-        plan: RequestPlan,
-        wave: list[PlannedStage],
-        outputs: dict[str, bytes],
         calls: list[StageCall],
-        on_part: PartHandler | None,
+        outputs: dict[str, bytes],
+        on_stage_end: StageHandler | None,
     ) -> None:
-        wave_calls = [self._call(plan, stage, outputs, on_part) for stage in wave]
-        calls.extend(wave_calls)
-        if len(wave_calls) == 1:
-            outputs[wave[0].name] = await self._dispatcher.run(wave_calls[0])
+        if len(calls) == 1:
+            outputs[calls[0].stage.name] = await self._run_stage(calls[0], on_stage_end)
             return
         tasks = [
-            asyncio.ensure_future(self._dispatcher.run(call)) for call in wave_calls
+            asyncio.ensure_future(self._run_stage(call, on_stage_end)) for call in calls
         ]
         try:
             results = await asyncio.gather(*tasks)
         finally:
             for task in tasks:
                 task.cancel()
-        for stage, result in zip(wave, results, strict=True):
-            outputs[stage.name] = result
+        for call, result in zip(calls, results, strict=True):
+            outputs[call.stage.name] = result
+
+    async def _run_stage(
+        self, call: StageCall, on_stage_end: StageHandler | None
+    ) -> bytes:
+        started_at = self._timers.now()
+        ok = False
+        try:
+            output = await self._dispatcher.run(call)
+            ok = True
+            return output
+        finally:
+            if on_stage_end is not None:
+                on_stage_end(call.stage, self._timers.now() - started_at, ok)
 
     def _call(
         self,
@@ -147,9 +164,11 @@
             default=0.0,
         )
 
-    def work_s(self, plan: RequestPlan) -> float:
-        """Return the predicted service time of all stages in seconds."""
-        return sum(self._dispatcher.work_s(plan, stage) for stage in plan.stages)
+    def work_s(self, plan: RequestPlan) -> dict[str, float]:
+        """Return the predicted service time of each stage in seconds, by stage name."""
+        return {
+            stage.name: self._dispatcher.work_s(plan, stage) for stage in plan.stages
+        }
 
     def predicted_s(self, plan: RequestPlan) -> float:
         """Return the predicted seconds of the whole request."""
--- a/camphorrun/routing/__init__.py
+++ b/camphorrun/routing/__init__.py
@@ -1,7 +1,7 @@
 """Endpoint selection, load estimates, outlier ejection and baselines."""
 
 from .endpoints import EjectionState, EndpointState, StageRequest
-from .estimates import StageEstimator
+from .estimates import StageEstimator, service_capacity
 from .outliers import OutlierDetector
 from .policies import (
     BalancedPolicy,
@@ -28,4 +28,5 @@
     "StageEstimator",
     "StageRequest",
     "policy_by_name",
+    "service_capacity",
 ]
--- a/camphorrun/routing/estimates.py
+++ b/camphorrun/routing/estimates.py
@@ -6,11 +6,13 @@
 from ..limits import LinearFit
 from .endpoints import DEFAULT_SERVICE_SECONDS, EjectionState, EndpointState
 
-MAX_MODELS = 512
+MAX_KINDS = 512
 
 
 class StageEstimator:
-    """Learns the seconds that input and output units cost, by service and model.
+    """Learns the seconds that input and output units cost, by service and kind.
+
+    A kind is an operation with its model.
 
     Examples
     --------
@@ -28,26 +30,26 @@
     def observe(
         self,
         service: str,
-        model: str,
+        kind: str,
         input_units: int,
         output_units: int,
         service_time_s: float,
     ) -> None:
         """Add the service time of a successful attempt, without its queue wait."""
-        key = (service, model)
+        key = (service, kind)
         fit = self._fits.get(key)
         if fit is None:
             fit = self._fits[key] = LinearFit(2)
-            if len(self._fits) > MAX_MODELS:
+            if len(self._fits) > MAX_KINDS:
                 self._fits.popitem(last=False)
         self._fits.move_to_end(key)
         fit.observe((input_units, output_units), service_time_s)
 
     def estimate_s(
-        self, service: str, model: str, input_units: int, output_units: int
+        self, service: str, kind: str, input_units: int, output_units: int
     ) -> float:
         """Return the predicted service time."""
-        fit = self._fits.get((service, model))
+        fit = self._fits.get((service, kind))
         if fit is None:
             return self._default_s
         return fit.predict((input_units, output_units))
@@ -71,6 +73,14 @@
         return sum(better) / len(better)
 
 
+def service_capacity(states: Iterable[EndpointState]) -> float:
+    """Return the service seconds a second that the usable endpoints can spend.
+
+    The sum of their concurrency limits: each call in flight spends one second a second.
+    """
+    return float(sum(state.limit for state in states if _usable(state)))
+
+
 def _usable(state: EndpointState) -> bool:
     if not state.link_up or state.draining:
         return False
