Weigh latencies by call size and let a limit of one grow

Cause: a short call that waited for a long one inside the endpoint dominated the mean of latency ratios, and a limit between 1 and 2 never counted as used, so it stayed at one.

Change: the present latency is recent time over recent size with at least a few calls; use is compared with the whole limit.

--- a/camphorrun/limits/concurrency.py
+++ b/camphorrun/limits/concurrency.py
@@ -20,6 +20,10 @@
 PROBE_SAMPLES = 6
 # Time constant of the present latency.
 SHORT_SECONDS = 0.5
+# At low rates at least this many earlier calls count, because a single one is noise.
+MIN_RECENT_CALLS = 3.0
+# Weight that earlier calls keep at most, so that a burst at one time counts too.
+MAX_KEEP = 0.95
 MIN_GRADIENT = 0.7
 FAILURE_FACTOR = 0.9
 USED_SHARE = 0.8
@@ -67,6 +71,8 @@
         # Latencies are converted to calls of the usual mix.
         self._sizes = CallSizes()
         self._short = 0.0
+        self._recent_s = 0.0
+        self._recent_size = 0.0
         self._short_at: float | None = None
         self._baseline = 0.0
         self._probed_value = 0.0
@@ -75,7 +81,7 @@
         self._failed = False
         self._next_probe_at: float | None = None
         self._probe_until: float | None = None
-        self._probe: list[float] = []
+        self._probe: list[tuple[float, float]] = []
 
     @property
     def limit(self) -> int:
@@ -112,20 +118,29 @@
     def _add_latency(self, sample: LatencySample) -> None:
         call = (sample.kind, sample.units, sample.output_units)
         self._sizes.observe(*call, sample.service_time_s)
-        latency_s = sample.service_time_s / self._sizes.factor(*call)
-        self._smooth(latency_s, sample.now)
+        size = self._sizes.factor(*call)
+        self._smooth(sample.service_time_s, size, sample.now)
         if self._probe_until is not None and sample.in_flight <= self.limit:
-            self._probe.append(latency_s)
+            self._probe.append((sample.service_time_s, size))
 
-    def _smooth(self, latency_s: float, now: float) -> None:
+    def _smooth(self, seconds: float, size: float, now: float) -> None:
+        """Relate recent time to recent size.
+
+        A short call that waited for a long one inside the endpoint would dominate a
+        mean of ratios; in a ratio of sums it counts by its size.
+        """
         if self._short_at is None:
-            self._short = self._baseline = latency_s
+            self._baseline = seconds / size
             self._next_probe_at = now + PROBE_INTERVAL_SECONDS / 4
         else:
-            gap_s = max(0.02, now - self._short_at)
-            # At least a twentieth, so that a burst of samples at one time counts.
-            weight = max(0.05, 1.0 - math.exp(-gap_s / SHORT_SECONDS))
-            self._short += weight * (latency_s - self._short)
+            keep = math.exp(-max(0.0, now - self._short_at) / SHORT_SECONDS)
+            least = min(1.0, MIN_RECENT_CALLS / self._recent_size)
+            keep = min(MAX_KEEP, max(least, keep))
+            self._recent_s *= keep
+            self._recent_size *= keep
+        self._recent_s += seconds
+        self._recent_size += size
+        self._short = self._recent_s / self._recent_size
         self._short_at = now
 
     def _update(self, now: float) -> None:
@@ -155,7 +170,7 @@
         bounded = min(1.0, max(MIN_GRADIENT, gradient))
         target = self._value * bounded
         # Unused concurrency proves nothing, so the limit grows only while it is used.
-        if gradient >= 1.0 and self._peak_in_flight >= self._value * USED_SHARE:
+        if gradient >= 1.0 and self._peak_in_flight >= self.limit * USED_SHARE:
             target += math.sqrt(self._value) / 2
         self._value = min(self._maximum, max(self._minimum, target))
 
@@ -166,13 +181,15 @@
         factor = self._sizes.mix_factor()
         self._short *= factor
         self._baseline *= factor
+        self._recent_size /= factor
         self._sizes.rebase()
 
     def _finish_probe(self, now: float) -> None:
         if len(self._probe) < PROBE_SAMPLES and now < self._probe_until:
             return
         if self._probe:
-            self._baseline = sum(self._probe) / len(self._probe)
+            seconds = sum(spent_s for spent_s, _ in self._probe)
+            self._baseline = seconds / sum(size for _, size in self._probe)
         self._probe_until = None
         self._probed_value = self._value
         self._next_probe_at = now + PROBE_INTERVAL_SECONDS
