Hedge idempotent stages, compare endpoints by relative latency

Cause: nothing used HedgePolicy; latencies of an endpoint with several kinds of calls differ by their mix, so routing and ejection compared noise; the limit took a few lucky calls for its baseline.

Change: HedgedAttempt (first whole result wins, the other is cancelled, both costs appear in the trace), selectable by policy hedges=hedged|unhedged. Endpoints are compared by latency over expected latency. The baseline follows slowly and a probe with few calls moves it in proportion.

--- a/camphorrun/admission/controller.py
+++ b/camphorrun/admission/controller.py
@@ -46,8 +46,9 @@
 class AdmissionRequest:
     """A request that asks to be admitted.
 
-    ``predicted_s`` is the predicted time to completion, queue waits included, and
-    ``weight`` the share of the client account relative to others.
+    ``predicted_s`` is the predicted time to completion, queue waits included,
+    ``weight`` the share of the client account relative to others, and ``need_s`` the
+    predicted time without any wait, 0 if it is unknown.
     """
 
     account: str
@@ -56,6 +57,7 @@
     remaining_s: float
     predicted_s: float
     cost: float
+    need_s: float = 0.0
 
     def __post_init__(self):
         if not self.weight > 0 or not self.cost >= 0:
@@ -119,6 +121,7 @@
         self._completed_at = -math.inf
         self._usual_remaining_s = 0.0
         self._least_need_s = math.inf
+        self._usual_need_s = 0.0
         self.in_flight = 0
         self.outstanding_cost = 0.0
 
@@ -197,8 +200,7 @@
 
     def check_share(self, request: AdmissionRequest, now: float) -> str:
         """Count the demand of a request; return why it is refused, or nothing."""
-        need_s = min(self._least_need_s, request.predicted_s)
-        self._least_need_s = need_s + NEED_WEIGHT * (request.predicted_s - need_s)
+        self._note_need(request)
         change_s = request.remaining_s - self._usual_remaining_s
         self._usual_remaining_s += REMAINING_WEIGHT * change_s
         level = self._levels.setdefault(request.priority, LevelDemand())
@@ -209,6 +211,15 @@
             return ""
         return OVER_SHARE if level.level > 0 else OVERLOADED
 
+    def _note_need(self, request: AdmissionRequest) -> None:
+        """Learn the time without wait; the least prediction serves if none is given."""
+        if request.need_s > 0:
+            need_s = self._usual_need_s or request.need_s
+            self._usual_need_s = need_s + REMAINING_WEIGHT * (request.need_s - need_s)
+            return
+        need_s = min(self._least_need_s, request.predicted_s)
+        self._least_need_s = need_s + NEED_WEIGHT * (request.predicted_s - need_s)
+
     def retry_after_s(self) -> float:
         """Return when the work that is outstanding now will be done."""
         if self._capacity <= 0:
@@ -241,7 +252,8 @@
         usual_s = self._usual_remaining_s
         if usual_s <= 0:
             return 0.0
-        wanted_s = max(BACKLOG_SHARE * usual_s, NEED_FACTOR * self._least_need_s)
+        need_s = self._usual_need_s or self._least_need_s
+        wanted_s = max(BACKLOG_SHARE * usual_s, NEED_FACTOR * need_s)
         return min(MAX_BACKLOG_SHARE * usual_s, wanted_s)
 
     def _too_many_misses(self) -> bool:
--- a/camphorrun/admission/group.py
+++ b/camphorrun/admission/group.py
@@ -20,8 +20,9 @@
 class GroupRequest:
     """A request that asks to be admitted.
 
-    ``predicted_s`` is the predicted time to completion, queue waits included, and
-    ``needs`` the predicted service seconds by service.
+    ``predicted_s`` is the predicted time to completion, queue waits included,
+    ``needs`` the predicted service seconds by service, and ``need_s`` the predicted
+    time without any wait, 0 if it is unknown.
     """
 
     account: str
@@ -30,6 +31,7 @@
     remaining_s: float
     predicted_s: float
     needs: Mapping[str, float]
+    need_s: float = 0.0
 
     def at(self, service: str) -> AdmissionRequest:
         """Return the part of one service."""
@@ -40,6 +42,7 @@
             self.remaining_s,
             self.predicted_s,
             self.needs[service],
+            self.need_s,
         )
 
 
--- a/camphorrun/daemon/policies.py
+++ b/camphorrun/daemon/policies.py
@@ -2,7 +2,7 @@
 
 from ..admission import policy_by_name as admission_policy_by_name
 from ..limits import queue_policy_by_name
-from ..retries import budget_by_name
+from ..retries import budget_by_name, hedges_by_name
 from ..routing import policy_by_name
 from ..settings import PolicySettings, SettingsError
 
@@ -11,6 +11,7 @@
     "queue": queue_policy_by_name,
     "admission": admission_policy_by_name,
     "retries": budget_by_name,
+    "hedges": hedges_by_name,
 }
 
 
--- a/camphorrun/daemon/tests/test_policies.py
+++ b/camphorrun/daemon/tests/test_policies.py
@@ -13,7 +13,9 @@
         """Guards against defaults that no policy has."""
         check_policies(PolicySettings())
 
-    @pytest.mark.parametrize("name", ["routing", "queue", "admission", "retries"])
+    @pytest.mark.parametrize(
+        "name", ["routing", "queue", "admission", "retries", "hedges"]
+    )
     def test_unknown_name_is_refused_with_its_field(self, name):
         """Guards against a daemon that fails only after its start."""
         with pytest.raises(SettingsError) as caught:
--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -22,7 +22,7 @@
 from ..metrics import Metrics
 from ..pipeline import PipelineExecutor
 from ..platform import HostEntry, HostListClient, LogClient
-from ..retries import Backoff, budget_by_name
+from ..retries import Backoff, budget_by_name, hedges_by_name
 from ..routing import Router, StageEstimator, policy_by_name, service_capacity
 from ..settings import EntrySettings, key_ring
 from .api import CallerRoutes
@@ -164,16 +164,18 @@
             self.settings.host.availability_zone,
             self._rng.getrandbits(32),
         )
+        budget = budget_by_name(policy.retries)
         backoff = Backoff(FIRST_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS, self._rng)
         return StageRunner(
             self._pool.of_service,
             router,
             StageEstimator(),
-            budget_by_name(policy.retries),
+            budget,
             backoff,
             claims=resolver,
             timers=self.timers,
             metrics=self.metrics,
+            hedges=hedges_by_name(policy.hedges, budget),
         )
 
     def _application(self) -> web.Application:
--- a/camphorrun/entry/peer_pool.py
+++ b/camphorrun/entry/peer_pool.py
@@ -163,6 +163,7 @@
 
     def _create(self, entry: HostEntry) -> None:
         state = EndpointState(entry.host, entry.availability_zone, entry.service)
+        state.is_relative = True
         state.on_link(False, self._timers.now())
         state.set_draining(entry.state == "leaving")
         peer = AgentPeer(
--- a/camphorrun/entry/request_service.py
+++ b/camphorrun/entry/request_service.py
@@ -139,6 +139,7 @@
             remaining_s=plan.deadline_at - now,
             predicted_s=self._executor.predicted_s(plan),
             needs=_needs(plan, work_s),
+            need_s=_longest_chain(plan, work_s),
         )
         ticket = self._admission.admit(request, now)
         if isinstance(ticket, Refused):
@@ -211,6 +212,11 @@
     return needs
 
 
+def _longest_chain(plan: RequestPlan, work_s: dict[str, float]) -> float:
+    """Return the predicted seconds of the request without any wait."""
+    return sum(max(work_s[stage.name] for stage in wave) for wave in plan.waves())
+
+
 def _met_deadline(
     plan: RequestPlan, outcome: Outcome | None, now: float
 ) -> bool | None:
--- a/camphorrun/entry/stage_runner.py
+++ b/camphorrun/entry/stage_runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Protocol
@@ -29,11 +29,13 @@
     StageCall,
     prompt_prefix,
 )
-from ..retries import Backoff, RetryBudget
+from ..retries import Backoff, HedgePolicy, NoHedges, RetryBudget
 from ..routing import NoEndpoint, Router, StageEstimator, StageRequest
 from .agent_peer import AgentPeer, AttemptResult, mostly_queued
 from .errors import AttemptLostError
+from .hedged_attempt import HedgedAttempt
 
+NO_HEDGES = NoHedges()
 MAX_ATTEMPTS = 4
 FIRST_BACKOFF_SECONDS = 0.01
 MAX_BACKOFF_SECONDS = 0.5
@@ -77,6 +79,8 @@
     last_code: str = ""
     retry_after_s: float = 0.0
     parts_sent: bool = False
+    # Attempts that may have reached an endpoint; with a hedge there are two at a time.
+    may_have_started: set[int] = field(default_factory=set)
 
 
 class StageRunner:
@@ -92,6 +96,8 @@
         Settles non-idempotent calls.
     timers, metrics
         Clock and counters.
+    hedges : HedgePolicy or NoHedges
+        Decides on second attempts.
     """
 
     def __init__(
@@ -105,6 +111,7 @@
         claims: ClaimResolver,
         timers: TimerService,
         metrics: Metrics,
+        hedges: HedgePolicy | NoHedges = NO_HEDGES,
     ):
         self._peers_of = peers_of
         self._router = router
@@ -114,6 +121,7 @@
         self._claims = claims
         self._timers = timers
         self._metrics = metrics
+        self._hedges = hedges
 
     def predicted_s(self, plan: RequestPlan, stage: PlannedStage) -> float:
         """Return the predicted service time and queue wait of a stage in seconds."""
@@ -133,7 +141,7 @@
         progress = _StageProgress()
         while True:
             peer = await self._choose(call, progress)
-            result = await self._attempt(call, peer, progress)
+            result = await self._attempt_with_hedge(call, peer, progress)
             output = await self._after(result, call, peer, progress)
             if output is not None:
                 return output
@@ -183,13 +191,61 @@
 
     # One attempt.
 
+    async def _attempt_with_hedge(
+        self, call: StageCall, peer: AgentPeer, progress: _StageProgress
+    ) -> AttemptResult | AttemptLostError:
+        """Run an attempt, with a second one beside it if it takes unusually long."""
+        stage = call.stage
+        delay_s = None
+        if not stage.stream:
+            delay_s = self._hedges.delay_s(_hedge_class(stage), stage.repeatable)
+        if delay_s is None:
+            return await self._attempt(call, peer, progress)
+        sent_at = self._timers.now()
+
+        def second() -> Coroutine | None:
+            other = self._hedge_peer(call, peer, progress, sent_at)
+            return other and self._attempt(call, other, progress)
+
+        hedged = HedgedAttempt(self._timers, delay_s, second)
+        return await hedged.run(self._attempt(call, peer, progress))
+
+    def _hedge_peer(
+        self,
+        call: StageCall,
+        peer: AgentPeer,
+        progress: _StageProgress,
+        sent_at: float,
+    ) -> AgentPeer | None:
+        """Return the peer of a hedge, None for no hedge."""
+        now = self._timers.now()
+        peers = self._peers_of(call.stage.service)
+        progress.exclude.add(peer.listed.host)
+        choice = self._router.choose(
+            [other.state for other in peers], self._stage_request(call, progress), now
+        )
+        if isinstance(choice, NoEndpoint) or not self._hedges.try_hedge(
+            _hedge_class(call.stage),
+            idempotent=call.stage.repeatable,
+            waited_s=now - sent_at,
+            queue_wait_s=choice.predicted_wait_s,
+            remaining_s=self._remaining_s(call),
+            now=now,
+        ):
+            return None
+        self._metrics.retries.labels("hedge").inc()
+        other = next(p for p in peers if p.state is choice.endpoint)
+        progress.exclude.add(other.listed.host)
+        return other
+
     async def _attempt(
         self, call: StageCall, peer: AgentPeer, progress: _StageProgress
     ) -> AttemptResult | AttemptLostError:
         progress.attempt += 1
         dispatch = self._dispatch(call, peer, progress)
         started_at = self._timers.now()
-        was_started = call.started
+        number = progress.attempt
+        progress.may_have_started.add(number)
         call.started = True
         try:
             result, parts = await peer.attempt(
@@ -200,10 +256,11 @@
         except AttemptLostError as exc:
             result, parts = exc, []
         except asyncio.CancelledError:
-            peer.state.on_cancel()
+            self._note_cancelled(call, peer, self._timers.now() - started_at)
             raise
         if isinstance(result, NotStarted | ClaimLost):
-            call.started = was_started
+            progress.may_have_started.discard(number)
+            call.started = bool(progress.may_have_started)
         seconds = self._timers.now() - started_at
         self._observe(call, peer, result, seconds)
         if isinstance(result, ResultEnd) and result.parts:
@@ -249,6 +306,14 @@
 
         return deliver
 
+    def _note_cancelled(self, call: StageCall, peer: AgentPeer, seconds: float) -> None:
+        """Count the cost of an attempt that was cancelled, at most its whole time."""
+        expected_s = self.work_s(call.plan, call.stage)
+        peer.state.on_abandoned(seconds, self._timers.now(), expected_s)
+        cost = StageCost(busy_s=seconds, bytes_in=len(call.payload))
+        trace = AttemptTrace(peer.listed.host, "cancelled", seconds, cost)
+        call.trace.attempts.append(trace)
+
     def _observe(
         self,
         call: StageCall,
@@ -271,7 +336,9 @@
             peer.state.on_cancel()
             return
         ok = isinstance(result, ResultEnd) and result.ok
-        peer.state.on_result(ok, max(0.0, seconds - cost.queue_s), now)
+        expected_s = self.work_s(call.plan, call.stage)
+        busy_s = max(0.0, seconds - cost.queue_s)
+        peer.state.on_result(ok, busy_s, now, expected_s)
         if ok:
             stage = call.stage
             self._estimator.observe(
@@ -281,6 +348,7 @@
                 stage.output_units,
                 cost.busy_s,
             )
+            self._hedges.observe(_hedge_class(stage), seconds)
 
     # What follows an attempt.
 
@@ -391,6 +459,11 @@
     return f"{stage.operation}/{stage.model}"
 
 
+def _hedge_class(stage: PlannedStage) -> str:
+    """Return the class of calls whose latencies are comparable."""
+    return f"{stage.service}/{_kind(stage)}"
+
+
 def _joined(result: ResultEnd, parts: list[bytes]) -> ResultEnd:
     """Return the final message of a stream with its text as a JSON string."""
     text = b"".join(parts).decode()
--- a/camphorrun/limits/concurrency.py
+++ b/camphorrun/limits/concurrency.py
@@ -16,15 +16,18 @@
 TOLERANCE = 1.5
 UPDATE_INTERVAL_SECONDS = 0.25
 PROBE_INTERVAL_SECONDS = 8.0
-PROBE_MAX_SECONDS = 1.0
+PROBE_MAX_SECONDS = 1.5
 PROBE_SAMPLES = 6
 # Time constant of the present latency.
 SHORT_SECONDS = 0.5
 # At low rates at least this many earlier calls count, because a single one is noise.
 MIN_RECENT_CALLS = 3.0
+# Sizes and baseline are noise before this many calls, so the limit does not follow yet.
+WARM_UP_CALLS = 16
 # Weight that earlier calls keep at most, so that a burst at one time counts too.
 MAX_KEEP = 0.95
 MIN_GRADIENT = 0.7
+BASELINE_WEIGHT = 0.2
 FAILURE_FACTOR = 0.9
 USED_SHARE = 0.8
 # A limit that fell to this share since the last probe asks for an early one.
@@ -71,6 +74,7 @@
         # Latencies are converted to calls of the usual mix.
         self._sizes = CallSizes()
         self._short = 0.0
+        self._calls = 0
         self._recent_s = 0.0
         self._recent_size = 0.0
         self._short_at: float | None = None
@@ -116,6 +120,7 @@
             self._update(sample.now)
 
     def _add_latency(self, sample: LatencySample) -> None:
+        self._calls += 1
         call = (sample.kind, sample.units, sample.output_units)
         self._sizes.observe(*call, sample.service_time_s)
         size = self._sizes.factor(*call)
@@ -165,7 +170,11 @@
         return now >= (early_at if fallen else self._next_probe_at)
 
     def _follow_gradient(self) -> None:
-        self._baseline = min(self._baseline, self._short)
+        if self._calls < WARM_UP_CALLS:
+            self._baseline = self._short
+        if self._short < self._baseline:
+            # Not at once, because a few lucky calls are no baseline.
+            self._baseline += BASELINE_WEIGHT * (self._short - self._baseline)
         gradient = TOLERANCE * self._baseline / self._short
         bounded = min(1.0, max(MIN_GRADIENT, gradient))
         target = self._value * bounded
@@ -189,7 +198,10 @@
             return
         if self._probe:
             seconds = sum(spent_s for spent_s, _ in self._probe)
-            self._baseline = seconds / sum(size for _, size in self._probe)
+            size = sum(size for _, size in self._probe)
+            # A probe with few calls moves the baseline in proportion.
+            weight = min(1.0, size / MIN_RECENT_CALLS)
+            self._baseline += weight * (seconds / size - self._baseline)
         self._probe_until = None
         self._probed_value = self._value
         self._next_probe_at = now + PROBE_INTERVAL_SECONDS
--- a/camphorrun/limits/sizes.py
+++ b/camphorrun/limits/sizes.py
@@ -11,6 +11,8 @@
 FIT_MEMORY_SAMPLES = 400.0
 # Weight of one call in the mean call of its kind and in the mix of kinds.
 MEAN_WEIGHT = 0.02
+# Below this many calls of a kind a line through them is noise; their mean is used.
+MIN_FIT_SAMPLES = 12
 
 
 @dataclass(slots=True)
@@ -20,6 +22,24 @@
     fit: LinearFit = field(default_factory=lambda: LinearFit(2, FIT_MEMORY_SAMPLES))
     mean: tuple[float, float] = (0.0, 0.0)
     share: float = 0.0
+    mean_s: float = 0.0
+
+    def add(self, units: tuple[float, float], seconds: float) -> None:
+        """Add a call."""
+        self.share += MEAN_WEIGHT
+        self.mean = tuple(
+            old + MEAN_WEIGHT * (new - old)
+            for old, new in zip(self.mean, units, strict=True)
+        )
+        self.fit.observe(units, seconds)
+        if self.fit.samples <= MIN_FIT_SAMPLES:
+            self.mean_s += (seconds - self.mean_s) / self.fit.samples
+
+    def predict(self, units: tuple[float, float]) -> float:
+        """Return the service time of a call of the kind."""
+        if self.fit.samples < MIN_FIT_SAMPLES:
+            return self.mean_s
+        return self.fit.predict(units)
 
 
 class CallSizes:
@@ -60,12 +80,7 @@
         self._kinds.move_to_end(kind)
         for other in self._kinds.values():
             other.share *= 1.0 - MEAN_WEIGHT
-        known.share += MEAN_WEIGHT
-        known.mean = tuple(
-            old + MEAN_WEIGHT * (new - old)
-            for old, new in zip(known.mean, units, strict=True)
-        )
-        known.fit.observe(units, seconds)
+        known.add(units, seconds)
         if not self._mix:
             self.rebase()
 
@@ -80,14 +95,13 @@
         known = self._kinds.get(kind)
         if known is None:
             return 1.0
-        return self._relative(known.fit.predict((input_units, output_units)))
+        return self._relative(known.predict((input_units, output_units)))
 
     def mix_factor(self) -> float:
         """Return the size of a call of the present mix, relative to the last base."""
         total = sum(known.share for known in self._kinds.values())
         seconds = sum(
-            known.share * known.fit.predict(known.mean)
-            for known in self._kinds.values()
+            known.share * known.predict(known.mean) for known in self._kinds.values()
         )
         return self._relative(seconds / total) if total > 0 else 1.0
 
@@ -104,5 +118,5 @@
             known = self._kinds.get(name)
             if known is not None:
                 total += share
-                seconds += share * known.fit.predict(mean)
+                seconds += share * known.predict(mean)
         return seconds / total if total > 0 else 0.0
--- a/camphorrun/replay/policies.py
+++ b/camphorrun/replay/policies.py
@@ -10,11 +10,12 @@
     "queue": ("least_laxity", "earliest_deadline", "first_come"),
     "admission": ("predictive", "admit_all"),
     "retries": ("budgeted", "unbounded"),
+    "hedges": ("hedged", "unhedged"),
 }
 RECOMMENDED = "recommended"
 # The combination of all baselines that a system without policies would use.
 PLAIN = "plain"
-_PLAIN = "random,first_come,admit_all,unbounded"
+_PLAIN = "random,first_come,admit_all,unbounded,unhedged"
 
 
 def policy_from_text(text: str, seed: int = 0) -> PolicySettings:
--- a/camphorrun/replay/tests/test_policies.py
+++ b/camphorrun/replay/tests/test_policies.py
@@ -4,7 +4,7 @@
 
 from ...admission import policy_by_name as admission_policy_by_name
 from ...limits import queue_policy_by_name
-from ...retries import budget_by_name
+from ...retries import budget_by_name, hedges_by_name
 from ...routing import policy_by_name as routing_policy_by_name
 from ..policies import PLAIN, RECOMMENDED, VALUES, policy_from_text
 
@@ -13,6 +13,7 @@
     "queue": queue_policy_by_name,
     "admission": admission_policy_by_name,
     "retries": budget_by_name,
+    "hedges": hedges_by_name,
 }
 
 
--- a/camphorrun/retries/hedging.py
+++ b/camphorrun/retries/hedging.py
@@ -85,3 +85,32 @@
         if remaining_s < median_s + queue_wait_s:
             return False
         return self._budget.try_withdraw(now)
+
+
+class NoHedges:
+    """Sends no hedge (baseline)."""
+
+    __slots__ = ()
+
+    def observe(self, service: str, latency_s: float) -> None:
+        """Do nothing."""
+
+    def delay_s(self, service: str, idempotent: bool) -> None:
+        """Return None, for never."""
+
+
+def hedges_by_name(
+    name: str, budget: RetryBudget | Unbounded | None = None
+) -> HedgePolicy | NoHedges:
+    """Return a new policy for a settings value, ``hedged`` or ``unhedged``.
+
+    Raises
+    ------
+    ValueError
+        If the name is unknown.
+    """
+    if name not in ("hedged", "unhedged"):
+        raise ValueError(f"hedges: expected hedged or unhedged, got {name!r}")
+    if name == "unhedged":
+        return NoHedges()
+    return HedgePolicy(RetryBudget() if budget is None else budget)
--- a/camphorrun/routing/endpoints.py
+++ b/camphorrun/routing/endpoints.py
@@ -7,6 +7,8 @@
 from ..messages import LoadReport
 
 LATENCY_WEIGHT = 0.2
+# Lower, because a short call that waited for a long one is compared by its size.
+RELATIVE_WEIGHT = 0.1
 # Low, so that failures spread over a service in overload make no single outlier.
 FAILURE_WEIGHT = 0.07
 # Load of other entries in a report loses its weight with this time constant, because
@@ -53,6 +55,9 @@
         Smoothed share of failed attempts.
     samples : int
         Results since the endpoint became active.
+    is_relative : bool
+        Whether results come with the latency expected of their kind of call. Endpoints
+        are then compared by the ratio, because their calls differ in size.
     ejected_until : float
         End of the present ejection.
     ejections : int
@@ -78,24 +83,45 @@
     probe_successes: int = 0
     probe_failures: int = 0
     last_result_at: float = field(default=-math.inf)
+    is_relative: bool = False
+    recent_latency_s: float = 0.0
+    recent_expected_s: float = 0.0
 
     def on_dispatch(self) -> None:
         """Count an attempt that is sent now."""
         self.in_flight += 1
 
-    def on_result(self, ok: bool, latency_s: float, now: float) -> None:
+    def on_result(
+        self, ok: bool, latency_s: float, now: float, expected_s: float = 0.0
+    ) -> None:
         """Record the end of an attempt; a failure says nothing about latency."""
         self.in_flight = max(0, self.in_flight - 1)
         self.samples += 1
         self.last_result_at = now
         self._record_failure(ok)
         if ok:
-            self._record_latency(latency_s)
+            self._record_latency(latency_s, expected_s)
 
     def on_cancel(self) -> None:
         """Forget an attempt that ended without a result, for instance cancelled."""
         self.in_flight = max(0, self.in_flight - 1)
 
+    def on_abandoned(
+        self, waited_s: float, now: float, expected_s: float = 0.0
+    ) -> None:
+        """Forget an attempt that was cancelled after ``waited_s``.
+
+        It took at least that long, so a slow endpoint is noticed although a hedge
+        elsewhere answered first. With a queue the wait says nothing.
+        """
+        self.on_cancel()
+        queued = self.report.queued if self.report is not None else 0
+        usual_s = expected_s or self.latency_s
+        if not queued and usual_s > 0 and waited_s > usual_s:
+            self.samples += 1
+            self.last_result_at = now
+            self._record_latency(waited_s, expected_s)
+
     def on_report(self, report: LoadReport, now: float) -> None:
         """Take over a load report."""
         self.report = report
@@ -119,6 +145,17 @@
         self.samples = 0
         self.failure_rate = 0.0
         self.latency_s = 0.0
+        self.recent_latency_s = 0.0
+        self.recent_expected_s = 0.0
+
+    @property
+    def slowness(self) -> float:
+        """Latency to compare with other endpoints of the service; 0 if unknown."""
+        if not self.is_relative:
+            return self.latency_s
+        if self.recent_expected_s <= 0:
+            return 0.0
+        return self.recent_latency_s / self.recent_expected_s
 
     @property
     def limit(self) -> int:
@@ -157,14 +194,22 @@
         Failures raise the score, so that failing fast never looks like low load.
         """
         healthy = max(0.05, 1.0 - self.failure_rate)
-        return self.service_time_s() * (1.0 + self.utilisation(now)) / healthy
+        return self._speed_s() * (1.0 + self.utilisation(now)) / healthy
+
+    def _speed_s(self) -> float:
+        if self.is_relative:
+            return DEFAULT_SERVICE_SECONDS * (self.slowness or 1.0)
+        return self.service_time_s()
 
     def _record_failure(self, ok: bool) -> None:
         failed = 0.0 if ok else 1.0
         weight = max(FAILURE_WEIGHT, 1.0 / self.samples)
         self.failure_rate += weight * (failed - self.failure_rate)
 
-    def _record_latency(self, latency_s: float) -> None:
+    def _record_latency(self, latency_s: float, expected_s: float) -> None:
+        keep = 1.0 - RELATIVE_WEIGHT
+        self.recent_latency_s = self.recent_latency_s * keep + latency_s
+        self.recent_expected_s = self.recent_expected_s * keep + expected_s
         if self.latency_s <= 0:
             self.latency_s = latency_s
         else:
--- a/camphorrun/routing/outliers.py
+++ b/camphorrun/routing/outliers.py
@@ -53,16 +53,16 @@
         """Eject outliers, start probes and reinstate; return the changes."""
         live = [state for state in states if state.link_up]
         changes = []
-        typical_s = _typical_latency_s(live)
+        typical = _typical_slowness(live)
         for state in live:
-            change = self._advance(state, typical_s, now)
+            change = self._advance(state, typical, now)
             if change is not None:
                 changes.append(change)
-        changes.extend(self._eject_outliers(live, typical_s, now))
+        changes.extend(self._eject_outliers(live, typical, now))
         return changes
 
     def _advance(
-        self, state: EndpointState, typical_s: float, now: float
+        self, state: EndpointState, typical: float, now: float
     ) -> EjectionChange | None:
         """Move an ejected or probing endpoint on."""
         if state.ejection is EjectionState.EJECTED and now >= state.ejected_until:
@@ -70,15 +70,15 @@
             state.ejection = EjectionState.PROBING
             return EjectionChange(state.host, state.ejection, "probe")
         if state.ejection is EjectionState.PROBING:
-            return self._judge_probes(state, typical_s, now)
+            return self._judge_probes(state, typical, now)
         if now - state.ejected_until > FORGIVE_SECONDS:
             state.ejections = 0
         return None
 
     def _judge_probes(
-        self, state: EndpointState, typical_s: float, now: float
+        self, state: EndpointState, typical: float, now: float
     ) -> EjectionChange | None:
-        if state.failure_rate > 0 or _is_slow(state, typical_s):
+        if state.failure_rate > 0 or _is_slow(state, typical):
             return self._eject(state, "probe_failed", now)
         if state.samples < PROBES_TO_RETURN:
             return None
@@ -86,13 +86,13 @@
         return EjectionChange(state.host, state.ejection, "reinstated")
 
     def _eject_outliers(
-        self, live: Sequence[EndpointState], typical_s: float, now: float
+        self, live: Sequence[EndpointState], typical: float, now: float
     ) -> list[EjectionChange]:
         """Eject the worst active endpoints, as far as the share allows."""
         out = sum(1 for state in live if state.ejection is not EjectionState.ACTIVE)
         allowed = len(live) // EJECTED_DIVISOR - out
         active = [s for s in live if s.ejection is EjectionState.ACTIVE]
-        outliers = _outliers(active, typical_s)
+        outliers = _outliers(active, typical)
         chosen = outliers[: max(0, min(allowed, len(active) - 1))]
         return [self._eject(state, reason, now) for state, reason in chosen]
 
@@ -104,17 +104,17 @@
         return EjectionChange(state.host, state.ejection, reason)
 
 
-def _typical_latency_s(live: Sequence[EndpointState]) -> float:
+def _typical_slowness(live: Sequence[EndpointState]) -> float:
     known = [
-        state.latency_s
+        state.slowness
         for state in live
-        if state.ejection is EjectionState.ACTIVE and state.latency_s > 0
+        if state.ejection is EjectionState.ACTIVE and state.slowness > 0
     ]
     return median(known) if known else 0.0
 
 
 def _outliers(
-    active: Sequence[EndpointState], typical_s: float
+    active: Sequence[EndpointState], typical: float
 ) -> list[tuple[EndpointState, str]]:
     """Return failing endpoints, worst first, then slow ones."""
     if len(active) < 2:
@@ -123,11 +123,11 @@
     known = [state for state in active if state.samples >= MIN_SAMPLES]
     bound = max(typical_rate + FAILURE_MARGIN, typical_rate * FAILURE_FACTOR)
     failing = [s for s in known if s.failure_rate > bound]
-    slow = [s for s in known if s not in failing and _is_slow(s, typical_s)]
+    slow = [s for s in known if s not in failing and _is_slow(s, typical)]
     failing.sort(key=lambda state: -state.failure_rate)
-    slow.sort(key=lambda state: -state.latency_s)
+    slow.sort(key=lambda state: -state.slowness)
     return [(s, "failing") for s in failing] + [(s, "slow") for s in slow]
 
 
-def _is_slow(state: EndpointState, typical_s: float) -> bool:
-    return 0 < typical_s * SLOW_FACTOR < state.latency_s
+def _is_slow(state: EndpointState, typical: float) -> bool:
+    return 0 < typical * SLOW_FACTOR < state.slowness
--- a/camphorrun/settings/roles.py
+++ b/camphorrun/settings/roles.py
@@ -77,6 +77,7 @@
     queue: str = "least_laxity"
     admission: str = "predictive"
     retries: str = "budgeted"
+    hedges: str = "hedged"
     seed: int = 0
 
 
