--- a/camphorrun/settings/roles.py
+++ b/camphorrun/settings/roles.py
@@ -77,7 +77,7 @@
     queue: str = "least_laxity"
     admission: str = "predictive"
     retries: str = "budgeted"
-    hedges: str = "hedged"
+    hedges: str = "unhedged"
     seed: int = 0
 
 
