--- a/camphorrun/limits/concurrency.py
+++ b/camphorrun/limits/concurrency.py
@@ -22,6 +22,8 @@
 SHORT_SECONDS = 0.5
 # At low rates at least this many earlier calls count, because a single one is noise.
 MIN_RECENT_CALLS = 3.0
+# Size of the calls at the full limit, in calls of the mix, that decide about growth.
+MIN_LOADED_CALLS = 1.0
 # Sizes and baseline are noise before this many calls, so the limit does not follow yet.
 WARM_UP_CALLS = 16
 # Weight that earlier calls keep at most, so that a burst at one time counts too.
@@ -75,13 +77,14 @@
         self._sizes = CallSizes()
         self._short = 0.0
         self._calls = 0
+        self._loaded_s = 0.0
+        self._loaded_size = 0.0
         self._recent_s = 0.0
         self._recent_size = 0.0
         self._short_at: float | None = None
         self._baseline = 0.0
         self._probed_value = 0.0
         self._updated_at = 0.0
-        self._peak_in_flight = 0
         self._failed = False
         self._next_probe_at: float | None = None
         self._probe_until: float | None = None
@@ -111,7 +114,6 @@
 
     def observe(self, sample: LatencySample) -> None:
         """Add a finished call and adapt the limit."""
-        self._peak_in_flight = max(self._peak_in_flight, sample.in_flight)
         if sample.ok:
             self._add_latency(sample)
         else:
@@ -124,6 +126,10 @@
         call = (sample.kind, sample.units, sample.output_units)
         self._sizes.observe(*call, sample.service_time_s)
         size = self._sizes.factor(*call)
+        is_used = sample.in_flight >= self.limit * USED_SHARE
+        if is_used and self._probe_until is None:
+            self._loaded_s += sample.service_time_s
+            self._loaded_size += size
         self._smooth(sample.service_time_s, size, sample.now)
         if self._probe_until is not None and sample.in_flight <= self.limit:
             self._probe.append((sample.service_time_s, size))
@@ -157,7 +163,6 @@
         elif self._baseline > 0:
             self._follow_gradient()
         self._failed = False
-        self._peak_in_flight = 0
         if self._probe_due(now):
             self._start_probe(now)
 
@@ -176,10 +181,16 @@
             # Not at once, because a few lucky calls are no baseline.
             self._baseline += BASELINE_WEIGHT * (self._short - self._baseline)
         gradient = TOLERANCE * self._baseline / self._short
+        # Unused concurrency proves nothing, so the limit grows only on calls that were
+        # started while it was used.
+        is_used = self._loaded_size >= MIN_LOADED_CALLS
+        if is_used:
+            loaded = self._loaded_s / self._loaded_size
+            gradient = min(gradient, TOLERANCE * self._baseline / loaded)
+            self._loaded_s = self._loaded_size = 0.0
         bounded = min(1.0, max(MIN_GRADIENT, gradient))
         target = self._value * bounded
-        # Unused concurrency proves nothing, so the limit grows only while it is used.
-        if gradient >= 1.0 and self._peak_in_flight >= self.limit * USED_SHARE:
+        if is_used and gradient >= 1.0:
             target += math.sqrt(self._value) / 2
         self._value = min(self._maximum, max(self._minimum, target))
 
@@ -203,5 +214,6 @@
             weight = min(1.0, size / MIN_RECENT_CALLS)
             self._baseline += weight * (seconds / size - self._baseline)
         self._probe_until = None
+        self._loaded_s = self._loaded_size = 0.0
         self._probed_value = self._value
         self._next_probe_at = now + PROBE_INTERVAL_SECONDS
