--- a/camphorrun/limits/concurrency.py
+++ b/camphorrun/limits/concurrency.py
@@ -15,8 +15,9 @@
 # Accepted ratio of the latency at the limit to the latency at half the limit.
 TOLERANCE = 1.5
 UPDATE_INTERVAL_SECONDS = 0.25
+MAX_UPDATE_SECONDS = 1.0
 PROBE_INTERVAL_SECONDS = 8.0
-PROBE_MAX_SECONDS = 1.5
+PROBE_MAX_SECONDS = 1.0
 PROBE_SAMPLES = 6
 # Time constant of the present latency.
 SHORT_SECONDS = 0.5
@@ -28,7 +29,9 @@
 WARM_UP_CALLS = 16
 # Weight that earlier calls keep at most, so that a burst at one time counts too.
 MAX_KEEP = 0.95
+# Least factor for each update interval, and for an update after a longer time.
 MIN_GRADIENT = 0.7
+LEAST_GRADIENT = 0.5
 BASELINE_WEIGHT = 0.2
 FAILURE_FACTOR = 0.9
 USED_SHARE = 0.8
@@ -93,8 +96,10 @@
     @property
     def limit(self) -> int:
         """Calls that may be in flight now."""
-        value = self._value / 2 if self._probe_until is not None else self._value
-        return max(self._minimum, int(value))
+        if self._probe_until is None:
+            return self.steady_limit
+        # Rounded up: half of three would leave one of two slots idle.
+        return max(self._minimum, math.ceil(self.steady_limit / 2))
 
     @property
     def steady_limit(self) -> int:
@@ -118,8 +123,10 @@
             self._add_latency(sample)
         else:
             self._failed = True
-        if sample.now - self._updated_at >= UPDATE_INTERVAL_SECONDS:
-            self._update(sample.now)
+        # A change shows only in calls that started after it.
+        interval_s = max(UPDATE_INTERVAL_SECONDS, min(self._short, MAX_UPDATE_SECONDS))
+        if sample.now - self._updated_at >= interval_s:
+            self._update(sample.now, sample.now - self._updated_at)
 
     def _add_latency(self, sample: LatencySample) -> None:
         self._calls += 1
@@ -154,14 +161,14 @@
         self._short = self._recent_s / self._recent_size
         self._short_at = now
 
-    def _update(self, now: float) -> None:
+    def _update(self, now: float, elapsed_s: float) -> None:
         self._updated_at = now
         if self._failed:
             self._value = max(self._minimum, self._value * FAILURE_FACTOR)
         elif self._probe_until is not None:
             self._finish_probe(now)
         elif self._baseline > 0:
-            self._follow_gradient()
+            self._follow_gradient(elapsed_s)
         self._failed = False
         if self._probe_due(now):
             self._start_probe(now)
@@ -174,7 +181,7 @@
         early_at = self._next_probe_at - PROBE_INTERVAL_SECONDS * 0.75
         return now >= (early_at if fallen else self._next_probe_at)
 
-    def _follow_gradient(self) -> None:
+    def _follow_gradient(self, elapsed_s: float) -> None:
         if self._calls < WARM_UP_CALLS:
             self._baseline = self._short
         if self._short < self._baseline:
@@ -188,7 +195,8 @@
             loaded = self._loaded_s / self._loaded_size
             gradient = min(gradient, TOLERANCE * self._baseline / loaded)
             self._loaded_s = self._loaded_size = 0.0
-        bounded = min(1.0, max(MIN_GRADIENT, gradient))
+        steps = elapsed_s / UPDATE_INTERVAL_SECONDS
+        bounded = min(1.0, max(LEAST_GRADIENT, MIN_GRADIENT**steps, gradient))
         target = self._value * bounded
         if is_used and gradient >= 1.0:
             target += math.sqrt(self._value) / 2
