Let small limits bear one waiting call; see lost entries in the load

Cause: at a limit of two to four a single waiting call already exceeds the accepted latency, so slots idled. A lost entry that is still listed halved the capacity that the remaining one admitted.

Change: the accepted ratio has one call's share on top. An entry whose share of the reported work is clearly above an equal share takes that share.

--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -23,7 +23,13 @@
 from ..pipeline import PipelineExecutor
 from ..platform import HostEntry, HostListClient, LogClient
 from ..retries import Backoff, budget_by_name, hedges_by_name
-from ..routing import Router, StageEstimator, policy_by_name, service_capacity
+from ..routing import (
+    Router,
+    StageEstimator,
+    load_share,
+    policy_by_name,
+    service_capacity,
+)
 from ..settings import EntrySettings, key_ring
 from .api import CallerRoutes
 from .claim_resolver import LogClaimResolver
@@ -42,6 +48,8 @@
 
 DRAIN_POLL_SECONDS = 0.05
 CAPACITY_SECONDS = 0.5
+# The observed share of the load counts from this multiple of an equal share on.
+CLEAR_SHARE_FACTOR = 1.5
 FLEET_STREAM = "fleet"
 ACCOUNTS_STREAM = "accounts"
 
@@ -232,13 +240,15 @@
 
     def _note_capacity(self) -> None:
         """Tell admission how much work each service can do a second for this entry."""
-        capacities = {
-            service: service_capacity(
-                [peer.state for peer in self._pool.of_service(service)]
-            )
-            / self._live_entries
-            for service in self._pool.services()
-        }
+        capacities = {}
+        for service in self._pool.services():
+            states = [peer.state for peer in self._pool.of_service(service)]
+            share = 1.0 / self._live_entries
+            # The host list lags, so entries that were lost may still be listed.
+            observed = load_share(states)
+            if observed > share * CLEAR_SHARE_FACTOR:
+                share = observed
+            capacities[service] = service_capacity(states) * share
         self._admission.on_capacity(capacities, self.timers.now())
 
     def _on_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
--- a/camphorrun/limits/concurrency.py
+++ b/camphorrun/limits/concurrency.py
@@ -12,7 +12,8 @@
 
 from .sizes import CallSizes
 
-# Accepted ratio of the latency at the limit to the latency at half the limit.
+# Accepted ratio of the latency at the limit to the latency at half the limit, for a
+# large limit. At a small one a single waiting call already adds its share.
 TOLERANCE = 1.5
 UPDATE_INTERVAL_SECONDS = 0.25
 MAX_UPDATE_SECONDS = 1.0
@@ -187,13 +188,14 @@
         if self._short < self._baseline:
             # Not at once, because a few lucky calls are no baseline.
             self._baseline += BASELINE_WEIGHT * (self._short - self._baseline)
-        gradient = TOLERANCE * self._baseline / self._short
+        accepted = (TOLERANCE + 1.0 / self._value) * self._baseline
+        gradient = accepted / self._short
         # Unused concurrency proves nothing, so the limit grows only on calls that were
         # started while it was used.
         is_used = self._loaded_size >= MIN_LOADED_CALLS
         if is_used:
             loaded = self._loaded_s / self._loaded_size
-            gradient = min(gradient, TOLERANCE * self._baseline / loaded)
+            gradient = min(gradient, accepted / loaded)
             self._loaded_s = self._loaded_size = 0.0
         steps = elapsed_s / UPDATE_INTERVAL_SECONDS
         bounded = min(1.0, max(LEAST_GRADIENT, MIN_GRADIENT**steps, gradient))
--- a/camphorrun/routing/__init__.py
+++ b/camphorrun/routing/__init__.py
@@ -1,7 +1,7 @@
 """Endpoint selection, load estimates, outlier ejection and baselines."""
 
 from .endpoints import EjectionState, EndpointState, StageRequest
-from .estimates import StageEstimator, service_capacity
+from .estimates import StageEstimator, load_share, service_capacity
 from .outliers import OutlierDetector
 from .policies import (
     BalancedPolicy,
@@ -27,6 +27,7 @@
     "Router",
     "StageEstimator",
     "StageRequest",
+    "load_share",
     "policy_by_name",
     "service_capacity",
 ]
--- a/camphorrun/routing/estimates.py
+++ b/camphorrun/routing/estimates.py
@@ -7,6 +7,8 @@
 from .endpoints import DEFAULT_SERVICE_SECONDS, EjectionState, EndpointState
 
 MAX_KINDS = 512
+# Below this much work in the reports a share of it is noise.
+MIN_WORK_TO_SHARE = 4
 
 
 class StageEstimator:
@@ -81,6 +83,19 @@
     return float(sum(state.limit for state in states if _usable(state)))
 
 
+def load_share(states: Iterable[EndpointState]) -> float:
+    """Return this entry's share of the work that the last reports show; 0 if unknown.
+
+    It shows entries that the host list still has and that send nothing any more.
+    """
+    ours = total = 0
+    for state in states:
+        if _usable(state) and state.report is not None:
+            total += state.report.in_flight + state.report.queued
+            ours += state.in_flight_at_report
+    return min(1.0, ours / total) if total >= MIN_WORK_TO_SHARE else 0.0
+
+
 def _usable(state: EndpointState) -> bool:
     if not state.link_up or state.draining:
         return False
