--- a/camphorrun/admission/controller.py
+++ b/camphorrun/admission/controller.py
@@ -46,8 +46,9 @@
 class AdmissionRequest:
     """A request that asks to be admitted.
 
-    ``predicted_s`` is the predicted time to completion, queue waits included, and
-    ``weight`` the share of the client account relative to others.
+    ``predicted_s`` is the predicted time to completion, queue waits included,
+    ``weight`` the share of the client account relative to others, and ``need_s`` the
+    predicted time without any wait, 0 if it is unknown.
     """
 
     account: str
@@ -56,6 +57,7 @@
     remaining_s: float
     predicted_s: float
     cost: float
+    need_s: float = 0.0
 
     def __post_init__(self):
         if not self.weight > 0 or not self.cost >= 0:
@@ -119,6 +121,7 @@
         self._completed_at = -math.inf
         self._usual_remaining_s = 0.0
         self._least_need_s = math.inf
+        self._usual_need_s = 0.0
         self.in_flight = 0
         self.outstanding_cost = 0.0
 
@@ -133,11 +136,35 @@
 
     def release(self, account: str, cost: float, now: float) -> None:
         """Record the end of an admitted request."""
-        self.in_flight = max(0, self.in_flight - 1)
+        self.abandon(0.0)
+        self.release_cost(cost, now)
+
+    def release_cost(self, cost: float, now: float) -> None:
+        """Record completed work of an admitted request that goes on elsewhere."""
         self.outstanding_cost = max(0.0, self.outstanding_cost - cost)
         self._completed = self._completion_rate(now) + cost / COMPLETION_SECONDS
         self._completed_at = now
 
+    def abandon(self, cost: float) -> None:
+        """Record the end of an admitted request; ``cost`` of it was not worked off."""
+        self.in_flight = max(0, self.in_flight - 1)
+        self.outstanding_cost = max(0.0, self.outstanding_cost - cost)
+
+    def withdraw(self, request: AdmissionRequest) -> None:
+        """Undo the admission of a request that another service refused."""
+        self.abandon(request.cost)
+        level = self._levels.get(request.priority)
+        if level is not None:
+            level.refund(request.account, request.cost)
+
+    def scarcity(self, now: float) -> float:
+        """Return the offered demand as a share of what is admitted."""
+        rate = self._allowed_rate(now)
+        demand = sum(level.total.rate_at(now) for level in self._levels.values())
+        if rate <= 0:
+            return math.inf
+        return demand / rate
+
     def on_capacity(self, capacity_cost_per_s: float, now: float) -> None:
         """Set the capacity available to this entry."""
         reported = max(0.0, capacity_cost_per_s)
@@ -173,8 +200,7 @@
 
     def check_share(self, request: AdmissionRequest, now: float) -> str:
         """Count the demand of a request; return why it is refused, or nothing."""
-        need_s = min(self._least_need_s, request.predicted_s)
-        self._least_need_s = need_s + NEED_WEIGHT * (request.predicted_s - need_s)
+        self._note_need(request)
         change_s = request.remaining_s - self._usual_remaining_s
         self._usual_remaining_s += REMAINING_WEIGHT * change_s
         level = self._levels.setdefault(request.priority, LevelDemand())
@@ -185,6 +211,15 @@
             return ""
         return OVER_SHARE if level.level > 0 else OVERLOADED
 
+    def _note_need(self, request: AdmissionRequest) -> None:
+        """Learn the time without wait; the least prediction serves if none is given."""
+        if request.need_s > 0:
+            need_s = self._usual_need_s or request.need_s
+            self._usual_need_s = need_s + REMAINING_WEIGHT * (request.need_s - need_s)
+            return
+        need_s = min(self._least_need_s, request.predicted_s)
+        self._least_need_s = need_s + NEED_WEIGHT * (request.predicted_s - need_s)
+
     def retry_after_s(self) -> float:
         """Return when the work that is outstanding now will be done."""
         if self._capacity <= 0:
@@ -217,7 +252,8 @@
         usual_s = self._usual_remaining_s
         if usual_s <= 0:
             return 0.0
-        wanted_s = max(BACKLOG_SHARE * usual_s, NEED_FACTOR * self._least_need_s)
+        need_s = self._usual_need_s or self._least_need_s
+        wanted_s = max(BACKLOG_SHARE * usual_s, NEED_FACTOR * need_s)
         return min(MAX_BACKLOG_SHARE * usual_s, wanted_s)
 
     def _too_many_misses(self) -> bool:
--- a/camphorrun/agent/worker.py
+++ b/camphorrun/agent/worker.py
@@ -29,6 +29,7 @@
     ResultEnd,
     ResultPart,
     Resume,
+    StageCost,
     StoreOutcome,
 )
 from ..metrics import Metrics
@@ -103,10 +104,14 @@
 
     def load(self) -> LoadReport:
         """Return the present load."""
-        service_time_s = self._limit.service_time_s(1.0)
-        wait_s = len(self._queue) * service_time_s / self._limit.limit
+        service_time_s = self._limit.mean_service_time_s
+        wait_s = len(self._queue) * service_time_s / self._limit.steady_limit
         return LoadReport(
-            self._running, self._limit.limit, len(self._queue), wait_s, service_time_s
+            self._running,
+            self._limit.steady_limit,
+            len(self._queue),
+            wait_s,
+            service_time_s,
         )
 
     @singledispatchmethod
@@ -185,14 +190,15 @@
 
     def _queue_item(self, record: AttemptRecord) -> QueueItem:
         dispatch = record.dispatch
-        units = dispatch.input_units + dispatch.output_units
         return QueueItem(
             token=record,
             priority=dispatch.priority,
             enqueued_at=record.received_at,
             deadline_at=record.deadline_at,
             downstream_s=dispatch.downstream_s,
-            estimate_s=self._limit.service_time_s(units),
+            estimate_s=self._limit.service_time_s(
+                dispatch.input_units, dispatch.output_units, _kind(dispatch)
+            ),
             patience=dispatch.remaining_s >= PATIENT_DEADLINE_SECONDS,
         )
 
@@ -217,10 +223,10 @@
         try:
             final = await self._claim_and_run(record, in_flight)
         except asyncio.CancelledError:
-            final = _failed(record, "cancelled", "cancelled by the entry")
+            final = self._failed(record, "cancelled", "cancelled by the entry")
         except Exception as exc:
             logging.exception("attempt %s failed", record.dispatch.attempt)
-            final = _failed(record, "internal", repr(exc))
+            final = self._failed(record, "internal", repr(exc))
         finally:
             self._running -= 1
         self._finish(record, final)
@@ -265,7 +271,7 @@
             final = await self._runner.run(record, fencing_token)
         except EndpointError as exc:
             self._observe(record, in_flight, ok=False)
-            return _failed(record, exc.code, str(exc), executed=exc.executed)
+            return self._failed(record, exc.code, str(exc), executed=exc.executed)
         except asyncio.CancelledError:
             await self._runner.cancel(record)
             raise
@@ -275,14 +281,41 @@
     def _observe(self, record: AttemptRecord, in_flight: int, *, ok: bool) -> None:
         now = self._timers.now()
         dispatch = record.dispatch
-        units = dispatch.input_units + dispatch.output_units
-        elapsed_s = now - record.started_at
-        self._limit.observe(LatencySample(elapsed_s, units, in_flight, ok, now))
+        sample = LatencySample(
+            now - record.started_at,
+            dispatch.input_units,
+            in_flight,
+            ok,
+            now,
+            dispatch.output_units,
+            _kind(dispatch),
+        )
+        self._limit.observe(sample)
         self._metrics.attempts.labels(dispatch.service, "ok" if ok else "failed").inc()
         self._metrics.stage_seconds.labels(dispatch.service).observe(
             now - record.received_at
         )
 
+    def _failed(
+        self, record: AttemptRecord, code: str, detail: str, *, executed: bool = True
+    ) -> ResultEnd:
+        """Return the end of a failed attempt with the time that it took."""
+        now = self._timers.now()
+        started_at = record.started_at or now
+        cost = StageCost(
+            busy_s=now - started_at,
+            queue_s=started_at - record.received_at,
+            bytes_in=len(record.dispatch.payload),
+        )
+        return ResultEnd(
+            record.dispatch.attempt,
+            ok=False,
+            code=code,
+            detail=detail,
+            executed=executed,
+            cost=cost,
+        )
+
     def _finish(self, record: AttemptRecord, final: FinalMessage) -> None:
         final = _with_load(final, self.load())
         self._store.finish(record, final, self._timers.now())
@@ -337,16 +370,13 @@
         return
 
 
-def _attempt_token(attempt: AttemptId) -> str:
-    return f"{attempt.request_id}.{attempt.stage}.{attempt.attempt}"
+def _kind(dispatch: Dispatch) -> str:
+    """Return the kind of work, whose service time depends on its units alone."""
+    return f"{dispatch.operation}/{dispatch.model}"
 
 
-def _failed(
-    record: AttemptRecord, code: str, detail: str, *, executed: bool = True
-) -> ResultEnd:
-    return ResultEnd(
-        record.dispatch.attempt, ok=False, code=code, detail=detail, executed=executed
-    )
+def _attempt_token(attempt: AttemptId) -> str:
+    return f"{attempt.request_id}.{attempt.stage}.{attempt.attempt}"
 
 
 def _claim_refusal(
--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -6,7 +6,7 @@
 import aiohttp
 from aiohttp import web
 
-from ..admission import AdmissionController
+from ..admission import AdmissionGroup
 from ..admission import policy_by_name as admission_policy_by_name
 from ..configuration import CarryForwarder, PlacementIndex
 from ..core import LoopTimerService, Supervisor, TimerService, new_identifier
@@ -24,14 +24,21 @@
 from ..metrics import Metrics
 from ..pipeline import PipelineExecutor
 from ..platform import HostEntry, HostListClient, LogClient
-from ..retries import Backoff, budget_by_name
-from ..routing import Router, StageEstimator, policy_by_name
+from ..retries import Backoff, budget_by_name, hedges_by_name
+from ..routing import (
+    Router,
+    StageEstimator,
+    load_share,
+    policy_by_name,
+    service_capacity,
+)
 from ..settings import EntrySettings, key_ring
 from .api import CallerRoutes
 from .claim_resolver import LogClaimResolver
 from .explain_route import ExplainRoute
 from .key_service import KeyService
 from .outcome_cache import OutcomeCache
+from .outlier_monitor import OutlierMonitor
 from .peer_pool import PeerPool
 from .planner import Planner
 from .request_service import RequestService
@@ -43,6 +50,8 @@
 
 DRAIN_POLL_SECONDS = 0.05
 CAPACITY_SECONDS = 0.5
+# The observed share of the load counts from this multiple of an equal share on.
+CLEAR_SHARE_FACTOR = 1.5
 FLEET_STREAM = "fleet"
 ACCOUNTS_STREAM = "accounts"
 
@@ -66,6 +75,7 @@
         self.lifecycle = Lifecycle(settings.host.name, self.incarnation)
         self._supervisor = Supervisor(settings.host.name, self.timers)
         self._rng = random.Random(settings.policy.seed or None)
+        self._live_entries = 1
 
     async def run(self) -> None:
         """Serve until a drain has ended."""
@@ -108,7 +118,7 @@
             metrics=self.metrics,
         )
         self._pool = self._build_pool(session)
-        self._admission = AdmissionController(
+        self._admission = AdmissionGroup(
             admission_policy_by_name(self.settings.policy.admission),
             self.settings.max_requests,
         )
@@ -125,6 +135,7 @@
         watcher = HostWatcher(hosts, self.timers, self._on_hosts)
         self._supervisor.add("host-list", watcher.run)
         self.timers.subscribe(CAPACITY_SECONDS, self._note_capacity)
+        OutlierMonitor(self._pool, self.timers, self.metrics).start()
 
     def _build_pool(self, session: aiohttp.ClientSession) -> PeerPool:
         host = self.settings.host
@@ -171,17 +182,19 @@
             self.settings.host.availability_zone,
             self._rng.getrandbits(32),
         )
+        budget = budget_by_name(policy.retries)
         backoff = Backoff(FIRST_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS, self._rng)
         return StageRunner(
             self._pool.of_service,
             router,
             StageEstimator(),
-            budget_by_name(policy.retries),
+            budget,
             backoff,
             claims=resolver,
             timers=self.timers,
             metrics=self.metrics,
             holds=PlacementIndex(self._sync.view(FLEET_STREAM)).holds,
+            hedges=hedges_by_name(policy.hedges, budget),
         )
 
     def _application(self) -> web.Application:
@@ -238,19 +251,25 @@
         }
 
     def _note_capacity(self) -> None:
-        """Tell admission how much work the linked endpoints can do a second."""
-        capacity = sum(
-            peer.state.limit
-            for peer in self._pool.all()
-            if peer.state.link_up and not peer.state.draining
-        )
-        self._admission.on_capacity(float(capacity), self.timers.now())
+        """Tell admission how much work each service can do a second for this entry."""
+        capacities = {}
+        for service in self._pool.services():
+            states = [peer.state for peer in self._pool.of_service(service)]
+            share = 1.0 / self._live_entries
+            # The host list lags, so entries that were lost may still be listed.
+            observed = load_share(states)
+            if observed > share * CLEAR_SHARE_FACTOR:
+                share = observed
+            capacities[service] = service_capacity(states) * share
+        self._admission.on_capacity(capacities, self.timers.now())
 
     def _on_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
         name = self.settings.host.name
         if any(entry.host == name and entry.state == "leaving" for entry in hosts):
             self.lifecycle.drain("host list marks the host as leaving")
         self._relay.update(hosts)
+        live = sum(entry.role == "entry" and entry.state == "live" for entry in hosts)
+        self._live_entries = max(1, live)
         self._pool.update(hosts)
         self._apply_drains()
 
--- a/camphorrun/entry/peer_pool.py
+++ b/camphorrun/entry/peer_pool.py
@@ -81,6 +81,10 @@
         """Return the peers of a service."""
         return self._by_service.get(service, [])
 
+    def services(self) -> tuple[str, ...]:
+        """Return the services that have had a peer."""
+        return tuple(self._by_service)
+
     def all(self) -> list[AgentPeer]:
         """Return all peers."""
         return list(self._peers.values())
@@ -230,6 +234,7 @@
 
     def _create(self, entry: HostEntry) -> None:
         state = EndpointState(entry.host, entry.availability_zone, entry.service)
+        state.is_relative = True
         state.on_link(False, self._timers.now())
         state.set_draining(entry.state == "leaving")
         peer = AgentPeer(
--- a/camphorrun/routing/estimates.py
+++ b/camphorrun/routing/estimates.py
@@ -6,11 +6,15 @@
 from ..limits import LinearFit
 from .endpoints import DEFAULT_SERVICE_SECONDS, EjectionState, EndpointState
 
-MAX_MODELS = 512
+MAX_KINDS = 512
+# Below this much work in the reports a share of it is noise.
+MIN_WORK_TO_SHARE = 4
 
 
 class StageEstimator:
-    """Learns the seconds that input and output units cost, by service and model.
+    """Learns the seconds that input and output units cost, by service and kind.
+
+    A kind is an operation with its model.
 
     Examples
     --------
@@ -28,26 +32,26 @@
     def observe(
         self,
         service: str,
-        model: str,
+        kind: str,
         input_units: int,
         output_units: int,
         service_time_s: float,
     ) -> None:
         """Add the service time of a successful attempt, without its queue wait."""
-        key = (service, model)
+        key = (service, kind)
         fit = self._fits.get(key)
         if fit is None:
             fit = self._fits[key] = LinearFit(2)
-            if len(self._fits) > MAX_MODELS:
+            if len(self._fits) > MAX_KINDS:
                 self._fits.popitem(last=False)
         self._fits.move_to_end(key)
         fit.observe((input_units, output_units), service_time_s)
 
     def estimate_s(
-        self, service: str, model: str, input_units: int, output_units: int
+        self, service: str, kind: str, input_units: int, output_units: int
     ) -> float:
         """Return the predicted service time."""
-        fit = self._fits.get((service, model))
+        fit = self._fits.get((service, kind))
         if fit is None:
             return self._default_s
         return fit.predict((input_units, output_units))
@@ -71,6 +75,27 @@
         return sum(better) / len(better)
 
 
+def service_capacity(states: Iterable[EndpointState]) -> float:
+    """Return the service seconds a second that the usable endpoints can spend.
+
+    The sum of their concurrency limits: each call in flight spends one second a second.
+    """
+    return float(sum(state.limit for state in states if _usable(state)))
+
+
+def load_share(states: Iterable[EndpointState]) -> float:
+    """Return this entry's share of the work that the last reports show; 0 if unknown.
+
+    It shows entries that the host list still has and that send nothing any more.
+    """
+    ours = total = 0
+    for state in states:
+        if _usable(state) and state.report is not None:
+            total += state.report.in_flight + state.report.queued
+            ours += state.in_flight_at_report
+    return min(1.0, ours / total) if total >= MIN_WORK_TO_SHARE else 0.0
+
+
 def _usable(state: EndpointState) -> bool:
     if not state.link_up or state.draining:
         return False
