--- /dev/null
+++ b/camphorrun/daemon/tests/test_claim_parts.py
@@ -0,0 +1,44 @@
+"""Tests of the claims' settings and counters."""
+
+from ...claims import ClaimParticipant
+from ...claims.batcher import APPENDS_PER_SECOND
+from ...claims.stamps import KEY_LIFETIME_MS
+from ...core import ManualTimerService, MemoryLog
+from ...metrics import Metrics
+from ...settings import ClaimSettings
+from ..claim_parts import OTHER_RESULT, RESULTS, SHOW_SECONDS, ClaimMetrics
+
+
+class TestClaimMetrics:
+    """Operators see what the claims counted, under a bounded set of labels."""
+
+    def test_counters_are_shown_once_and_labels_are_bounded(self):
+        """Guards against counts that are lost, doubled, or add labels for ever."""
+        timers = ManualTimerService()
+        log = MemoryLog(timers)
+        claims = ClaimParticipant(log, timers, host="h", incarnation="i")
+        metrics = Metrics()
+        ClaimMetrics(claims, metrics, timers)
+        claims.starts.counters["StartRefused_key_expired"] = 2
+        claims.ledger.counters["lost"] = 1
+        claims.appender.counters.update({"bytes": 900, "code-of-the-log": 3})
+        timers.advance(3 * SHOW_SECONDS)
+        claims.ledger.counters["lost"] = 4
+        timers.advance(SHOW_SECONDS)
+        shown = {
+            sample.labels["result"]: sample.value
+            for family in metrics.claims.collect()
+            for sample in family.samples
+            if sample.name.endswith("_total")
+        }
+        assert shown == {
+            "start_refused_key_expired": 2,
+            "ledger_lost": 4,
+            OTHER_RESULT: 3,
+        }
+        assert shown.keys() - {OTHER_RESULT} <= RESULTS
+
+    def test_default_settings_are_those_of_the_claims(self):
+        """Guards against daemons and tools that judge keys by different lifetimes."""
+        assert ClaimSettings().appends_per_s == APPENDS_PER_SECOND
+        assert ClaimSettings().key_lifetime_s * 1000 == KEY_LIFETIME_MS
--- a/camphorrun/daemon/tests/test_configuration_sync.py
+++ b/camphorrun/daemon/tests/test_configuration_sync.py
@@ -180,6 +180,24 @@
 
         asyncio.run(world.run(scenario))
 
+    def test_half_open_read_from_before_the_pause_delays_nothing(self):
+        """Guards against a host that is unready for the rest of its long poll."""
+        world = _World()
+
+        async def never(_kept, _wait_s):
+            await asyncio.get_running_loop().create_future()
+
+        async def scenario():
+            await world.publish("h1")
+            world.log._wait = never
+            await world.advance(1.0)
+            world.pause()
+            assert not world.sync.synchronised
+            await world.advance(TARGET_SECONDS)
+            assert world.sync.synchronised
+
+        asyncio.run(world.run(scenario))
+
     def test_peer_position_ends_the_pause_while_the_log_is_down(self):
         """Guards against readiness on an old view, and against none in an outage."""
         world = _World()
--- a/camphorrun/demo/tests/test_relay_and_announcement.py
+++ b/camphorrun/demo/tests/test_relay_and_announcement.py
@@ -83,6 +83,36 @@
         asyncio.run(scenario())
 
 
+class TestPausedAgent:
+    """An agent that was stopped for long starts nothing on an outdated view."""
+
+    def test_paused_agent_refuses_until_it_has_read_on(self):
+        """Guards against work that a resumed agent starts after its host's drain."""
+
+        async def scenario():
+            async with _running() as (system, session):
+                url = system.entry_urls[0]
+                (endpoint,) = system.endpoints["echo"]
+                system.log_server.log.available = False
+                # Without peers, nothing can confirm the agent's position.
+                endpoint.agent._relay.update(())
+                endpoint.agent._relay.update = lambda _hosts: None
+                endpoint.agent._sync._on_pause(600.0)
+                assert await _say(session, url) == "not_run"
+                assert endpoint.server.usage.calls == 0
+                refused = endpoint.agent.metrics.refusals.labels("not_synchronised")
+                assert refused._value.get() > 0
+                system.log_server.log.available = True
+
+                async def is_ready():
+                    return endpoint.agent._sync.synchronised
+
+                await _until(is_ready)
+                assert await _say(session, url) == "answered"
+
+        asyncio.run(scenario())
+
+
 class TestAnnouncement:
     """Links, not the host list, tell which agents are alive."""
 
--- a/camphorrun/entry/peer_pool.py
+++ b/camphorrun/entry/peer_pool.py
@@ -68,6 +68,9 @@
         self._incarnations = Incarnations()
         # Hosts known by announcement that no list has named yet.
         self._announced: set[str] = set()
+        # Outdated listed address of a host that announced another one, and when the
+        # announced one was last in use.
+        self._outdated: dict[str, tuple[str, float]] = {}
         self._peers: dict[str, AgentPeer] = {}
         self._tasks: dict[str, asyncio.Task] = {}
         self._missing_since: dict[str, float] = {}
@@ -92,7 +95,10 @@
         listed = {entry.host: entry for entry in hosts if entry.role == "agent"}
         for entry in listed.values():
             self._announced.discard(entry.host)
-            self.add(entry)
+            if not self._is_outdated(entry):
+                self.add(entry)
+        for host in self._outdated.keys() - listed.keys():
+            del self._outdated[host]
         for host in tuple(self._peers):
             if host not in listed:
                 self._handle_missing(host)
@@ -136,9 +142,29 @@
         logging.info("%s announced itself at %s", entry.host, entry.address)
         if peer is None:
             self._announced.add(entry.host)
+        elif entry.host not in self._announced:
+            replaced = self._outdated.get(entry.host, (peer.listed.address, 0.0))[0]
+            self._outdated[entry.host] = (replaced, self._timers.now())
         self.add(entry)
         return True
 
+    def _is_outdated(self, entry: HostEntry) -> bool:
+        """Return whether the list names an address that an announcement replaced."""
+        address, used_at = self._outdated.get(entry.host, ("", 0.0))
+        peer = self._peers.get(entry.host)
+        if address != entry.address or peer is None:
+            self._outdated.pop(entry.host, None)
+            return False
+        if entry.state == "leaving":
+            peer.state.set_draining(True)
+        if peer.state.link_up:
+            self._outdated[entry.host] = (address, self._timers.now())
+            return True
+        if self._timers.now() - used_at < UNLISTED_GRACE_SECONDS:
+            return True
+        del self._outdated[entry.host]
+        return False
+
     def _refusal_of(self, message: Announce) -> str:
         if message.role != "agent" or not message.host or not message.service:
             return "announce_invalid"
