--- a/camphorrun/entry/agent_peer.py
+++ b/camphorrun/entry/agent_peer.py
@@ -29,8 +29,9 @@
 from ..transport import Link, LinkDialer, LinkError, LinkEvents
 from .errors import AttemptLostError
 
-# A link that is down this long is not waited for: the attempt counts as lost.
-LINK_LOSS_GRACE_SECONDS = 1.0
+# A link that is down this long is not waited for: the attempt counts as lost. See
+# transport.dialer for the target that this time is a part of.
+LINK_LOSS_GRACE_SECONDS = 0.5
 # Time in which the agent says whether an attempt that ran out of time was queued or
 # running. Without an answer the endpoint is held responsible.
 VERDICT_SECONDS = 1.0
