--- a/camphorrun/entry/claim_resolver.py
+++ b/camphorrun/entry/claim_resolver.py
@@ -1,5 +1,6 @@
 """Decides what became of non-idempotent calls, by their claims in the log."""
 
+from collections.abc import Callable
 from functools import singledispatchmethod
 
 from ..claims import (
@@ -26,6 +27,8 @@
     StageCall,
 )
 
+OWNER_CHECK_SECONDS = 0.25
+
 
 class LogClaimResolver:
     """``ClaimResolver`` over the claims stream.
@@ -40,6 +43,8 @@
         What is known of each key.
     timers, metrics
         Clock and counters.
+    is_gone : callable
+        Whether the process of a host with an incarnation can no longer answer.
     """
 
     def __init__(
@@ -49,18 +54,23 @@
         ledger: ClaimLedger,
         timers: TimerService,
         metrics: Metrics,
+        *,
+        is_gone: Callable[[str, str], bool],
     ):
         self._ring = ring
         self._voids = voids
         self._ledger = ledger
         self._timers = timers
         self._metrics = metrics
+        self._is_gone = is_gone
 
     def claim_key(self, plan: RequestPlan, stage: PlannedStage) -> str:
         """Return the claim key of a stage of a request."""
         return str(claim_key(self._ring, plan.account, plan.key, stage.name))
 
-    async def settle(self, call: StageCall, code: str) -> bytes:
+    async def settle(
+        self, call: StageCall, code: str, retry_after_s: float = 0.0
+    ) -> bytes:
         """Return the output of the call, or raise what can truthfully be said.
 
         Parameters
@@ -69,12 +79,21 @@
             The non-idempotent call.
         code : str
             Why the call is being settled; it becomes the code of a refusal.
+        retry_after_s : float
+            Delay after which the caller may come back, with another key.
         """
         key = parse_claim_key(self.claim_key(call.plan, call.stage))
         digest = bytes.fromhex(call.plan.body_digest)
         reply = await self._void(key, digest)
         self._metrics.claims.labels(f"settle_{type(reply).__name__.lower()}").inc()
-        return await self._follow(reply, call, key, code)
+        if isinstance(reply, Voided):
+            call.started = False
+            raise PipelineError(
+                f"stage {call.stage.name}: {code}",
+                code=code,
+                retry_after_s=retry_after_s,
+            )
+        return await self._follow(reply, call, key)
 
     async def rule_out(self, plan: RequestPlan) -> PipelineError | None:
         """Make a refusal of a request that was not dispatched true for its keys.
@@ -110,41 +129,38 @@
             return Unknown(exc.code)
 
     @singledispatchmethod
-    async def _follow(
-        self, reply: object, call: StageCall, key: ClaimKey, code: str
-    ) -> bytes:
+    async def _follow(self, reply: object, call: StageCall, key: ClaimKey) -> bytes:
         raise TypeError(f"unexpected reply {type(reply).__name__}")
 
     @_follow.register
-    async def _(
-        self, reply: Voided, call: StageCall, key: ClaimKey, code: str
-    ) -> bytes:
-        call.started = False
-        raise PipelineError(f"stage {call.stage.name}: {code}", code=code)
-
-    @_follow.register
-    async def _(
-        self, reply: Unknown, call: StageCall, key: ClaimKey, code: str
-    ) -> bytes:
+    async def _(self, reply: Unknown, call: StageCall, key: ClaimKey) -> bytes:
         raise _unknown(reply.code)
 
     @_follow.register
-    async def _(
-        self, reply: Decided, call: StageCall, key: ClaimKey, code: str
-    ) -> bytes:
+    async def _(self, reply: Decided, call: StageCall, key: ClaimKey) -> bytes:
         decision = reply.decision
         if decision.state is ClaimState.STARTED and not decision.key_reused:
-            wait_s = max(0.0, call.plan.deadline_at - self._timers.now())
-            decision = await self._wait(key, wait_s, decision)
+            decision = await self._wait(key, call.plan.deadline_at, decision)
         return _output(decision, call)
 
     async def _wait(
-        self, key: ClaimKey, wait_s: float, known: ClaimDecision
+        self, key: ClaimKey, deadline_at: float, decision: ClaimDecision
     ) -> ClaimDecision:
-        try:
-            return await self._voids.outcome(key, wait_s)
-        except ClaimError:
-            return known
+        """Wait for the outcome while its owner may still record one.
+
+        Once the owner is gone, the caller is not kept waiting for the deadline.
+        """
+        while not decision.is_final:
+            left_s = deadline_at - self._timers.now()
+            gone = self._is_gone(decision.host, decision.incarnation)
+            try:
+                wait_s = min(OWNER_CHECK_SECONDS, max(0.0, left_s))
+                decision = await self._voids.outcome(key, wait_s)
+            except ClaimError:
+                return decision
+            if gone or left_s <= 0:
+                return decision
+        return decision
 
 
 def _output(decision: ClaimDecision, call: StageCall) -> bytes:
--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -9,7 +9,7 @@
 from ..admission import AdmissionGroup
 from ..admission import policy_by_name as admission_policy_by_name
 from ..claims import ClaimAppender, ClaimFollower, ClaimLedger, VoidCoordinator
-from ..configuration import CarryForwarder
+from ..configuration import CarryForwarder, PlacementIndex
 from ..core import LoopTimerService, Supervisor, TimerService, new_identifier
 from ..daemon import (
     AdminRoutes,
@@ -148,7 +148,12 @@
             host=self.settings.host.name,
         )
         resolver = LogClaimResolver(
-            ring, voids, self._claims.ledger, self.timers, self.metrics
+            ring,
+            voids,
+            self._claims.ledger,
+            self.timers,
+            self.metrics,
+            is_gone=self._pool.is_gone,
         )
         executor = PipelineExecutor(self._build_runner(resolver), self.timers)
         self._cache = OutcomeCache(self._pool, self.timers)
@@ -184,6 +189,7 @@
             timers=self.timers,
             metrics=self.metrics,
             hedges=hedges_by_name(policy.hedges, budget),
+            holds=PlacementIndex(self._sync.view(FLEET_STREAM)).holds,
         )
 
     def _application(self) -> web.Application:
--- a/camphorrun/entry/request_service.py
+++ b/camphorrun/entry/request_service.py
@@ -1,5 +1,6 @@
 """Runs planned requests: admission, duplicates, execution, outcome."""
 
+import dataclasses
 from collections import OrderedDict
 
 from ..admission import AdmissionGroup, AdmissionTicket, GroupRequest, Refused
@@ -160,10 +161,29 @@
         outcome = None
         try:
             outcome = await self._executor.run(plan, on_part, stage_ended)
-            return outcome
         finally:
             now = self._timers.now()
             self._admission.finish(ticket, _met_deadline(plan, outcome, now), now)
+        return await self._confirmed(plan, outcome)
+
+    async def _confirmed(self, plan: RequestPlan, outcome: Outcome) -> Outcome:
+        """Make ``not_run`` true of every non-idempotent stage of the plan.
+
+        A refusal of an early stage alone does not keep the same key from running, or
+        from having run, through another entry.
+        """
+        if outcome.status is not OutcomeStatus.NOT_RUN or plan.repeatable:
+            return outcome
+        error = await self._claims.rule_out(plan)
+        if error is None:
+            return outcome
+        return dataclasses.replace(
+            outcome,
+            status=error.status,
+            code=error.code,
+            detail=str(error),
+            safe_to_repeat=error.safe_to_repeat,
+        )
 
     async def refuse(
         self, plan: RequestPlan, code: str, retry_after_s: float = 0.0
--- a/camphorrun/entry/stage_runner.py
+++ b/camphorrun/entry/stage_runner.py
@@ -1,14 +1,11 @@
 """Runs one stage: choice of endpoint, attempts, retries and claims."""
 
 import asyncio
-import dataclasses
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Protocol
 
-import msgspec
-
 from ..core import TimerService
 from ..messages import (
     AttemptId,
@@ -30,13 +27,21 @@
     prompt_prefix,
 )
 from ..retries import Backoff, HedgePolicy, NoHedges, RetryBudget
-from ..routing import NoEndpoint, Router, StageEstimator, StageRequest
+from ..routing import (
+    EndpointState,
+    NoEndpoint,
+    Router,
+    StageEstimator,
+    StageRequest,
+)
 from .agent_peer import AgentPeer, AttemptResult, mostly_queued
+from .attempt_results import joined, latency_class, result_name, work_kind
 from .errors import AttemptLostError
 from .hedged_attempt import HedgedAttempt
 
 NO_HEDGES = NoHedges()
 MAX_ATTEMPTS = 4
+DEADLINE_EXCEEDED = "deadline_exceeded"
 FIRST_BACKOFF_SECONDS = 0.01
 MAX_BACKOFF_SECONDS = 0.5
 # Time without any usable endpoint that is bridged, for instance during reconnection.
@@ -65,7 +70,9 @@
         """Return the claim key of a stage of a request."""
         ...
 
-    async def settle(self, call: StageCall, code: str) -> bytes:
+    async def settle(
+        self, call: StageCall, code: str, retry_after_s: float = 0.0
+    ) -> bytes:
         """Return the output of the call, or raise a truthful ``PipelineError``."""
         ...
 
@@ -98,6 +105,8 @@
         Clock and counters.
     hedges : HedgePolicy or NoHedges
         Decides on second attempts.
+    holds : callable, optional
+        Whether a host serves a model; by default each host serves every model.
     """
 
     def __init__(
@@ -112,8 +121,10 @@
         timers: TimerService,
         metrics: Metrics,
         hedges: HedgePolicy | NoHedges = NO_HEDGES,
+        holds: Callable[[str, str], bool] = lambda _host, _model: True,
     ):
         self._peers_of = peers_of
+        self._holds = holds
         self._router = router
         self._estimator = estimator
         self._budget = budget
@@ -125,22 +136,32 @@
 
     def predicted_s(self, plan: RequestPlan, stage: PlannedStage) -> float:
         """Return the predicted service time and queue wait of a stage in seconds."""
-        states = [peer.state for peer in self._peers_of(stage.service)]
+        states = self._candidates(stage)
         wait_s = self._estimator.queue_wait_s(stage.service, states, self._timers.now())
         return wait_s + self.work_s(plan, stage)
 
     def work_s(self, plan: RequestPlan, stage: PlannedStage) -> float:
         """Return the predicted service time of a stage in seconds."""
         return self._estimator.estimate_s(
-            stage.service, _kind(stage), plan.input_units, stage.output_units
+            stage.service, work_kind(stage), plan.input_units, stage.output_units
         )
 
+    def _candidates(self, stage: PlannedStage) -> list[EndpointState]:
+        """Return the endpoints of the service that hold the model of a stage."""
+        return [
+            peer.state
+            for peer in self._peers_of(stage.service)
+            if self._holds(peer.listed.host, stage.model)
+        ]
+
     async def run(self, call: StageCall) -> bytes:
         """Return the JSON output of the stage or raise ``PipelineError``."""
         self._budget.deposit(self._timers.now())
         progress = _StageProgress()
         while True:
             peer = await self._choose(call, progress)
+            if peer is None:
+                return await self._give_up(call, progress)
             result = await self._attempt_with_hedge(call, peer, progress)
             output = await self._after(result, call, peer, progress)
             if output is not None:
@@ -148,24 +169,32 @@
 
     # Choice of endpoint.
 
-    async def _choose(self, call: StageCall, progress: _StageProgress) -> AgentPeer:
-        """Return a peer for the next attempt, waiting a little for one."""
+    async def _choose(
+        self, call: StageCall, progress: _StageProgress
+    ) -> AgentPeer | None:
+        """Return a peer for the next attempt, waiting a little for one.
+
+        Without a peer, ``progress.last_code`` tells why.
+        """
         give_up_at = self._timers.now() + NO_ENDPOINT_GRACE_SECONDS
         while True:
-            self._check_deadline(call, progress)
+            if self._remaining_s(call) <= 0:
+                progress.last_code = DEADLINE_EXCEEDED
+                return None
             peers = self._peers_of(call.stage.service)
             choice = self._router.choose(
-                [peer.state for peer in peers],
+                self._candidates(call.stage),
                 self._stage_request(call, progress),
                 self._timers.now(),
             )
             if not isinstance(choice, NoEndpoint):
                 return next(p for p in peers if p.state is choice.endpoint)
             if choice.reason == "excluded" and progress.last_code:
-                await self._give_up(call, progress, progress.last_code)
+                return None
             if self._timers.now() >= give_up_at:
+                progress.last_code = choice.reason
                 progress.retry_after_s = choice.retry_after_s
-                await self._give_up(call, progress, choice.reason)
+                return None
             await self._timers.sleep(NO_ENDPOINT_POLL_SECONDS)
 
     def _stage_request(self, call: StageCall, progress: _StageProgress) -> StageRequest:
@@ -184,11 +213,6 @@
     def _remaining_s(self, call: StageCall) -> float:
         return call.plan.deadline_at - self._timers.now()
 
-    def _check_deadline(self, call: StageCall, progress: _StageProgress) -> None:
-        if self._remaining_s(call) > 0:
-            return
-        raise self._error(call, progress, "deadline_exceeded")
-
     # One attempt.
 
     async def _attempt_with_hedge(
@@ -198,7 +222,7 @@
         stage = call.stage
         delay_s = None
         if not stage.stream:
-            delay_s = self._hedges.delay_s(_hedge_class(stage), stage.repeatable)
+            delay_s = self._hedges.delay_s(latency_class(stage), stage.repeatable)
         if delay_s is None:
             return await self._attempt(call, peer, progress)
         sent_at = self._timers.now()
@@ -221,11 +245,10 @@
         now = self._timers.now()
         peers = self._peers_of(call.stage.service)
         progress.exclude.add(peer.listed.host)
-        choice = self._router.choose(
-            [other.state for other in peers], self._stage_request(call, progress), now
-        )
+        request = self._stage_request(call, progress)
+        choice = self._router.choose(self._candidates(call.stage), request, now)
         if isinstance(choice, NoEndpoint) or not self._hedges.try_hedge(
-            _hedge_class(call.stage),
+            latency_class(call.stage),
             idempotent=call.stage.repeatable,
             waited_s=now - sent_at,
             queue_wait_s=choice.predicted_wait_s,
@@ -264,7 +287,7 @@
         seconds = self._timers.now() - started_at
         self._observe(call, peer, result, seconds)
         if isinstance(result, ResultEnd) and result.parts:
-            return _joined(result, parts)
+            return joined(result, parts)
         return result
 
     def _dispatch(
@@ -324,7 +347,7 @@
         """Feed routing, estimates and the trace with the end of an attempt."""
         now = self._timers.now()
         cost = getattr(result, "cost", StageCost())
-        name = _result_name(result)
+        name = result_name(result)
         call.trace.attempts.append(AttemptTrace(peer.listed.host, name, seconds, cost))
         if isinstance(result, NotStarted | ClaimLost):
             peer.state.on_cancel()
@@ -343,12 +366,12 @@
             stage = call.stage
             self._estimator.observe(
                 stage.service,
-                _kind(stage),
+                work_kind(stage),
                 call.plan.input_units,
                 stage.output_units,
                 cost.busy_s,
             )
-            self._hedges.observe(_hedge_class(stage), seconds)
+            self._hedges.observe(latency_class(stage), seconds)
 
     # What follows an attempt.
 
@@ -412,32 +435,41 @@
 
     async def _move(
         self, call: StageCall, progress: _StageProgress, result: NotStarted
-    ) -> None:
+    ) -> bytes | None:
         """Try another endpoint after a refusal that cost nothing."""
         progress.last_code = result.code
         progress.retry_after_s = result.retry_after_s
         movable = result.code in MOVABLE_CODES
         if not movable or progress.attempt >= MAX_ATTEMPTS:
-            await self._give_up(call, progress, result.code)
+            return await self._give_up(call, progress)
         self._metrics.retries.labels(result.code).inc()
+        return None
 
     async def _retry(
         self, call: StageCall, progress: _StageProgress, code: str
-    ) -> None:
+    ) -> bytes | None:
         """Repeat an idempotent attempt within the deadline and the budget."""
         progress.last_code = code
         if progress.attempt >= MAX_ATTEMPTS or self._remaining_s(call) <= 0:
-            await self._give_up(call, progress, code)
+            return await self._give_up(call, progress)
         if not self._budget.try_withdraw(self._timers.now()):
             self._metrics.refusals.labels("retry_budget").inc()
-            await self._give_up(call, progress, code)
+            return await self._give_up(call, progress)
         self._metrics.retries.labels(code).inc()
         await self._timers.sleep(self._backoff.delay_s(progress.attempt))
+        return None
 
-    async def _give_up(
-        self, call: StageCall, progress: _StageProgress, code: str
-    ) -> None:
-        raise self._error(call, progress, code)
+    async def _give_up(self, call: StageCall, progress: _StageProgress) -> bytes:
+        """Refuse the stage, or settle it by the log if it may not be repeated.
+
+        Without the log a refusal would say "not run" although the same key may have
+        run through another entry.
+        """
+        if call.stage.repeatable:
+            raise self._error(call, progress, progress.last_code)
+        return await self._claims.settle(
+            call, progress.last_code, progress.retry_after_s
+        )
 
     def _error(
         self, call: StageCall, progress: _StageProgress, code: str
@@ -452,25 +484,3 @@
             retry_after_s=progress.retry_after_s,
             safe_to_repeat=call.stage.repeatable,
         )
-
-
-def _kind(stage: PlannedStage) -> str:
-    """Return the kind of work, whose service time depends on its units alone."""
-    return f"{stage.operation}/{stage.model}"
-
-
-def _hedge_class(stage: PlannedStage) -> str:
-    """Return the class of calls whose latencies are comparable."""
-    return f"{stage.service}/{_kind(stage)}"
-
-
-def _joined(result: ResultEnd, parts: list[bytes]) -> ResultEnd:
-    """Return the final message of a stream with its text as a JSON string."""
-    text = b"".join(parts).decode()
-    return dataclasses.replace(result, data=msgspec.json.encode({"text": text}))
-
-
-def _result_name(result: AttemptResult | AttemptLostError) -> str:
-    if isinstance(result, ResultEnd) and result.ok:
-        return "ok"
-    return getattr(result, "code", "") or "claim_lost"
--- a/camphorrun/entry/tests/test_stage_runner.py
+++ b/camphorrun/entry/tests/test_stage_runner.py
@@ -1,10 +1,12 @@
 """Tests of attempts, retries and settlement of one stage."""
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
 
+from ...admission import AdmissionController
 from ...claims import (
     ClaimAppender,
     ClaimFollower,
@@ -37,6 +39,8 @@
 from .. import stage_runner
 from ..claim_resolver import LogClaimResolver
 from ..errors import AttemptLostError
+from ..outcome_cache import OutcomeCache
+from ..request_service import RequestService
 from ..stage_runner import StageRunner
 
 _RING = KeyRing((SharedKey(1, b"k" * 16),))
@@ -84,6 +88,7 @@
     def __init__(self, *scripts: list[str]):
         self.timers = LoopTimerService()
         self.peers = [_Peer(f"host-{i}", list(s)) for i, s in enumerate(scripts)]
+        self.without_model: set[str] = set()
         self.log = MemoryLog(self.timers)
         self.follower = ClaimFollower(self.log, ClaimLedger(), self.timers)
         self.appender = ClaimAppender(self.log, self.timers)
@@ -91,9 +96,15 @@
             self.appender, self.follower, self.timers, host="entry-1"
         )
         metrics = Metrics()
+        self.owner_gone = False
         self.budget = RetryBudget(minimum_per_s=10.0)
         self.resolver = LogClaimResolver(
-            _RING, voids, self.follower.ledger, self.timers, metrics
+            _RING,
+            voids,
+            self.follower.ledger,
+            self.timers,
+            metrics,
+            is_gone=lambda host, incarnation: self.owner_gone,
         )
         runner = StageRunner(
             lambda service: self.peers,
@@ -104,6 +115,7 @@
             claims=self.resolver,
             timers=self.timers,
             metrics=metrics,
+            holds=lambda host, _model: host not in self.without_model,
         )
         self.executor = PipelineExecutor(runner, self.timers)
 
@@ -127,6 +139,22 @@
             body_digest="ab" * 16,
         )
 
+    async def run_elsewhere(self, plan: RequestPlan, *, finish: bool = True) -> None:
+        """Let another agent run the call of a plan; it dies without ``finish``."""
+        agent = StartCoordinator(
+            self.appender,
+            self.follower,
+            self.timers,
+            host="other",
+            incarnation="other-inc",
+        )
+        key = parse_claim_key(self.resolver.claim_key(plan, plan.stages[0]))
+        grant = await agent.acquire(key, bytes.fromhex(plan.body_digest), "t")
+        if finish:
+            agent.finish(grant, ok=True, data=b'"receipt"')
+        await agent.drain(5.0)
+        await self.follower.read_to_end()
+
     @property
     def attempts(self) -> int:
         return sum(len(peer.dispatches) for peer in self.peers)
@@ -150,6 +178,22 @@
 
         _run(scenario)
 
+    def test_host_that_does_not_hold_the_model_gets_no_attempt(self):
+        """Guards against calls for a model that the endpoint has not loaded."""
+
+        async def scenario():
+            world = _World([_OK], [_OK])
+            world.without_model.add("host-0")
+            for _ in range(5):
+                await world.executor.run(await world.plan())
+            assert [len(peer.dispatches) for peer in world.peers] == [0, 5]
+            world.without_model.add("host-1")
+            outcome = await world.executor.run(await world.plan())
+            assert outcome.status is OutcomeStatus.NOT_RUN
+            assert outcome.code == "no_endpoint"
+
+        _run(scenario)
+
     def test_empty_budget_ends_the_request_at_once(self):
         """Guards against retries that amplify an overload."""
 
@@ -260,16 +304,7 @@
         async def scenario():
             world = _World([_CLAIM_LOST])
             plan = await world.plan(repeatable=False)
-            agent = StartCoordinator(
-                world.appender,
-                world.follower,
-                world.timers,
-                host="other",
-                incarnation="other-inc",
-            )
-            key = parse_claim_key(world.resolver.claim_key(plan, plan.stages[0]))
-            grant = await agent.acquire(key, bytes.fromhex(plan.body_digest), "t")
-            agent.finish(grant, ok=True, data=b'"receipt"')
+            await world.run_elsewhere(plan)
             following = asyncio.ensure_future(world.follower.run())
             outcome = await world.executor.run(plan)
             following.cancel()
@@ -278,6 +313,60 @@
 
         _run(scenario)
 
+    def test_refused_attempt_of_a_key_that_ran_elsewhere_is_answered(self):
+        """Guards against "not run" for a key that ran through another entry.
+
+        Seen in tools/chaos.py with seed 3: a request sent through two entries was
+        refused by the second one's agent, and the refusal was passed on as it was.
+        """
+
+        async def scenario():
+            world = _World([_DRAINING])
+            plan = await world.plan(repeatable=False)
+            await world.run_elsewhere(plan)
+            outcome = await world.executor.run(plan)
+            assert outcome.status is OutcomeStatus.ANSWERED
+
+        _run(scenario)
+
+    def test_lost_owner_ends_the_wait(self):
+        """Guards against an answer held back until the deadline."""
+
+        async def scenario():
+            world = _World([_CLAIM_LOST])
+            world.owner_gone = True
+            plan = await world.plan(repeatable=False, remaining_s=3600.0)
+            await world.run_elsewhere(plan, finish=False)
+            outcome = await world.executor.run(plan)
+            assert outcome.status is OutcomeStatus.OUTCOME_UNKNOWN
+            assert outcome.code == "in_progress"
+
+        _run(scenario)
+
+    def test_refused_first_stage_rules_out_the_others(self):
+        """Guards against "not run" while a later stage may have run elsewhere."""
+
+        async def scenario():
+            world = _World([_DRAINING])
+            plan = await world.plan(repeatable=False)
+            await world.run_elsewhere(plan)
+            lookup = PlannedStage(0, "lookup", "s", "op", "")
+            charge = dataclasses.replace(plan.stages[0], index=1, after=("lookup",))
+            plan = dataclasses.replace(plan, stages=(lookup, charge))
+            service = RequestService(
+                world.executor,
+                AdmissionController(),
+                OutcomeCache(None, world.timers),
+                world.resolver,
+                timers=world.timers,
+                metrics=Metrics(),
+            )
+            outcome = await service._confirmed(plan, await world.executor.run(plan))
+            assert outcome.status is OutcomeStatus.OUTCOME_UNKNOWN
+            assert outcome.code == "already_run"
+
+        _run(scenario)
+
     def test_refusal_before_dispatch_rules_the_key_out(self):
         """Guards against "not run" while another entry may still run the key."""
 
--- a/camphorrun/operators/tests/test_ctl.py
+++ b/camphorrun/operators/tests/test_ctl.py
@@ -103,6 +103,51 @@
         run(case)
 
 
+class TestPlacements:
+    """Publication of placements."""
+
+    def test_last_home_of_a_model_in_use_is_refused(self, tmp_path):
+        """Guards against a publication after which no endpoint serves a model."""
+
+        async def case(_system, ctx):
+            await publish_examples(ctx)
+
+            async def place(host, *models):
+                document = {"host": host, "models": models}
+                return await publish_file(ctx, write(tmp_path, "placement", document))
+
+            await place("h1", "model-a@1", "unused")
+            with pytest.raises(OperatorError) as caught:
+                await place("h1", "other")
+            assert caught.value.code == "last_home"
+            assert "model-a" in str(caught.value)
+            await place("h1", "model-a@2")
+            await place("h2", "model-a@1")
+            await drain_host(ctx, "h2", "test")
+            with pytest.raises(OperatorError):
+                await place("h1", "other")
+            await delete_document(ctx, "drain", "h2")
+            await place("h1", "other")
+
+        run(case)
+
+    def test_agent_loads_what_is_published(self, tmp_path):
+        """Guards against an agent that does not run its order driver."""
+
+        async def case(system, ctx):
+            endpoint = system.endpoints["generate"][0]
+            document = {"host": endpoint.host, "models": ["a"], "role": "decode"}
+            await publish_file(ctx, write(tmp_path, "placement", document))
+            while endpoint.server.orders.state().role != "decode":
+                await asyncio.sleep(0.02)
+            listed = next(h for h in await ctx.hosts() if h.host == endpoint.host)
+            orders = (await ctx.ask(listed, "/v1/status")).body["orders"]
+            assert orders["desired"]["models"] == ["a"]
+            assert endpoint.server.orders.state().models == ("a",)
+
+        run(case)
+
+
 class TestFleet:
     """Status, waiting and explanations over all hosts."""
 
--- a/camphorrun/platform/__init__.py
+++ b/camphorrun/platform/__init__.py
@@ -1,6 +1,7 @@
 """Clients of outside systems: log service, host list, weight store, endpoints."""
 
 from .endpoint_client import (
+    EXECUTED_HEADER,
     FENCING_HEADER,
     KEY_HEADER,
     EndpointCall,
@@ -12,8 +13,10 @@
 from .errors import EndpointError, PlatformError
 from .host_list import HostEntry, HostList, HostListClient
 from .log_client import AppendReply, AppendRequest, LogClient
+from .weight_store import WeightsRefusedError, WeightStoreClient
 
 __all__ = [
+    "EXECUTED_HEADER",
     "FENCING_HEADER",
     "KEY_HEADER",
     "AppendReply",
@@ -29,4 +32,6 @@
     "LogClient",
     "PlatformError",
     "StreamPart",
+    "WeightStoreClient",
+    "WeightsRefusedError",
 ]
