--- a/camphorrun/entry/agent_peer.py
+++ b/camphorrun/entry/agent_peer.py
@@ -29,8 +29,9 @@
 from ..transport import Link, LinkDialer, LinkError, LinkEvents
 from .errors import AttemptLostError
 
-# A link that is down this long is not waited for: the attempt counts as lost.
-LINK_LOSS_GRACE_SECONDS = 1.0
+# A link that is down this long is not waited for: the attempt counts as lost. See
+# transport.dialer for the target that this time is a part of.
+LINK_LOSS_GRACE_SECONDS = 0.5
 # Time in which the agent says whether an attempt that ran out of time was queued or
 # running. Without an answer the endpoint is held responsible.
 VERDICT_SECONDS = 1.0
@@ -38,6 +39,8 @@
 AttemptResult = ResultEnd | NotStarted | ClaimLost
 PartCallback = Callable[[ResultPart], None]
 OutcomeCallback = Callable[[OutcomeReply], None]
+PositionsCallback = Callable[[dict[str, int]], None]
+IncarnationCallback = Callable[[str, str], None]
 
 
 class _PendingAttempt:
@@ -78,6 +81,10 @@
         Stream positions of this process, for heartbeats.
     on_outcome : callable
         Receives answers to outcome queries.
+    on_positions : callable
+        Receives the stream positions of the agent.
+    on_incarnation : callable
+        Receives host and incarnation of the agent when a link is up.
     """
 
     def __init__(
@@ -89,6 +96,8 @@
         *,
         positions: Callable[[], dict[str, int]],
         on_outcome: OutcomeCallback,
+        on_positions: PositionsCallback = lambda _positions: None,
+        on_incarnation: IncarnationCallback = lambda _host, _incarnation: None,
     ):
         self.listed = listed
         self.state = state
@@ -99,6 +108,8 @@
         self._metrics = metrics
         self._positions = positions
         self._on_outcome = on_outcome
+        self._on_positions = on_positions
+        self._on_incarnation = on_incarnation
         self._pending: dict[AttemptId, _PendingAttempt] = {}
         self._timed_out: dict[AttemptId, TimerHandle] = {}
         self._loss_timer = None
@@ -183,6 +194,7 @@
         if self.incarnation and peer.incarnation != self.incarnation:
             self._fail_all("agent_replaced")
         self.incarnation = peer.incarnation
+        self._on_incarnation(self.listed.host, peer.incarnation)
         self.state.on_link(True, self._timers.now())
         self.state.set_draining(False)
         for pending in tuple(self._pending.values()):
@@ -226,6 +238,7 @@
     def _(self, message: Pong, link: Link) -> None:
         self._report(message.load)
         self.peer_positions = message.positions
+        self._on_positions(message.positions)
         self.state.set_draining(message.draining)
 
     @handle.register
