--- a/camphorrun/admission/tests/test_admission.py
+++ b/camphorrun/admission/tests/test_admission.py
@@ -172,9 +172,9 @@
 
     def test_refusal_at_one_service_takes_nothing_from_another(self):
         """Guards against requests refused at x for demand that y refuses anyway."""
-        shares = self.admitted_share({"x": 32.0, "y": 10.0})
+        shares = self.admitted_share({"x": 28.0, "y": 10.0})
         assert shares["both"] > 0.4
-        assert shares["one"] > 0.85
+        assert shares["one"] > 0.95
 
     def test_costs_end_with_the_request(self):
         """Guards against cost that stays behind and closes admission for ever."""
@@ -190,7 +190,11 @@
     def test_miss_is_attributed_to_the_service_that_caused_it(self):
         """Guards against a healthy service that is throttled for a slow one."""
         group = AdmissionGroup()
-        ticket = group.admit(group_request({"x": 1.0, "y": 0.1}), 0.0)
-        group.finish_stage(ticket, "x", 1.0, 1.1, 1.1)
-        group.finish_stage(ticket, "y", 0.1, 3.0, 4.1)
-        assert ticket.slowest() == "y"
+        for needs, spent in (
+            ({"x": 1.0, "y": 0.1}, {"x": 2.0, "y": 1.9}),
+            ({"x": 0.1, "y": 1.0}, {"x": 0.1, "y": 1.9}),
+        ):
+            ticket = group.admit(group_request(needs), 0.0)
+            for service, spent_s in spent.items():
+                group.finish_stage(ticket, service, needs[service], spent_s, 1.0)
+            assert ticket.slowest() == "y"
--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -193,8 +193,8 @@
             claims=resolver,
             timers=self.timers,
             metrics=self.metrics,
-            holds=PlacementIndex(self._sync.view(FLEET_STREAM)).holds,
             hedges=hedges_by_name(policy.hedges, budget),
+            holds=PlacementIndex(self._sync.view(FLEET_STREAM)).holds,
         )
 
     def _application(self) -> web.Application:
--- a/camphorrun/entry/stage_runner.py
+++ b/camphorrun/entry/stage_runner.py
@@ -1,14 +1,11 @@
 """Runs one stage: choice of endpoint, attempts, retries and claims."""
 
 import asyncio
-import dataclasses
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Protocol
 
-import msgspec
-
 from ..core import TimerService
 from ..messages import (
     AttemptId,
@@ -38,6 +35,7 @@
     StageRequest,
 )
 from .agent_peer import AgentPeer, AttemptResult, mostly_queued
+from .attempt_results import joined, latency_class, result_name, work_kind
 from .errors import AttemptLostError
 from .hedged_attempt import HedgedAttempt
 
@@ -105,10 +103,10 @@
         Settles non-idempotent calls.
     timers, metrics
         Clock and counters.
-    holds : callable, optional
-        Whether a host serves a model; by default each host serves every model.
     hedges : HedgePolicy or NoHedges
         Decides on second attempts.
+    holds : callable, optional
+        Whether a host serves a model; by default each host serves every model.
     """
 
     def __init__(
@@ -122,8 +120,8 @@
         claims: ClaimResolver,
         timers: TimerService,
         metrics: Metrics,
-        holds: Callable[[str, str], bool] = lambda _host, _model: True,
         hedges: HedgePolicy | NoHedges = NO_HEDGES,
+        holds: Callable[[str, str], bool] = lambda _host, _model: True,
     ):
         self._peers_of = peers_of
         self._holds = holds
@@ -145,7 +143,7 @@
     def work_s(self, plan: RequestPlan, stage: PlannedStage) -> float:
         """Return the predicted service time of a stage in seconds."""
         return self._estimator.estimate_s(
-            stage.service, _kind(stage), plan.input_units, stage.output_units
+            stage.service, work_kind(stage), plan.input_units, stage.output_units
         )
 
     def _candidates(self, stage: PlannedStage) -> list[EndpointState]:
@@ -224,7 +222,7 @@
         stage = call.stage
         delay_s = None
         if not stage.stream:
-            delay_s = self._hedges.delay_s(_hedge_class(stage), stage.repeatable)
+            delay_s = self._hedges.delay_s(latency_class(stage), stage.repeatable)
         if delay_s is None:
             return await self._attempt(call, peer, progress)
         sent_at = self._timers.now()
@@ -247,11 +245,10 @@
         now = self._timers.now()
         peers = self._peers_of(call.stage.service)
         progress.exclude.add(peer.listed.host)
-        choice = self._router.choose(
-            self._candidates(call.stage), self._stage_request(call, progress), now
-        )
+        request = self._stage_request(call, progress)
+        choice = self._router.choose(self._candidates(call.stage), request, now)
         if isinstance(choice, NoEndpoint) or not self._hedges.try_hedge(
-            _hedge_class(call.stage),
+            latency_class(call.stage),
             idempotent=call.stage.repeatable,
             waited_s=now - sent_at,
             queue_wait_s=choice.predicted_wait_s,
@@ -290,7 +287,7 @@
         seconds = self._timers.now() - started_at
         self._observe(call, peer, result, seconds)
         if isinstance(result, ResultEnd) and result.parts:
-            return _joined(result, parts)
+            return joined(result, parts)
         return result
 
     def _dispatch(
@@ -350,7 +347,7 @@
         """Feed routing, estimates and the trace with the end of an attempt."""
         now = self._timers.now()
         cost = getattr(result, "cost", StageCost())
-        name = _result_name(result)
+        name = result_name(result)
         call.trace.attempts.append(AttemptTrace(peer.listed.host, name, seconds, cost))
         if isinstance(result, NotStarted | ClaimLost):
             peer.state.on_cancel()
@@ -369,12 +366,12 @@
             stage = call.stage
             self._estimator.observe(
                 stage.service,
-                _kind(stage),
+                work_kind(stage),
                 call.plan.input_units,
                 stage.output_units,
                 cost.busy_s,
             )
-            self._hedges.observe(_hedge_class(stage), seconds)
+            self._hedges.observe(latency_class(stage), seconds)
 
     # What follows an attempt.
 
@@ -487,25 +484,3 @@
             retry_after_s=progress.retry_after_s,
             safe_to_repeat=call.stage.repeatable,
         )
-
-
-def _kind(stage: PlannedStage) -> str:
-    """Return the kind of work, whose service time depends on its units alone."""
-    return f"{stage.operation}/{stage.model}"
-
-
-def _hedge_class(stage: PlannedStage) -> str:
-    """Return the class of calls whose latencies are comparable."""
-    return f"{stage.service}/{_kind(stage)}"
-
-
-def _joined(result: ResultEnd, parts: list[bytes]) -> ResultEnd:
-    """Return the final message of a stream with its text as a JSON string."""
-    text = b"".join(parts).decode()
-    return dataclasses.replace(result, data=msgspec.json.encode({"text": text}))
-
-
-def _result_name(result: AttemptResult | AttemptLostError) -> str:
-    if isinstance(result, ResultEnd) and result.ok:
-        return "ok"
-    return getattr(result, "code", "") or "claim_lost"
