--- a/camphorrun/configuration/follower.py
+++ b/camphorrun/configuration/follower.py
@@ -30,7 +30,7 @@
 MAX_RECENT_BYTES = 1024 * 1024
 MAX_REPLY_BYTES = 256 * 1024
 
-Subscriber = Callable[[set[Key]], None]
+ChangeListener = Callable[[set[Key]], None]
 
 
 class SnapshotSource(Protocol):
@@ -127,7 +127,7 @@
         self._metrics = metrics
         self._rng = rng or random.Random()
         self._poll_s = poll_s
-        self._subscribers: list[Subscriber] = []
+        self._listeners: list[ChangeListener] = []
         self._synchronised = False
         self._log_available = True
         # Reads that began before a pause do not confirm anything after it.
@@ -137,7 +137,7 @@
         self._peer_position = 0
         self._peer_answers = 0
         self._peer_ahead = asyncio.Event()
-        self._state_subscribers: list[Callable[[], None]] = []
+        self._state_listeners: list[Callable[[], None]] = []
 
     @property
     def stream(self) -> str:
@@ -164,13 +164,13 @@
             return float("inf")
         return self._timers.now() - self._confirmed_at
 
-    def subscribe(self, subscriber: Subscriber) -> None:
-        """Call ``subscriber`` with the set of keys after each change."""
-        self._subscribers.append(subscriber)
+    def subscribe(self, listener: ChangeListener) -> None:
+        """Call ``listener`` with the set of keys after each change."""
+        self._listeners.append(listener)
 
     def subscribe_synchronised(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` after each change of ``synchronised``."""
-        self._state_subscribers.append(callback)
+        self._state_listeners.append(callback)
 
     def mark_paused(self) -> None:
         """Require another read to the end, after the process was stopped."""
@@ -307,7 +307,7 @@
         if synchronised is self._synchronised:
             return
         self._synchronised = synchronised
-        for callback in self._state_subscribers:
+        for callback in self._state_listeners:
             callback()
 
     async def _install_from_peers(self, position: int) -> None:
@@ -339,8 +339,8 @@
             gauge.set(self.position)
         changed = self.view.take_changed()
         if changed:
-            for subscriber in self._subscribers:
-                subscriber(changed)
+            for listener in self._listeners:
+                listener(changed)
 
     def _note_log(self, *, available: bool) -> None:
         if available != self._log_available:
--- a/camphorrun/daemon/configuration_sync.py
+++ b/camphorrun/daemon/configuration_sync.py
@@ -51,7 +51,7 @@
             for stream in streams
         }
         self._pauses: PauseDetector | None = None
-        self._state_subscribers: list[Callable[[], None]] = []
+        self._state_listeners: list[Callable[[], None]] = []
         for follower in self.followers.values():
             follower.subscribe_synchronised(self._on_state)
 
@@ -86,7 +86,7 @@
 
     def subscribe_state(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` when ``synchronised`` may have changed."""
-        self._state_subscribers.append(callback)
+        self._state_listeners.append(callback)
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` after each change of the configuration."""
@@ -111,7 +111,7 @@
 
     def _on_state(self) -> None:
         self._metrics.synchronised.set(self.synchronised)
-        for callback in self._state_subscribers:
+        for callback in self._state_listeners:
             callback()
 
     def _show_positions(self) -> None:
--- a/camphorrun/daemon/lifecycle.py
+++ b/camphorrun/daemon/lifecycle.py
@@ -34,7 +34,7 @@
 
     def __init__(self, host: str, incarnation: str = ""):
         self._host = f"{host} ({incarnation})" if incarnation else host
-        self._subscribers: list[Callable[[str], None]] = []
+        self._listeners: list[Callable[[str], None]] = []
         self._drained = asyncio.Event()
         self.drain_reason = ""
         self._machine.add_model(self)
@@ -50,7 +50,7 @@
 
     def subscribe_drain(self, callback: Callable[[str], None]) -> None:
         """Call ``callback`` with the reason when the drain starts."""
-        self._subscribers.append(callback)
+        self._listeners.append(callback)
 
     def drain(self, reason: str) -> None:
         """Start the graceful shutdown; later calls change nothing."""
@@ -59,7 +59,7 @@
         self.drain_reason = reason
         self.begin_drain()
         logging.info("%s: draining: %s", self._host, reason)
-        for callback in self._subscribers:
+        for callback in self._listeners:
             callback(reason)
         self._drained.set()
 
