Serve the relay over HTTP instead of pynng

Cause: with pynng Req0/Rep0, Socket.close() blocked the thread of the event loop for ever in a full test run and in 1 of 25 isolated runs of the relay test (0 of 40 in another set), cancellations were dropped when an operation completed at the same time, and a process gained about 31 threads. A daemon could freeze during an outage of the log, which is when the relay is needed.

Change: RelayServer is a handler for POST /v1/relay on the daemon's HTTP application; RelayClient uses the daemon's session with a total timeout. Foreign frames get 403, oversized ones 413, unfinished ones 408, without a body and counted. Frames, paging, digests and messages are unchanged.

Tests: the cancellation test drove the removed pynng workaround; it now cancels a request after 0 to 59 turns of the loop and requires that none is dropped. A closed port is now reported as relay_unavailable at once, where pynng waited for relay_timeout; a silent peer still gives relay_timeout. An oversized frame of any size is now counted.

--- a/camphorrun/agent/daemon.py
+++ b/camphorrun/agent/daemon.py
@@ -86,8 +86,8 @@
         self._claims = claim_participant(log, self.timers, settings, self.incarnation)
         ClaimMetrics(self._claims, self.metrics, self.timers)
         keys = key_ring(settings.keys)
-        self._relay = RelayNode(settings.host, keys, self.timers, self.metrics)
-        self._announcer = self._build_announcer()
+        self._relay = RelayNode(session, settings.host, keys, self.timers, self.metrics)
+        self._announcer = self._build_announcer(session)
         self._sync = ConfigurationSync(
             log,
             (FLEET_STREAM,),
@@ -104,7 +104,7 @@
         self._sync.subscribe_state(self._update_refusal)
         self._update_refusal()
         self._sync.start(self._supervisor)
-        self._relay.start(self._supervisor, self._sync)
+        self._relay.start(self._sync)
         self._supervisor.add("orders", self._orders.run)
         if settings.platform.host_list_url:
             hosts = HostListClient(session, settings.platform.host_list_url)
@@ -113,7 +113,7 @@
             self._supervisor.add("announce", self._announcer.run)
         self.lifecycle.subscribe_drain(self._on_drain)
 
-    def _build_announcer(self) -> Announcer:
+    def _build_announcer(self, session: aiohttp.ClientSession) -> Announcer:
         host = self.settings.host
         message = Announce(
             host.name,
@@ -125,6 +125,7 @@
         )
         return Announcer(
             message,
+            session,
             key_ring(self.settings.keys),
             self.timers,
             self.metrics,
@@ -193,6 +194,7 @@
             is_ready=lambda: self._sync.synchronised,
             status=self._status,
         ).add_to(app)
+        self._relay.add_to(app)
         app.router.add_get(LINK_PATH, self._listener.handle)
         return app
 
--- a/camphorrun/daemon/announcer.py
+++ b/camphorrun/daemon/announcer.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+import aiohttp
 from absl import logging
 
 from ..core import TimerService, bounded
@@ -27,6 +28,8 @@
     ----------
     message : Announce
         The announcement; it names the incarnation.
+    session : aiohttp.ClientSession
+        Session of the daemon.
     keys : KeyRing
         Shared keys.
     timers, metrics
@@ -40,6 +43,7 @@
     def __init__(
         self,
         message: Announce,
+        session: aiohttp.ClientSession,
         keys: KeyRing,
         timers: TimerService,
         metrics: Metrics,
@@ -48,6 +52,7 @@
         rng: random.Random | None = None,
     ):
         self._message = message
+        self._session = session
         self._keys = keys
         self._timers = timers
         self._metrics = metrics
@@ -62,9 +67,9 @@
         """Follow the host list."""
         self._is_listed = any(entry.host == self._message.host for entry in hosts)
         entries = frozenset(
-            (entry.host, entry.relay_address)
+            (entry.host, entry.address)
             for entry in hosts
-            if entry.role == "entry" and entry.relay_address
+            if entry.role == "entry" and entry.address
         )
         self._acknowledged &= entries
         if entries - self._entries:
@@ -81,7 +86,7 @@
                 await self.announce_due()
 
     def due(self) -> list[tuple[str, str]]:
-        """Return host and relay address of the entries to announce to."""
+        """Return host and address of the entries to announce to."""
         if not self._is_listed:
             return sorted(self._entries)
         return sorted(self._entries - self._acknowledged)
@@ -99,14 +104,12 @@
 
     async def _announce(self, entry: tuple[str, str]) -> None:
         host, address = entry
-        client = RelayClient(address, self._keys)
+        client = RelayClient(self._session, address, self._keys)
         try:
             await client.announce(self._message)
         except RelayError as exc:
             self._metrics.drops.labels(f"announce_{exc.code}").inc()
             return
-        finally:
-            client.close()
         if entry not in self._acknowledged:
             logging.info("%s has acknowledged the announcement", host)
             self._acknowledged.add(entry)
--- a/camphorrun/daemon/relay_node.py
+++ b/camphorrun/daemon/relay_node.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Callable
 
+import aiohttp
+from aiohttp import web
+
 from ..configuration import ACCOUNTS_STREAM
-from ..core import Supervisor, TimerService
+from ..core import TimerService
 from ..messages import KeyRing
 from ..metrics import Metrics
 from ..platform import HostEntry
@@ -17,8 +20,10 @@
 
     Parameters
     ----------
+    session : aiohttp.ClientSession
+        Session of the daemon.
     host : HostSettings
-        Identity; the server runs only if ``relay_listen`` is set.
+        Identity.
     keys : KeyRing
         Shared keys.
     timers, metrics
@@ -27,11 +32,16 @@
     Attributes
     ----------
     peers : RelayPeers
-        Snapshot source over the relay addresses of the host list.
+        Snapshot source over the addresses of the host list.
     """
 
     def __init__(
-        self, host: HostSettings, keys: KeyRing, timers: TimerService, metrics: Metrics
+        self,
+        session: aiohttp.ClientSession,
+        host: HostSettings,
+        keys: KeyRing,
+        timers: TimerService,
+        metrics: Metrics,
     ):
         self._host = host
         self._keys = keys
@@ -41,28 +51,31 @@
         self._sync: ConfigurationSync | None = None
         self._server: RelayServer | None = None
         self.peers = RelayPeers(
-            keys, self._addresses, on_position=self._on_position, metrics=metrics
+            session,
+            keys,
+            self._addresses,
+            on_position=self._on_position,
+            metrics=metrics,
         )
 
     def start(
         self,
-        supervisor: Supervisor,
         sync: ConfigurationSync,
         on_announce: Callable[[Announce], None] | None = None,
     ) -> None:
         """Serve the followers of ``sync``, which must use ``peers`` as its source."""
         self._sync = sync
-        if not self._host.relay_listen:
-            return
         self._server = RelayServer(
-            self._host.relay_listen,
             self._keys,
             sync.followers,
             self._timers,
             on_announce=on_announce,
             metrics=self._metrics,
         )
-        supervisor.add("relay", self._server.run)
+
+    def add_to(self, app: web.Application) -> None:
+        """Register the relay on the application of the daemon, after ``start``."""
+        self._server.add_to(app)
 
     def update(self, hosts: tuple[HostEntry, ...]) -> None:
         """Follow the host list."""
@@ -74,12 +87,11 @@
 
     def _addresses(self, stream: str) -> list[str]:
         """Return the peers that follow a stream; only entries follow accounts."""
+        roles = ("entry",) if stream == ACCOUNTS_STREAM else ("entry", "agent")
         return [
-            entry.relay_address
+            entry.address
             for entry in self._hosts
-            if entry.relay_address
-            and entry.host != self._host.name
-            and (stream != ACCOUNTS_STREAM or entry.role == "entry")
+            if entry.address and entry.host != self._host.name and entry.role in roles
         ]
 
     def _on_position(self, stream: str, position: int) -> None:
--- a/camphorrun/demo/local_system.py
+++ b/camphorrun/demo/local_system.py
@@ -135,9 +135,9 @@
         server = EndpointServer(self.timers, spec.profile)
         address = f"{LOOPBACK}:{free_port()}"
         runner = await start_server(server.application(), address)
-        listen, relay = (f"{LOOPBACK}:{free_port()}" for _ in range(2))
+        listen = f"{LOOPBACK}:{free_port()}"
         settings = AgentSettings(
-            host=HostSettings(host, zone, REGION, listen, relay),
+            host=HostSettings(host, zone, REGION, listen),
             platform=self.platform,
             endpoint=EndpointSettings(
                 f"http://{address}", spec.name, spec.kind, spec.reports_load
@@ -153,7 +153,7 @@
         self.endpoints.setdefault(spec.name, []).append(endpoint)
         if listed:
             self.host_list.put(
-                HostEntry(host, listen, "agent", zone, REGION, spec.name, relay)
+                HostEntry(host, listen, "agent", zone, REGION, spec.name)
             )
         return endpoint
 
@@ -162,9 +162,9 @@
         number = next(self._host_numbers)
         host = f"entry-{number}"
         zone = self._zones[number % len(self._zones)]
-        listen, relay = (f"{LOOPBACK}:{free_port()}" for _ in range(2))
+        listen = f"{LOOPBACK}:{free_port()}"
         settings = EntrySettings(
-            host=HostSettings(host, zone, REGION, listen, relay),
+            host=HostSettings(host, zone, REGION, listen),
             platform=self.platform,
             keys=SHARED_KEYS,
             operator_credential=OPERATOR_CREDENTIAL,
@@ -175,9 +175,7 @@
         self._entry_zones.append(zone)
         self._entry_tasks.append(asyncio.ensure_future(entry.run()))
         self.entry_urls.append(f"http://{listen}")
-        self.host_list.put(
-            HostEntry(host, listen, "entry", zone, REGION, relay_address=relay)
-        )
+        self.host_list.put(HostEntry(host, listen, "entry", zone, REGION))
         return self.entry_urls[-1]
 
     async def wait_ready(self, timeout_s: float = 10.0) -> None:
--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -107,7 +107,11 @@
         )
         ClaimMetrics(self._claims, self.metrics, self.timers)
         self._relay = RelayNode(
-            self.settings.host, key_ring(self.settings.keys), self.timers, self.metrics
+            session,
+            self.settings.host,
+            key_ring(self.settings.keys),
+            self.timers,
+            self.metrics,
         )
         self._sync = ConfigurationSync(
             log,
@@ -125,7 +129,7 @@
         self._build_service()
         self._sync.subscribe(self._apply_drains)
         self._sync.start(self._supervisor)
-        self._relay.start(self._supervisor, self._sync, self._pool.announce)
+        self._relay.start(self._sync, self._pool.announce)
         for stream, follower in self._sync.followers.items():
             carrier = CarryForwarder(
                 log, follower.view, self.timers, metrics=self.metrics
@@ -220,6 +224,7 @@
             status=self._status,
         )
         admin.add_to(app)
+        self._relay.add_to(app)
         ExplainRoute(self._service, admin.is_operator).add_to(app)
         self._routes.add_to(app)
         return app
--- a/camphorrun/platform/host_list.py
+++ b/camphorrun/platform/host_list.py
@@ -23,7 +23,6 @@
     availability_zone: str
     region: str = ""
     service: str = ""
-    relay_address: str = ""
     state: str = "live"
 
 
--- a/camphorrun/relay/client.py
+++ b/camphorrun/relay/client.py
@@ -3,14 +3,22 @@
 import asyncio
 import random
 from collections.abc import Callable
+from http import HTTPStatus
 
-import pynng
+import aiohttp
 
 from ..core import LogRecord
 from ..messages import KeyRing
 from ..metrics import Metrics
-from .frames import MAX_REPLY_BYTES, PAGE_BYTES, open_reply, seal_request
+from .frames import (
+    MAX_REPLY_BYTES,
+    PAGE_BYTES,
+    open_reply,
+    read_frame,
+    seal_request,
+)
 from .messages import (
+    RELAY_PATH,
     Announce,
     Announced,
     FetchRecords,
@@ -24,34 +32,46 @@
     decode_relay,
     encode_relay,
 )
-from .sockets import receive, send
 
-TIMEOUT_MS = 2000
+TIMEOUT_SECONDS = 2.0
 MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
 MAX_SNAPSHOT_PAGES = MAX_SNAPSHOT_BYTES // PAGE_BYTES
 # Peers asked at once for their snapshot position.
 SNAPSHOT_PEERS = 3
+_STATUS_CODES = {
+    HTTPStatus.FORBIDDEN: "frame_refused",
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: "oversized",
+}
 
 
 class RelayClient:
-    """Sends requests to one peer, one at a time.
+    """Sends requests to one peer.
 
     Parameters
     ----------
+    session : aiohttp.ClientSession
+        Session of the daemon.
     address : str
         Address of the peer (``ip:port``).
     keys : KeyRing
         Shared keys.
-    timeout_ms : int
-        Bound of each send and each receive in milliseconds.
+    timeout_s : float
+        Bound of each request, from connecting to the last byte of the reply.
     """
 
-    def __init__(self, address: str, keys: KeyRing, *, timeout_ms: int = TIMEOUT_MS):
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        keys: KeyRing,
+        *,
+        timeout_s: float = TIMEOUT_SECONDS,
+    ):
         self.address = address
+        self._session = session
+        self._url = f"http://{address}{RELAY_PATH}"
         self._keys = keys
-        self._timeout_ms = timeout_ms
-        self._socket: pynng.Req0 | None = None
-        self._lock = asyncio.Lock()
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
 
     async def announce(self, message: Announce) -> None:
         """Announce a daemon to the peer."""
@@ -89,24 +109,15 @@
         first = await self.fetch_first_page(stream, position)
         return await self.fetch_rest(first) if first.pages else None
 
-    def close(self) -> None:
-        """Close the connection; a later request opens a new one."""
-        if self._socket is not None:
-            self._socket.close()
-            self._socket = None
-
     async def _ask(self, request: RelayRequest, kind: type) -> RelayReply:
-        async with self._lock:
-            try:
-                reply = await self._exchange(request)
-            except pynng.Timeout as exc:
-                # The connection may be half-open, so the next request opens another.
-                self.close()
-                message = f"{self.address}: no reply"
-                raise RelayError(message, code="relay_timeout") from exc
-            except pynng.NNGException as exc:
-                self.close()
-                raise RelayError(f"{self.address}: {exc}") from exc
+        try:
+            reply = await self._exchange(request)
+        except TimeoutError as exc:
+            # aiohttp closes the connection, so a half-open one is not used again.
+            message = f"{self.address}: no reply"
+            raise RelayError(message, code="relay_timeout") from exc
+        except (aiohttp.ClientError, OSError, ValueError) as exc:
+            raise RelayError(f"{self.address}: {exc!r}") from exc
         if isinstance(reply, Refused):
             raise RelayError(f"{self.address}: {reply.code}", code=reply.code)
         if not isinstance(reply, kind):
@@ -116,19 +127,14 @@
 
     async def _exchange(self, request: RelayRequest) -> RelayReply:
         frame, nonce = seal_request(self._keys, encode_relay(request))
-        socket = self._connect()
-        await send(socket, frame)
-        return decode_relay(open_reply(self._keys, nonce, await receive(socket)))
-
-    def _connect(self) -> pynng.Req0:
-        if self._socket is None:
-            self._socket = pynng.Req0(
-                recv_max_size=MAX_REPLY_BYTES,
-                send_timeout=self._timeout_ms,
-                recv_timeout=self._timeout_ms,
-            )
-            self._socket.dial(f"tcp://{self.address}", block=False)
-        return self._socket
+        async with self._session.post(
+            self._url, data=frame, timeout=self._timeout, allow_redirects=False
+        ) as resp:
+            if resp.status != HTTPStatus.OK:
+                code = _STATUS_CODES.get(resp.status, RelayError.default_code)
+                raise RelayError(f"{self.address}: status {resp.status}", code=code)
+            reply = await read_frame(resp.content, MAX_REPLY_BYTES)
+        return decode_relay(open_reply(self._keys, nonce, reply))
 
 
 class RelayPeers:
@@ -136,6 +142,8 @@
 
     Parameters
     ----------
+    session : aiohttp.ClientSession
+        Session of the daemon.
     keys : KeyRing
         Shared keys.
     addresses : callable
@@ -151,62 +159,57 @@
 
     def __init__(
         self,
+        session: aiohttp.ClientSession,
         keys: KeyRing,
         addresses: Callable[[str], list[str]],
         *,
         on_position: Callable[[str, int], None] | None = None,
         rng: random.Random | None = None,
         metrics: Metrics | None = None,
-        timeout_ms: int = TIMEOUT_MS,
+        timeout_s: float = TIMEOUT_SECONDS,
     ):
+        self._session = session
         self._keys = keys
         self._addresses = addresses
         self._on_position = on_position
         self._rng = rng or random.Random()
         self._metrics = metrics
-        self._timeout_ms = timeout_ms
+        self._timeout_s = timeout_s
 
     async def snapshot(self, stream: str, position: int) -> bytes | None:
         """Return the snapshot with the highest position among several peers."""
         clients = self._select(stream)
-        try:
-            pages = await asyncio.gather(
-                *(self._first_page(client, stream, position) for client in clients)
-            )
-            offers = [
-                (page.position, index)
-                for index, page in enumerate(pages)
-                if page is not None and page.pages
-            ]
-            for _, index in sorted(offers, reverse=True):
-                data = await self._rest(clients[index], pages[index])
-                if data is not None:
-                    return data
-            return None
-        finally:
-            _close_all(clients)
+        pages = await asyncio.gather(
+            *(self._first_page(client, stream, position) for client in clients)
+        )
+        offers = [
+            (page.position, index)
+            for index, page in enumerate(pages)
+            if page is not None and page.pages
+        ]
+        for _, index in sorted(offers, reverse=True):
+            data = await self._rest(clients[index], pages[index])
+            if data is not None:
+                return data
+        return None
 
     async def records(self, stream: str, offset: int) -> tuple[LogRecord, ...]:
         """Return records of the first peer that keeps them."""
-        clients = self._select(stream)
-        try:
-            for client in clients:
-                try:
-                    records = await client.fetch_records(stream, offset)
-                except RelayError as exc:
-                    self._count(exc)
-                    continue
-                if records:
-                    return records
-            return ()
-        finally:
-            _close_all(clients)
+        for client in self._select(stream):
+            try:
+                records = await client.fetch_records(stream, offset)
+            except RelayError as exc:
+                self._count(exc)
+                continue
+            if records:
+                return records
+        return ()
 
     def _select(self, stream: str) -> list[RelayClient]:
         addresses = self._addresses(stream)
         count = min(SNAPSHOT_PEERS, len(addresses))
         return [
-            RelayClient(address, self._keys, timeout_ms=self._timeout_ms)
+            RelayClient(self._session, address, self._keys, timeout_s=self._timeout_s)
             for address in self._rng.sample(addresses, count)
         ]
 
@@ -232,8 +235,3 @@
     def _count(self, exc: RelayError) -> None:
         if self._metrics is not None:
             self._metrics.drops.labels(f"relay_{exc.code}").inc()
-
-
-def _close_all(clients: list[RelayClient]) -> None:
-    for client in clients:
-        client.close()
--- a/camphorrun/relay/frames.py
+++ b/camphorrun/relay/frames.py
@@ -10,6 +10,8 @@
 import hmac
 import secrets
 
+from aiohttp import StreamReader
+
 from ..messages import KeyRing, MessageError, SharedKey
 from .messages import RelayError
 
@@ -27,6 +29,21 @@
 _REPLY_PERSON = b"relay-reply"
 
 
+async def read_frame(content: StreamReader, max_bytes: int) -> bytes:
+    """Return a whole body, without holding more than ``max_bytes`` and one chunk.
+
+    Raises
+    ------
+    RelayError
+        With code ``oversized``.
+    """
+    parts = bytearray()
+    async for chunk in content.iter_any():
+        parts += chunk
+        _check_size(parts, max_bytes)
+    return bytes(parts)
+
+
 def seal_request(keys: KeyRing, payload: bytes) -> tuple[bytes, bytes]:
     """Return the frame of a request and its nonce.
 
@@ -92,7 +109,7 @@
         raise RelayError(str(exc), code="unknown_key") from exc
 
 
-def _check_size(frame: bytes, max_bytes: int) -> None:
+def _check_size(frame: bytes | bytearray, max_bytes: int) -> None:
     if len(frame) > max_bytes:
         raise RelayError(f"frame of {len(frame)} bytes", code="oversized")
 
--- a/camphorrun/relay/messages.py
+++ b/camphorrun/relay/messages.py
@@ -7,6 +7,7 @@
 from ..core import CamphorrunError, LogRecord
 
 SCHEMA_VERSION = 1
+RELAY_PATH = "/v1/relay"
 
 
 class RelayError(CamphorrunError):
--- a/camphorrun/relay/server.py
+++ b/camphorrun/relay/server.py
@@ -1,33 +1,27 @@
-"""Relay server of a daemon: serves snapshots and records of its followers.
-
-The server awaits ``arecv`` instead of watching the receive descriptor. Measured on one
-machine, the descriptor is faster for 100-byte messages (185 against 465 µs a round
-trip), but slower for pages of 1 MiB (2.6 against 1.9 ms), and one of two runs stalled;
-the cause was not determined.
-
-pynng 0.8.1 holds NNG 1.6.0, which has no parameter for its thread counts. The first
-socket starts 31 threads on a machine with 10 cores and adds less than 1 MB of resident
-memory; later sockets start none.
-"""
+"""Relay server of a daemon: serves snapshots and records of its followers."""
 
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from functools import singledispatchmethod
+from http import HTTPStatus
 
-import pynng
+from aiohttp import web
+from aiohttp.http import HttpProcessingError
 
 from ..configuration import StreamFollower
-from ..core import TimerService, new_identifier
+from ..core import TimerService, bounded, new_identifier
 from ..messages import KeyRing
 from ..metrics import Metrics
 from .frames import (
     MAX_REQUEST_BYTES,
     PAGE_BYTES,
     open_request,
+    read_frame,
     seal_reply,
 )
 from .messages import (
+    RELAY_PATH,
     Announce,
     Announced,
     FetchRecords,
@@ -40,16 +34,18 @@
     decode_relay,
     encode_relay,
 )
-from .sockets import receive, send
 
-SEND_TIMEOUT_MS = 2000
-# NNG closes a connection that sends more than this; smaller frames above
-# MAX_REQUEST_BYTES reach the server and are counted.
-SOCKET_MAX_BYTES = 16 * MAX_REQUEST_BYTES
+# Bound of the wait for the body of a request.
+READ_TIMEOUT_SECONDS = 2.0
 # Peers that start together share one export; it is released soon after, because it
 # is as large as all documents of its stream.
 EXPORT_KEEP_SECONDS = 10.0
 
+_STATUSES = {
+    "oversized": HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    "relay_timeout": HTTPStatus.REQUEST_TIMEOUT,
+}
+
 AnnounceHandler = Callable[[Announce], None]
 
 
@@ -69,8 +65,6 @@
 
     Parameters
     ----------
-    address : str
-        Address to listen on (``ip:port``).
     keys : KeyRing
         Shared keys.
     followers : mapping of str to StreamFollower
@@ -90,7 +84,6 @@
 
     def __init__(
         self,
-        address: str,
         keys: KeyRing,
         followers: Mapping[str, StreamFollower],
         timers: TimerService,
@@ -98,7 +91,6 @@
         on_announce: AnnounceHandler | None = None,
         metrics: Metrics | None = None,
     ):
-        self._address = address
         self._keys = keys
         self._followers = followers
         self._timers = timers
@@ -107,46 +99,41 @@
         self._exports: dict[str, _Export] = {}
         self.refused: Counter[str] = Counter()
 
-    async def run(self) -> None:
-        """Serve until cancelled.
+    def add_to(self, app: web.Application) -> None:
+        """Register the handler of relay requests."""
+        app.router.add_post(RELAY_PATH, self.handle)
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Answer one request frame; a refused one gets a status without a body."""
+        try:
+            frame = await self._read(request)
+            reply = self.answer(frame)
+        except RelayError as exc:
+            self._refuse(exc.code)
+            status = _STATUSES.get(exc.code, HTTPStatus.FORBIDDEN)
+            return web.Response(status=status)
+        return web.Response(body=reply, content_type="application/octet-stream")
+
+    def answer(self, frame: bytes) -> bytes:
+        """Return the reply frame.
 
         Raises
         ------
         RelayError
-            If the address cannot be used.
+            If the frame is refused.
         """
-        socket = pynng.Rep0(
-            recv_max_size=SOCKET_MAX_BYTES, send_timeout=SEND_TIMEOUT_MS
-        )
-        try:
-            socket.listen(f"tcp://{self._address}")
-            while True:
-                await self._serve_one(socket)
-        except pynng.NNGException as exc:
-            raise RelayError(f"{self._address}: {exc}") from exc
-        finally:
-            socket.close()
-
-    async def _serve_one(self, socket: pynng.Rep0) -> None:
-        frame = await receive(socket)
-        reply = self.answer(frame)
-        if reply is None:
-            # The next receive discards the request; the sender gets no reply.
-            return
-        try:
-            await send(socket, reply)
-        except (pynng.Timeout, pynng.BadState):
-            self._refuse("reply_not_sent")
+        key, nonce, payload = open_request(self._keys, frame)
+        reply = self._handle(decode_relay(payload))
+        return seal_reply(key, nonce, encode_relay(reply))
 
-    def answer(self, frame: bytes) -> bytes | None:
-        """Return the reply frame, None for a frame that is refused."""
+    async def _read(self, request: web.Request) -> bytes:
+        body = read_frame(request.content, MAX_REQUEST_BYTES)
         try:
-            key, nonce, payload = open_request(self._keys, frame)
-            reply = self._handle(decode_relay(payload))
-            return seal_reply(key, nonce, encode_relay(reply))
-        except RelayError as exc:
-            self._refuse(exc.code)
-            return None
+            return await bounded(self._timers, body, READ_TIMEOUT_SECONDS)
+        except TimeoutError as exc:
+            raise RelayError("body not received", code="relay_timeout") from exc
+        except (web.RequestPayloadError, HttpProcessingError, OSError) as exc:
+            raise RelayError(f"body not received: {exc!r}", code="truncated") from exc
 
     @singledispatchmethod
     def _handle(self, request: object) -> RelayReply:
--- a/camphorrun/relay/tests/test_relay.py
+++ b/camphorrun/relay/tests/test_relay.py
@@ -5,8 +5,9 @@
 import random
 import socket
 
-import pynng
+import aiohttp
 import pytest
+from aiohttp import web
 
 from ...configuration import (
     ConfigurationChange,
@@ -19,9 +20,15 @@
 from ...core import LogRecord, LoopTimerService, MemoryLog
 from ...messages import KeyRing, SharedKey
 from .. import Announce, FetchRecords, RelayClient, RelayError, RelayPeers, RelayServer
-from ..frames import MAX_REQUEST_BYTES, PAGE_BYTES, open_reply, seal_request
-from ..messages import encode_relay
-from ..sockets import receive
+from .. import server as server_module
+from ..frames import (
+    MAX_REPLY_BYTES,
+    MAX_REQUEST_BYTES,
+    PAGE_BYTES,
+    open_reply,
+    seal_request,
+)
+from ..messages import RELAY_PATH, encode_relay
 
 KEYS = KeyRing((SharedKey(1, b"k" * 32),))
 FOREIGN_KEYS = KeyRing((SharedKey(1, b"f" * 32),))
@@ -52,16 +59,24 @@
 
 @contextlib.asynccontextmanager
 async def _served(follower, **options):
+    server = RelayServer(KEYS, {"fleet": follower}, LoopTimerService(), **options)
+    async with _listening(server.handle) as (address, session):
+        yield server, address, session
+
+
+@contextlib.asynccontextmanager
+async def _listening(handler):
     address = _free_address()
-    timers = LoopTimerService()
-    server = RelayServer(address, KEYS, {"fleet": follower}, timers, **options)
-    task = asyncio.ensure_future(server.run())
+    app = web.Application()
+    app.router.add_post(RELAY_PATH, handler)
+    runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=1.0)
+    await runner.setup()
+    await web.TCPSite(runner, *address.split(":")).start()
     try:
-        yield server, address
+        async with aiohttp.ClientSession() as session:
+            yield address, session
     finally:
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
+        await runner.cleanup()
 
 
 class TestRequests:
@@ -72,11 +87,10 @@
         follower = _follower(400, "x" * 40_000)
 
         async def scenario():
-            async with _served(follower) as (_, address):
-                client = RelayClient(address, KEYS)
+            async with _served(follower) as (_, address, session):
+                client = RelayClient(session, address, KEYS)
                 data = await client.fetch_snapshot("fleet")
                 behind = await client.fetch_snapshot("fleet", 400)
-                client.close()
                 return data, behind
 
         data, behind = asyncio.run(scenario())
@@ -92,13 +106,16 @@
         seen = []
 
         async def scenario():
-            async with _served(_follower(5), on_announce=seen.append) as (_, address):
-                client = RelayClient(address, KEYS)
+            async with _served(_follower(5), on_announce=seen.append) as (
+                _,
+                address,
+                session,
+            ):
+                client = RelayClient(session, address, KEYS)
                 await client.announce(message)
                 found = await client.fetch_records("fleet", 4)
                 with pytest.raises(RelayError) as caught:
                     await client.fetch_records("accounts", 1)
-                client.close()
                 return found, caught.value.code
 
         found, code = asyncio.run(scenario())
@@ -121,28 +138,74 @@
         too_large = bytes(1024 * 1024)
 
         async def scenario():
-            async with _served(_follower(3)) as (server, address):
-                client = RelayClient(address, KEYS)
+            answers = []
+            async with _served(_follower(3)) as (server, address, session):
+                client = RelayClient(session, address, KEYS)
                 for count, bad in enumerate([*frames, too_large]):
-                    with pynng.Req0(send_timeout=2000) as sender:
-                        sender.dial(f"tcp://{address}", block=False)
-                        await sender.asend(bad)
-                        expected = min(count + 1, len(frames))
-                        while sum(server.refused.values()) < expected:
-                            await asyncio.sleep(0.001)
-                        assert len(await client.fetch_records("fleet", 1)) == 3
-                client.close()
-                return server.refused
-
-        refused = asyncio.run(asyncio.wait_for(scenario(), 30))
+                    url = f"http://{address}{RELAY_PATH}"
+                    async with session.post(url, data=bad) as resp:
+                        answers.append((resp.status, await resp.read()))
+                    assert sum(server.refused.values()) == count + 1
+                    assert len(await client.fetch_records("fleet", 1)) == 3
+                return server.refused, answers
+
+        refused, answers = asyncio.run(asyncio.wait_for(scenario(), 30))
         codes = ("bad_digest", "truncated", "oversized", "bad_message")
         assert all(refused[code] >= 1 for code in codes)
-        # NNG itself refuses the frame above its own limit.
-        assert sum(refused.values()) == len(frames)
+        assert refused["oversized"] == 2
+        expected = [(403, b"")] * len(frames) + [(413, b"")]
+        expected[2] = (413, b"")
+        assert answers == expected
+
+    def test_unreadable_body(self):
+        """Guards against a server that a malformed, badly encoded or cut body stops."""
+        head = f"POST {RELAY_PATH} HTTP/1.1\r\nHost: x\r\n"
+        malformed = f"{head}Transfer-Encoding: chunked\r\n\r\nzz\r\n".encode()
+        encoded = f"{head}Content-Encoding: deflate\r\nContent-Length: 9\r\n\r\n"
+        cut = f"{head}Content-Length: 99\r\n\r\nx".encode()
+
+        async def scenario():
+            async with _served(_follower(3)) as (server, address, session):
+                client = RelayClient(session, address, KEYS)
+                answers = []
+                for data in (malformed, encoded.encode() + b"\xff" * 9, cut):
+                    reader, writer = await asyncio.open_connection(*address.split(":"))
+                    writer.write(data)
+                    if data is not cut:
+                        answers.append((await reader.readline()).split()[1])
+                    writer.close()
+                    assert len(await client.fetch_records("fleet", 1)) == 3
+                return answers, server.refused["truncated"]
+
+        answers, count = asyncio.run(asyncio.wait_for(scenario(), 30))
+        # The HTTP parser refuses malformed chunks before the relay sees a request.
+        assert (answers, count) == ([b"400", b"403"], 1)
+
+    def test_body_that_never_ends(self, monkeypatch):
+        """Guards against a sender that holds a handler or memory without bound."""
+        monkeypatch.setattr(server_module, "READ_TIMEOUT_SECONDS", 0.05)
+
+        async def send_part(address, size):
+            reader, writer = await asyncio.open_connection(*address.split(":"))
+            head = f"POST {RELAY_PATH} HTTP/1.1\r\nHost: x\r\n"
+            writer.write(f"{head}Content-Length: 99999\r\n\r\n".encode() + bytes(size))
+            status = await reader.readline()
+            writer.close()
+            return status.split()[1]
+
+        async def scenario():
+            async with _served(_follower(3)) as (server, address, _):
+                sizes = (1, MAX_REQUEST_BYTES + 1)
+                answers = [await send_part(address, size) for size in sizes]
+                return answers, server.refused
+
+        answers, refused = asyncio.run(asyncio.wait_for(scenario(), 30))
+        assert answers == [b"408", b"413"]
+        assert refused == {"relay_timeout": 1, "oversized": 1}
 
     def test_reply_to_another_request(self):
         """Guards against a recorded reply that is accepted for a new request."""
-        server = RelayServer("", KEYS, {"fleet": _follower(1)}, LoopTimerService())
+        server = RelayServer(KEYS, {"fleet": _follower(1)}, LoopTimerService())
         frame, nonce = seal_request(KEYS, encode_relay(FetchRecords("fleet", 1)))
         reply = server.answer(frame)
         assert open_reply(KEYS, nonce, reply)
@@ -153,40 +216,68 @@
     def test_silent_peer(self):
         """Guards against a request that waits without bound."""
 
-        async def ask(address):
-            client = RelayClient(address, KEYS, timeout_ms=50)
+        async def hold(_reader, writer):
+            held.append(writer)
+
+        async def ask(session, address):
+            client = RelayClient(session, address, KEYS, timeout_s=0.05)
             with pytest.raises(RelayError) as caught:
                 await asyncio.wait_for(client.fetch_records("fleet", 1), 5)
             return caught.value.code
 
         async def scenario():
             address = _free_address()
-            with pynng.Rep0(listen=f"tcp://{address}"):
-                return await ask(address), await ask(_free_address())
+            silent = await asyncio.start_server(hold, *address.split(":"))
+            async with aiohttp.ClientSession() as session:
+                codes = await ask(session, address), await ask(session, _free_address())
+            for writer in held:
+                writer.close()
+            silent.close()
+            return codes
+
+        held = []
+        assert asyncio.run(scenario()) == ("relay_timeout", "relay_unavailable")
+
+    def test_oversized_reply(self):
+        """Guards against a peer whose reply fills the memory of the requester."""
+
+        async def flood(request):
+            resp = web.StreamResponse()
+            await resp.prepare(request)
+            await resp.write(bytes(MAX_REPLY_BYTES + 1))
+            await asyncio.sleep(60)
+
+        async def scenario():
+            async with _listening(flood) as (address, session):
+                with pytest.raises(RelayError) as caught:
+                    await RelayClient(session, address, KEYS).fetch_records("fleet", 1)
+                return caught.value.code
 
-        assert asyncio.run(scenario()) == ("relay_timeout",) * 2
+        assert asyncio.run(asyncio.wait_for(scenario(), 30)) == "oversized"
 
 
 class TestCancellation:
-    """A server can be stopped at any moment."""
+    """A request can be stopped at any moment."""
 
     def test_cancelled_while_an_operation_completes(self):
-        """Guards against a cancellation that pynng drops."""
-
-        class _Completing:
-            async def arecv(self):
-                with contextlib.suppress(asyncio.CancelledError):
-                    await asyncio.sleep(60)
-                return b""
+        """Guards against a cancellation that is dropped when a reply arrives."""
 
         async def scenario():
-            task = asyncio.ensure_future(receive(_Completing()))
-            await asyncio.sleep(0)
-            task.cancel()
-            with pytest.raises(asyncio.CancelledError):
-                await task
-
-        asyncio.run(scenario())
+            async with _served(_follower(3)) as (_, address, session):
+                client = RelayClient(session, address, KEYS)
+                outcomes = set()
+                for turns in range(60):
+                    task = asyncio.ensure_future(client.fetch_records("fleet", 1))
+                    for _ in range(turns):
+                        await asyncio.sleep(0)
+                    was_pending = task.cancel()
+                    await asyncio.wait([task])
+                    assert task.cancelled() == was_pending
+                    outcomes.add(was_pending)
+                assert len(await client.fetch_records("fleet", 1)) == 3
+                return outcomes
+
+        assert True in asyncio.run(asyncio.wait_for(scenario(), 30))
 
 
 class TestRelayPeers:
@@ -199,11 +290,11 @@
             log = MemoryLog(LoopTimerService())
             log.available = False
             async with (
-                _served(_follower(3)) as (_, low),
-                _served(_follower(7)) as (_, high),
+                _served(_follower(3)) as (_, low, session),
+                _served(_follower(7)) as (_, high, _),
             ):
                 addresses = [low, high, _free_address()]
-                peers = RelayPeers(KEYS, lambda _: addresses, timeout_ms=300)
+                peers = RelayPeers(session, KEYS, lambda _: addresses)
                 follower = _follower(0, source=peers, log=log)
                 assert await follower.fetch_from_peers()
                 return follower.position
--- a/camphorrun/settings/roles.py
+++ b/camphorrun/settings/roles.py
@@ -48,14 +48,11 @@
     availability_zone: str
     region: str
     listen: str
-    relay_listen: str = ""
 
     def __post_init__(self):
         if not self.name or not self.availability_zone or not self.region:
             raise ValueError("host: name, availability_zone and region must be set")
         check_address(self.listen, "host.listen")
-        if self.relay_listen:
-            check_address(self.relay_listen, "host.relay_listen")
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -31,7 +31,7 @@
     "retries",
     "routing",
 )
-SOCKET_MODULES = {"aiohttp", "pynng", "socket", "http", "urllib"}
+SOCKET_MODULES = {"aiohttp", "socket", "http", "urllib"}
 
 
 def _level_of(subpackage: str) -> int:
--- a/tools/bench_configuration.py
+++ b/tools/bench_configuration.py
@@ -7,11 +7,9 @@
 
 import argparse
 import asyncio
-import contextlib
 import gc
 import hashlib
 import json
-import os
 import socket
 import sys
 import time
@@ -20,6 +18,9 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+import aiohttp  # noqa: E402
+from aiohttp import web  # noqa: E402
+
 from camphorrun.configuration import (  # noqa: E402
     Account,
     ConfigurationChange,
@@ -31,10 +32,12 @@
     encode_record,
 )
 from camphorrun.core import LogRecord, LoopTimerService, MemoryLog  # noqa: E402
+from camphorrun.daemon import start_server  # noqa: E402
 from camphorrun.messages import KeyRing, SharedKey  # noqa: E402
 from camphorrun.relay import RelayClient, RelayServer  # noqa: E402
 
 APPEND_BATCH = 500
+SMALL_REQUESTS = 1000
 
 
 def account_value(index: int) -> bytes:
@@ -106,39 +109,28 @@
         probe.bind(("127.0.0.1", 0))
         address = f"127.0.0.1:{probe.getsockname()[1]}"
     keys = KeyRing((SharedKey(1, b"k" * 32),))
-    threads, resident = _threads(), _resident_kb()
-    server = RelayServer(address, keys, {"accounts": follower}, LoopTimerService())
-    task = asyncio.ensure_future(server.run())
-    await asyncio.sleep(0)
-    figures = {
-        "threads_added": _threads() - threads,
-        "resident_kb_added": _resident_kb() - resident,
-    }
-    client = RelayClient(address, keys)
-    begun_at = time.perf_counter()
-    data = await client.fetch_snapshot("accounts")
-    fetched_at = time.perf_counter()
-    ConfigurationView("accounts").install(data)
-    figures["snapshot_bytes"] = len(data)
-    figures["fetch_s"] = round(fetched_at - begun_at, 3)
-    figures["install_s"] = round(time.perf_counter() - fetched_at, 3)
-    client.close()
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
+    app = web.Application()
+    RelayServer(keys, {"accounts": follower}, LoopTimerService()).add_to(app)
+    runner = await start_server(app, address)
+    figures: dict[str, float] = {}
+    async with aiohttp.ClientSession() as session:
+        client = RelayClient(session, address, keys)
+        begun_at = time.perf_counter()
+        data = await client.fetch_snapshot("accounts")
+        fetched_at = time.perf_counter()
+        ConfigurationView("accounts").install(data)
+        figures["snapshot_bytes"] = len(data)
+        figures["fetch_s"] = round(fetched_at - begun_at, 3)
+        figures["install_s"] = round(time.perf_counter() - fetched_at, 3)
+        begun_at = time.perf_counter()
+        for _ in range(SMALL_REQUESTS):
+            await client.fetch_records("accounts", follower.position + 1)
+        elapsed = time.perf_counter() - begun_at
+        figures["small_request_us"] = round(elapsed / SMALL_REQUESTS * 1e6)
+    await runner.cleanup()
     return figures
 
 
-def _threads() -> int:
-    return len(os.listdir("/proc/self/task"))
-
-
-def _resident_kb() -> int:
-    status = Path("/proc/self/status").read_text()
-    line = next(line for line in status.splitlines() if line.startswith("VmRSS"))
-    return int(line.split()[1])
-
-
 async def measure(sizes: list[int]) -> dict:
     """Return all figures."""
     accounts = [account_value(index) for index in range(max(sizes))]
--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -153,7 +153,6 @@
                 "availability_zone": zone,
                 "region": "local",
                 "listen": listen,
-                "relay_listen": f"127.0.0.1:{free_port()}",
             },
             "platform": {"log_url": self.log_url, "host_list_url": self.hosts_url},
             "keys": [{"key_id": 1, "secret": SECRET}],
@@ -193,7 +192,6 @@
         return {
             "host": host["name"],
             "address": host["listen"],
-            "relay_address": host["relay_listen"],
             "role": role,
             "availability_zone": host["availability_zone"],
             "region": host["region"],
