--- a/camphorrun/platform/host_list.py
+++ b/camphorrun/platform/host_list.py
@@ -24,7 +24,6 @@
     availability_zone: str
     region: str = ""
     service: str = ""
-    relay_address: str = ""
     state: str = "live"
 
 
