--- a/camphorrun/agent/daemon.py
+++ b/camphorrun/agent/daemon.py
@@ -1,34 +1,25 @@
 """The agent daemon: one endpoint, its queue, and links from entries."""
 
-import asyncio
-
 import aiohttp
 from aiohttp import web
 
-from ..core import LoopTimerService, Supervisor, TimerService, new_identifier
 from ..daemon import (
+    DRAIN_POLL_SECONDS,
+    FLEET_STREAM,
     AdminRoutes,
     Announcer,
-    ClaimMetrics,
-    ConfigurationSync,
+    Daemon,
     HostWatcher,
-    Lifecycle,
-    RelayNode,
-    claim_participant,
-    start_server,
 )
 from ..limits import ConcurrencyLimit, StageQueue, queue_policy_by_name
 from ..messages import DrainNotice, Hello, Ping, Pong
-from ..metrics import Metrics
 from ..platform import (
     EndpointClient,
     HostEntry,
     HostListClient,
-    LogClient,
     WeightStoreClient,
 )
 from ..relay import Announce
-from ..settings import AgentSettings, key_ring
 from ..transport import LINK_PATH, Link, LinkListener
 from .attempts import AttemptStore
 from .endpoint_runner import EndpointRunner
@@ -36,66 +27,22 @@
 from .outcome_store import OutcomeStore
 from .worker import AgentWorker, send_part
 
-DRAIN_POLL_SECONDS = 0.05
 CLAIMS_DRAIN_SECONDS = 10.0
-FLEET_STREAM = "fleet"
 
 
-class AgentDaemon:
+class AgentDaemon(Daemon):
     """Builds and runs the parts of an agent.
 
-    Parameters
-    ----------
-    settings : AgentSettings
-        Checked settings.
-    timers : TimerService, optional
-        Clock.
+    See Also
+    --------
+    camphorrun.daemon.Daemon : parameters and the course of a daemon's life.
     """
 
-    def __init__(self, settings: AgentSettings, timers: TimerService | None = None):
-        self.settings = settings
-        self.incarnation = new_identifier("agent")
-        self.timers = timers or LoopTimerService()
-        self.metrics = Metrics()
-        self.lifecycle = Lifecycle(settings.host.name, self.incarnation)
-        self._supervisor = Supervisor(settings.host.name, self.timers)
-
-    async def run(self) -> None:
-        """Serve until a drain has ended."""
-        connector = aiohttp.TCPConnector(limit=0)
-        async with aiohttp.ClientSession(connector=connector) as session:
-            self._build(session)
-            runner = await start_server(self._application(), self.settings.host.listen)
-            supervised = asyncio.ensure_future(self._supervisor.run())
-            try:
-                self.lifecycle.serve()
-                await self._serve_until_drained(supervised)
-            finally:
-                await self._supervisor.stop()
-                await self._listener.close()
-                await self._claims.close()
-                await runner.cleanup()
-
-    def drain(self, reason: str) -> None:
-        """Start the graceful shutdown."""
-        self.lifecycle.drain(reason)
+    role = "agent"
 
     def _build(self, session: aiohttp.ClientSession) -> None:
         settings = self.settings
-        log = LogClient(session, settings.platform.log_url)
-        self._claims = claim_participant(log, self.timers, settings, self.incarnation)
-        ClaimMetrics(self._claims, self.metrics, self.timers)
-        keys = key_ring(settings.keys)
-        self._relay = RelayNode(session, settings.host, keys, self.timers, self.metrics)
         self._announcer = self._build_announcer(session)
-        self._sync = ConfigurationSync(
-            log,
-            (FLEET_STREAM,),
-            self._claims.follower,
-            self._relay.peers,
-            timers=self.timers,
-            metrics=self.metrics,
-        )
         self._worker = self._build_worker(session)
         self._listener = self._build_listener()
         self._orders = self._build_orders(session)
@@ -126,7 +73,7 @@
         return Announcer(
             message,
             session,
-            key_ring(self.settings.keys),
+            self._key_ring,
             self.timers,
             self.metrics,
             is_open=lambda: self.lifecycle.accepts_work,
@@ -176,7 +123,7 @@
             self.settings.endpoint.service,
         )
         return LinkListener(
-            key_ring(self.settings.keys),
+            self._key_ring,
             local,
             self.timers,
             self.metrics,
@@ -242,9 +189,7 @@
     def _on_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
         self._relay.update(hosts)
         self._announcer.update(hosts)
-        name = self.settings.host.name
-        if any(entry.host == name and entry.state == "leaving" for entry in hosts):
-            self.lifecycle.drain("host list marks the host as leaving")
+        self._drain_if_leaving(hosts)
 
     def _on_drain(self, reason: str) -> None:
         self._update_refusal()
@@ -260,14 +205,8 @@
         else:
             self._worker.refuse_new_work("")
 
-    async def _serve_until_drained(self, supervised: asyncio.Future) -> None:
-        drained = asyncio.ensure_future(self._finish_drain())
-        done, _ = await asyncio.wait(
-            {drained, supervised}, return_when=asyncio.FIRST_COMPLETED
-        )
-        drained.cancel()
-        for task in done:
-            task.result()
+    async def _close_links(self) -> None:
+        await self._listener.close()
 
     async def _finish_drain(self) -> None:
         """Wait for the drain, then until nothing is in flight or unacknowledged."""
--- a/camphorrun/daemon/__init__.py
+++ b/camphorrun/daemon/__init__.py
@@ -2,6 +2,7 @@
 
 from .admin import AdminRoutes
 from .announcer import Announcer
+from .base import ACCOUNTS_STREAM, DRAIN_POLL_SECONDS, FLEET_STREAM, Daemon
 from .claim_parts import ClaimMetrics, claim_participant
 from .configuration_sync import ConfigurationSync
 from .hosts import HostWatcher
@@ -11,6 +12,10 @@
 from .server import start_server
 
 __all__ = [
+    "ACCOUNTS_STREAM",
+    "DRAIN_POLL_SECONDS",
+    "Daemon",
+    "FLEET_STREAM",
     "AdminRoutes",
     "Announcer",
     "ClaimMetrics",
--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -1,6 +1,5 @@
 """The entry daemon: HTTP for callers, admission, execution, links to agents."""
 
-import asyncio
 import random
 
 import aiohttp
@@ -9,21 +8,18 @@
 from ..admission import AdmissionGroup
 from ..admission import policy_by_name as admission_policy_by_name
 from ..configuration import CarryForwarder, PlacementIndex
-from ..core import LoopTimerService, Supervisor, TimerService, new_identifier
+from ..core import TimerService
 from ..daemon import (
+    ACCOUNTS_STREAM,
+    DRAIN_POLL_SECONDS,
+    FLEET_STREAM,
     AdminRoutes,
-    ClaimMetrics,
-    ConfigurationSync,
+    Daemon,
     HostWatcher,
-    Lifecycle,
-    RelayNode,
-    claim_participant,
-    start_server,
 )
 from ..messages import Hello
-from ..metrics import Metrics
 from ..pipeline import PipelineExecutor
-from ..platform import HostEntry, HostListClient, LogClient
+from ..platform import HostEntry, HostListClient
 from ..retries import Backoff, budget_by_name, hedges_by_name
 from ..routing import (
     Router,
@@ -32,7 +28,7 @@
     policy_by_name,
     service_capacity,
 )
-from ..settings import EntrySettings, key_ring
+from ..settings import EntrySettings
 from .api import CallerRoutes
 from .claim_resolver import LogClaimResolver
 from .explain_route import ExplainRoute
@@ -48,79 +44,31 @@
     StageRunner,
 )
 
-DRAIN_POLL_SECONDS = 0.05
 CAPACITY_SECONDS = 0.5
 # The observed share of the load counts from this multiple of an equal share on.
 CLEAR_SHARE_FACTOR = 1.5
-FLEET_STREAM = "fleet"
-ACCOUNTS_STREAM = "accounts"
 
 
-class EntryDaemon:
+class EntryDaemon(Daemon):
     """Builds and runs the parts of an entry.
 
-    Parameters
-    ----------
-    settings : EntrySettings
-        Checked settings.
-    timers : TimerService, optional
-        Clock.
+    See Also
+    --------
+    camphorrun.daemon.Daemon : parameters and the course of a daemon's life.
     """
 
+    role = "entry"
+    streams = (FLEET_STREAM, ACCOUNTS_STREAM)
+
     def __init__(self, settings: EntrySettings, timers: TimerService | None = None):
-        self.settings = settings
-        self.incarnation = new_identifier("entry")
-        self.timers = timers or LoopTimerService()
-        self.metrics = Metrics()
-        self.lifecycle = Lifecycle(settings.host.name, self.incarnation)
-        self._supervisor = Supervisor(settings.host.name, self.timers)
+        super().__init__(settings, timers)
         self._rng = random.Random(settings.policy.seed or None)
         self._live_entries = 1
-
-    async def run(self) -> None:
-        """Serve until a drain has ended."""
-        connector = aiohttp.TCPConnector(limit=0)
-        async with aiohttp.ClientSession(connector=connector) as session:
-            self._build(session)
-            runner = await start_server(self._application(), self.settings.host.listen)
-            supervised = asyncio.ensure_future(self._supervisor.run())
-            try:
-                self.lifecycle.serve()
-                await self._serve_until_drained(supervised)
-            finally:
-                await self._supervisor.stop()
-                await self._pool.close()
-                await self._claims.close()
-                await runner.cleanup()
-
-    def drain(self, reason: str) -> None:
-        """Start the graceful shutdown."""
-        self.lifecycle.drain(reason)
+        self._closed_to_callers = False
 
     # Construction.
 
     def _build(self, session: aiohttp.ClientSession) -> None:
-        platform = self.settings.platform
-        log = LogClient(session, platform.log_url)
-        self._claims = claim_participant(
-            log, self.timers, self.settings, self.incarnation
-        )
-        ClaimMetrics(self._claims, self.metrics, self.timers)
-        self._relay = RelayNode(
-            session,
-            self.settings.host,
-            key_ring(self.settings.keys),
-            self.timers,
-            self.metrics,
-        )
-        self._sync = ConfigurationSync(
-            log,
-            (FLEET_STREAM, ACCOUNTS_STREAM),
-            self._claims.follower,
-            self._relay.peers,
-            timers=self.timers,
-            metrics=self.metrics,
-        )
         self._pool = self._build_pool(session)
         self._admission = AdmissionGroup(
             admission_policy_by_name(self.settings.policy.admission),
@@ -132,10 +80,10 @@
         self._relay.start(self._sync, self._pool.announce)
         for stream, follower in self._sync.followers.items():
             carrier = CarryForwarder(
-                log, follower.view, self.timers, metrics=self.metrics
+                self._log, follower.view, self.timers, metrics=self.metrics
             )
             self._supervisor.add(f"carry-{stream}", carrier.run)
-        hosts = HostListClient(session, platform.host_list_url)
+        hosts = HostListClient(session, self.settings.platform.host_list_url)
         watcher = HostWatcher(hosts, self.timers, self._on_hosts)
         self._supervisor.add("host-list", watcher.run)
         self.timers.subscribe(CAPACITY_SECONDS, self._note_capacity)
@@ -146,7 +94,7 @@
         local = Hello(host.name, host.availability_zone, "entry", self.incarnation, b"")
         return PeerPool(
             session,
-            key_ring(self.settings.keys),
+            self._key_ring,
             local,
             self.timers,
             self.metrics,
@@ -155,7 +103,7 @@
         )
 
     def _build_service(self) -> None:
-        ring = key_ring(self.settings.keys)
+        ring = self._key_ring
         resolver = LogClaimResolver(
             ring,
             self._claims.voids,
@@ -177,7 +125,7 @@
         self._planner = Planner(
             self._sync.view(FLEET_STREAM), self._sync.view(ACCOUNTS_STREAM), ring
         )
-        self._keys = KeyService(ring, self._claims.follower, resolver)
+        self._key_service = KeyService(ring, self._claims.follower, resolver)
 
     def _build_runner(self, resolver: LogClaimResolver) -> StageRunner:
         policy = self.settings.policy
@@ -206,8 +154,8 @@
             self._planner,
             self._service,
             self._cache,
-            self._keys,
-            is_open=lambda: self._is_open,
+            self._key_service,
+            is_open=lambda: not self._closed_to_callers,
             is_ready=lambda: self._sync.synchronised,
             timers=self.timers,
             metrics=self.metrics,
@@ -269,9 +217,7 @@
         self._admission.on_capacity(capacities, self.timers.now())
 
     def _on_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
-        name = self.settings.host.name
-        if any(entry.host == name and entry.state == "leaving" for entry in hosts):
-            self.lifecycle.drain("host list marks the host as leaving")
+        self._drain_if_leaving(hosts)
         self._relay.update(hosts)
         live = sum(entry.role == "entry" and entry.state == "live" for entry in hosts)
         self._live_entries = max(1, live)
@@ -288,20 +234,8 @@
             if host == self.settings.host.name:
                 self.lifecycle.drain("configuration")
 
-    @property
-    def _is_open(self) -> bool:
-        return not self._closed_to_callers
-
-    _closed_to_callers = False
-
-    async def _serve_until_drained(self, supervised: asyncio.Future) -> None:
-        drained = asyncio.ensure_future(self._finish_drain())
-        done, _ = await asyncio.wait(
-            {drained, supervised}, return_when=asyncio.FIRST_COMPLETED
-        )
-        drained.cancel()
-        for task in done:
-            task.result()
+    async def _close_links(self) -> None:
+        await self._pool.close()
 
     async def _finish_drain(self) -> None:
         """Wait for the drain, then until no request is in flight.
