--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -18,14 +18,10 @@
 import itertools
 import json
 import random
-import signal
-import socket
-import subprocess
 import sys
 import tempfile
 import time
 from collections import Counter
-from dataclasses import dataclass, field
 from pathlib import Path
 
 import aiohttp
@@ -49,161 +45,20 @@
 from camphorrun.platform import LogClient
 from camphorrun.standins import run_operation, streamed_text
 
-SECRET = "5a" * 32
+from .chaos_faults import Injector
+from .chaos_system import SECRET, System
+
 RING = KeyRing((SharedKey(1, bytes.fromhex(SECRET)),))
-OPERATOR = "chaos-operator"
 ACCOUNT = "chaos"
 ACCOUNT_SECRET = "caller-secret"
-ZONES = ("zone-a", "zone-b", "zone-c")
 SERVICES = {"encode": 2, "retrieve": 2, "rerank": 2, "generate": 3, "billing": 3}
-PROFILES = {
-    "generate": {"base_s": 0.02, "output_unit_s": 0.01},
-    "billing": {"base_s": 0.05},
-}
 MAX_OUTPUT = 12
 REQUEST_TIMEOUT_SECONDS = 15.0
 CALLER_PATIENCE_SECONDS = 40.0
-RESTART_SECONDS = 0.5
-TERMINATE_SECONDS = 60.0
 # Share of the requests that are sent through two entries at the same time.
 TWIN_SHARE = 0.2
 
 
-def free_port() -> int:
-    """Return a free TCP port on loopback."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-@dataclass
-class Process:
-    """A process of the system that can be killed, paused and started again."""
-
-    name: str
-    arguments: list[str]
-    log_path: Path
-    popen: subprocess.Popen | None = None
-
-    def start(self) -> None:
-        """Start the process with its output in a file."""
-        with self.log_path.open("ab") as output:
-            self.popen = subprocess.Popen(
-                [sys.executable, "-m", "camphorrun", *self.arguments],
-                stdout=output,
-                stderr=output,
-            )
-
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal to the process, by its id."""
-        self.popen.send_signal(number)
-
-    def stop(self) -> None:
-        """Kill the process and wait for it."""
-        if self.popen is not None and self.popen.poll() is None:
-            self.popen.send_signal(signal.SIGCONT)
-            self.popen.kill()
-            self.popen.wait()
-
-
-@dataclass
-class System:
-    """All processes of a run."""
-
-    directory: Path
-    log_url: str = ""
-    hosts_url: str = ""
-    entry_urls: list[str] = field(default_factory=list)
-    endpoint_urls: list[str] = field(default_factory=list)
-    platform: list[Process] = field(default_factory=list)
-    endpoints: list[Process] = field(default_factory=list)
-    agents: list[Process] = field(default_factory=list)
-    entries: list[Process] = field(default_factory=list)
-
-    def all(self) -> list[Process]:
-        """Return every process."""
-        return [*self.platform, *self.endpoints, *self.agents, *self.entries]
-
-    def add(self, group: list[Process], name: str, arguments: list[str]) -> None:
-        """Start a process and remember it."""
-        process = Process(name, arguments, self.directory / f"{name}.log")
-        process.start()
-        group.append(process)
-
-    def write_settings(self, name: str, settings: dict) -> str:
-        """Write a settings file and return its path."""
-        path = self.directory / f"{name}.json"
-        path.write_text(json.dumps(settings))
-        return str(path)
-
-    def start_platform(self) -> None:
-        """Start the stand-ins of the log service and of the host list."""
-        log, hosts = free_port(), free_port()
-        self.log_url = f"http://127.0.0.1:{log}"
-        self.hosts_url = f"http://127.0.0.1:{hosts}"
-        for name, port in (("log", log), ("hosts", hosts)):
-            listen = f"127.0.0.1:{port}"
-            self.add(self.platform, name, ["standin", name, "--listen", listen])
-
-    def settings(self, name: str, zone: str, listen: str) -> dict:
-        """Return the settings that all daemons share."""
-        return {
-            "host": {
-                "name": name,
-                "availability_zone": zone,
-                "region": "local",
-                "listen": listen,
-            },
-            "platform": {"log_url": self.log_url, "host_list_url": self.hosts_url},
-            "keys": [{"key_id": 1, "secret": SECRET}],
-            "operator_credential": OPERATOR,
-        }
-
-    def start_endpoint(self, service: str, number: int) -> dict:
-        """Start an endpoint with its agent and return its host list entry."""
-        name = f"{service}-{number}"
-        endpoint = f"127.0.0.1:{free_port()}"
-        profile = json.dumps(PROFILES.get(service, {}))
-        arguments = ["standin", "endpoint", "--listen", endpoint, "--profile", profile]
-        self.add(self.endpoints, f"endpoint-{name}", arguments)
-        self.endpoint_urls.append(f"http://{endpoint}")
-        listen = f"127.0.0.1:{free_port()}"
-        zone = ZONES[number % len(ZONES)]
-        settings = self.settings(name, zone, listen)
-        settings["endpoint"] = {"url": f"http://{endpoint}", "service": service}
-        path = self.write_settings(name, settings)
-        self.add(self.agents, name, ["agent", "--settings", path])
-        return self.listing(settings, "agent", service)
-
-    def start_entry(self, number: int) -> dict:
-        """Start an entry and return its host list entry."""
-        name = f"entry-{number}"
-        listen = f"127.0.0.1:{free_port()}"
-        settings = self.settings(name, ZONES[number % len(ZONES)], listen)
-        path = self.write_settings(name, settings)
-        self.add(self.entries, name, ["entry", "--settings", path])
-        self.entry_urls.append(f"http://{listen}")
-        return self.listing(settings, "entry", "")
-
-    @staticmethod
-    def listing(settings: dict, role: str, service: str) -> dict:
-        """Return the host list entry of a daemon."""
-        host = settings["host"]
-        return {
-            "host": host["name"],
-            "address": host["listen"],
-            "role": role,
-            "availability_zone": host["availability_zone"],
-            "region": host["region"],
-            "service": service,
-        }
-
-    def stop(self) -> None:
-        """Stop every process that this run started."""
-        for process in self.all():
-            process.stop()
-
-
 def documents() -> list:
     """Return the documents of the run."""
     chain = ("encode", "retrieve", "rerank", "generate")
@@ -363,125 +218,6 @@
                         self.history[key].append(text)
 
 
-class Injector:
-    """Injects faults at random until the end of a run.
-
-    Two faults may be active at the same time, since ``run`` is started twice.
-    """
-
-    KINDS = (
-        "kill",
-        "kill",
-        "pause",
-        "pause",
-        "terminate",
-        "pause_log",
-        "log_down",
-        "log_slow",
-        "lose_replies",
-        "stall_endpoint",
-    )
-
-    def __init__(
-        self, system: System, session: aiohttp.ClientSession, counts: Counter, seed: int
-    ):
-        self.system = system
-        self.session = session
-        self.counts = counts
-        self.rng = random.Random(seed)
-        self.busy: set[str] = set()
-
-    async def run(self, until: float) -> None:
-        """Inject one fault after another."""
-        while time.monotonic() < until:
-            await asyncio.sleep(self.rng.uniform(0.5, 1.5))
-            kind = self.rng.choice(self.KINDS)
-            self.counts[f"fault_{kind}"] += 1
-            await getattr(self, kind)()
-
-    @contextlib.contextmanager
-    def daemon(self):
-        """Reserve a random daemon, so that no two faults hit the same process."""
-        candidates = [*self.system.agents, *self.system.entries]
-        idle = [each for each in candidates if each.name not in self.busy]
-        process = self.rng.choice(idle)
-        self.busy.add(process.name)
-        try:
-            yield process
-        finally:
-            self.busy.discard(process.name)
-
-    async def kill(self) -> None:
-        """Kill a daemon and start it again."""
-        with self.daemon() as process:
-            process.stop()
-            await asyncio.sleep(RESTART_SECONDS)
-            process.start()
-
-    async def pause(self) -> None:
-        """Stop a daemon for a while."""
-        with self.daemon() as process:
-            process.send(signal.SIGSTOP)
-            await asyncio.sleep(self.rng.uniform(0.5, 4.0))
-            process.send(signal.SIGCONT)
-
-    async def terminate(self) -> None:
-        """Stop a daemon gracefully and start it again; it must exit with 0."""
-        with self.daemon() as process:
-            process.send(signal.SIGTERM)
-            deadline = time.monotonic() + TERMINATE_SECONDS
-            while process.popen.poll() is None and time.monotonic() < deadline:
-                await asyncio.sleep(0.05)
-            if process.popen.poll() != 0:
-                self.counts["bad_exit"] += 1
-            process.stop()
-            process.start()
-
-    async def pause_log(self) -> None:
-        """Stop the log service for a while."""
-        process = self.system.platform[0]
-        if process.name in self.busy:
-            return
-        self.busy.add(process.name)
-        process.send(signal.SIGSTOP)
-        await asyncio.sleep(self.rng.uniform(0.5, 3.0))
-        process.send(signal.SIGCONT)
-        self.busy.discard(process.name)
-
-    async def log_down(self) -> None:
-        """Let the log service refuse every call for a while."""
-        await self.log_fault({"available": False}, self.rng.uniform(1.0, 6.0))
-
-    async def log_slow(self) -> None:
-        """Let the log service answer slowly for a while."""
-        await self.log_fault({"delay_s": 1.0}, self.rng.uniform(1.0, 6.0))
-
-    async def lose_replies(self) -> None:
-        """Let replies to appends be lost, some after the append took effect."""
-        kinds = ("reply_lost", "lost_before_effect")
-        faults = [self.rng.choice(kinds) for _ in range(10)]
-        await self.log_fault({"appends": faults}, 2.0)
-
-    async def log_fault(self, faults: dict, seconds: float) -> None:
-        """Set faults of the log service and clear them after a while."""
-        url = f"{self.system.log_url}/v1/faults"
-        for body in (faults, {}):
-            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
-                async with self.session.post(url, json=body):
-                    pass
-            if body:
-                await asyncio.sleep(seconds)
-
-    async def stall_endpoint(self) -> None:
-        """Let an endpoint stop answering for a while."""
-        url = f"{self.rng.choice(self.system.endpoint_urls)}/v1/profile"
-        for stalled in (True, False):
-            async with self.session.post(url, json={"stalled": stalled}):
-                pass
-            if stalled:
-                await asyncio.sleep(self.rng.uniform(1.0, 5.0))
-
-
 async def publish_all(session: aiohttp.ClientSession, system: System) -> None:
     """Publish the documents of the run."""
     log = LogClient(session, system.log_url)
