Refuse bodies of wrong encoding, and call a lookup without result unknown

Found by sending bad input to a running entry: a body that does not match its content encoding got status 500; input that is not UTF-8 was passed on, failed at each endpoint and was retried; a lookup that found nothing said not_run about a key that may have run.

--- a/camphorrun/entry/api.py
+++ b/camphorrun/entry/api.py
@@ -23,6 +23,7 @@
 KEY_HEADER = "Idempotency-Key"
 MAX_BUFFERED_EVENTS = 4096
 _CONFIGURATION_CODES = frozenset({"bad_credential", "not_ready", "unknown_template"})
+_LOOKUP_CODES = frozenset({"no_outcome", "no_request"})
 _NOT_RUN_STATUS = {
     "deadline_passed": 400,
     "deadline_unreachable": 503,
@@ -85,10 +86,18 @@
         except RequestError as exc:
             self._metrics.refusals.labels(exc.code).inc()
             return _json(exc.http_status, _error_body(exc, KEY_HEADER in req.headers))
+        except web.RequestPayloadError:
+            self._metrics.refusals.labels("bad_body").inc()
+            exc = RequestError(
+                "the body does not match its content encoding",
+                code="bad_body",
+                field="body",
+            )
+            return _closing(400, _error_body(exc, KEY_HEADER in req.headers))
         except web.HTTPRequestEntityTooLarge:
             self._metrics.refusals.labels("body_too_large").inc()
             exc = RequestError("body is too large", code="body_too_large", field="body")
-            return _json(413, _error_body(exc, KEY_HEADER in req.headers))
+            return _closing(413, _error_body(exc, KEY_HEADER in req.headers))
 
     async def _request(self, req: web.Request) -> web.StreamResponse:
         self._check_ready()
@@ -240,10 +249,12 @@
 
     A code that depends on the configuration says nothing about an earlier request with
     the same key, which may have run through another entry: with a key its status is
-    ``outcome_unknown``. Other codes say that this body can't run.
+    ``outcome_unknown``. So is a lookup that finds nothing. Other codes say that this
+    body can't run.
     """
     status = OutcomeStatus.NOT_RUN
-    if has_key and exc.code in _CONFIGURATION_CODES:
+    depends = has_key and exc.code in _CONFIGURATION_CODES
+    if depends or exc.code in _LOOKUP_CODES:
         status = OutcomeStatus.OUTCOME_UNKNOWN
     return {
         "status": status.value,
@@ -254,6 +265,13 @@
     }
 
 
+def _closing(status: int, body: object) -> web.Response:
+    """Return an answer after which the connection closes: its body was not read."""
+    resp = _json(status, body)
+    resp.force_close()
+    return resp
+
+
 def _json(status: int, body: object, retry_after_s: float = 0.0) -> web.Response:
     headers = {}
     if retry_after_s > 0:
--- a/camphorrun/entry/planner.py
+++ b/camphorrun/entry/planner.py
@@ -83,8 +83,11 @@
     def decode_body(self, data: bytes) -> RequestBody:
         """Decode the body of a request or raise ``RequestError``."""
         try:
+            # The input is passed on undecoded, so its encoding is checked here. An
+            # endpoint would fail on it, and so would each retry at another one.
+            data.decode()
             body = _BODY.decode(data)
-        except (msgspec.DecodeError, RecursionError) as exc:
+        except (UnicodeDecodeError, msgspec.DecodeError, RecursionError) as exc:
             raise RequestError(str(exc), code="bad_body", field="body") from exc
         if not 1 <= body.max_output <= MAX_OUTPUT_UNITS:
             raise RequestError(
--- a/camphorrun/standins/endpoint_server.py
+++ b/camphorrun/standins/endpoint_server.py
@@ -179,7 +179,7 @@
     async def _call(self, req: web.Request) -> web.StreamResponse:
         try:
             body = msgspec.json.decode(await req.read(), type=CallBody)
-        except msgspec.DecodeError as exc:
+        except (UnicodeDecodeError, msgspec.DecodeError) as exc:
             return _error(400, "bad_call", str(exc))
         if self.profile.silent:
             await asyncio.Event().wait()
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -52,7 +52,7 @@
     traffic_by_port,
     watch,
 )
-from tools.chaos import Process, free_port
+from tools.chaos_system import Process, free_port
 
 SETTLE_SECONDS = 6.0
 # So many that every link has attempts in flight, whichever agents are chosen.
--- a/tools/capacity_peers.py
+++ b/tools/capacity_peers.py
@@ -15,7 +15,7 @@
 from camphorrun.messages import Hello, KeyRing, LoadReport, Ping, Pong, SharedKey
 from camphorrun.metrics import Metrics
 from camphorrun.transport import LINK_PATH, LinkDialer, LinkEvents, LinkListener
-from tools.chaos import SECRET
+from tools.chaos_system import SECRET
 
 RING = KeyRing((SharedKey(1, bytes.fromhex(SECRET)),))
 POSITIONS = {"fleet": 12345, "accounts": 49000}
--- a/tools/capacity_requests.py
+++ b/tools/capacity_requests.py
@@ -26,7 +26,7 @@
     processor_seconds,
     quantiles,
 )
-from tools.chaos import Process
+from tools.chaos_system import Process
 
 PAYLOAD_WORDS = 40
 ACCOUNT = "capacity"
--- a/tools/capacity_system.py
+++ b/tools/capacity_system.py
@@ -30,7 +30,7 @@
 )
 from camphorrun.core import new_identifier
 from camphorrun.platform import LogClient
-from tools.chaos import OPERATOR, SECRET, Process, free_port
+from tools.chaos_system import OPERATOR, SECRET, Process, free_port
 
 APPEND_BATCH = 500
 READY_SECONDS = 120.0
