--- a/camphorrun/agent/daemon.py
+++ b/camphorrun/agent/daemon.py
@@ -205,8 +205,9 @@
         else:
             self._worker.refuse_new_work("")
 
-    async def _close_links(self) -> None:
+    async def _stop_serving(self, runner: web.AppRunner) -> None:
         await self._listener.close()
+        await runner.cleanup()
 
     async def _finish_drain(self) -> None:
         """Wait for the drain, then until nothing is in flight or unacknowledged."""
--- a/camphorrun/daemon/base.py
+++ b/camphorrun/daemon/base.py
@@ -68,9 +68,8 @@
                 await self._serve_until_drained(supervised)
             finally:
                 await self._supervisor.stop()
-                await self._close_links()
+                await self._stop_serving(runner)
                 await self._claims.close()
-                await runner.cleanup()
 
     def drain(self, reason: str) -> None:
         """Start the graceful shutdown."""
@@ -85,8 +84,8 @@
         """Return the HTTP application of the role."""
 
     @abstractmethod
-    async def _close_links(self) -> None:
-        """Close the links to other daemons."""
+    async def _stop_serving(self, runner: web.AppRunner) -> None:
+        """Close the HTTP server and the links to other daemons."""
 
     @abstractmethod
     async def _finish_drain(self) -> None:
--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -234,7 +234,9 @@
             if host == self.settings.host.name:
                 self.lifecycle.drain("configuration")
 
-    async def _close_links(self) -> None:
+    async def _stop_serving(self, runner: web.AppRunner) -> None:
+        # Requests that still run, which is so only without a drain, need the links.
+        await runner.cleanup()
         await self._pool.close()
 
     async def _finish_drain(self) -> None:
