--- a/camphorrun/admission/tests/test_admission.py
+++ b/camphorrun/admission/tests/test_admission.py
@@ -177,7 +177,7 @@
         assert shares["one"] > 0.95
 
     def test_costs_end_with_the_request(self):
-        """Guards against cost that stays behind and closes admission for ever."""
+        """Guards against cost that stays behind and blocks admission permanently."""
         group = AdmissionGroup(max_requests=1)
         ticket = group.admit(group_request({"x": 1.0, "y": 1.0}), 0.0)
         assert group.admit(group_request({"x": 1.0}), 0.0).code == "overloaded"
--- a/camphorrun/claims/batcher.py
+++ b/camphorrun/claims/batcher.py
@@ -162,7 +162,7 @@
                 submission.fut.set_result(Position(offset, index))
 
     async def _append(self, value: bytes) -> int:
-        """Append one value; anything but a clear refusal leaves its fate open."""
+        """Append one value; only a clear refusal proves that it had no effect."""
         call = self._log.append(self._stream, [value])
         try:
             return await bounded(self._timers, call, APPEND_TIMEOUT_SECONDS)
--- a/camphorrun/claims/coordinator.py
+++ b/camphorrun/claims/coordinator.py
@@ -1,7 +1,7 @@
 """Claims of agents before non-idempotent calls, and voids of entries.
 
 Why a paused owner cannot cause a second call: ownership of a key is not a lease. The
-first valid ``Start`` in log order owns the key for ever; time takes it away from nobody
+first valid ``Start`` in log order owns the key permanently; ownership does not expire
 and no other process takes it over. An owner that resumes after a pause of any length is
 still the only process that may call. What a pause can cost is the answer: meanwhile the
 entry reports ``outcome_unknown``, never ``not_run``, because its ``Void`` came later.
@@ -260,7 +260,7 @@
     async def _wait_decided(
         self, key: ClaimKey, position: Position | None, deadline: float
     ) -> bool:
-        """Wait until the ledger shows the fate of the ``Start``.
+        """Wait until the ledger decides the ``Start``.
 
         Without a position, reading to the end proves nothing: the append may still
         take effect. Only a record that decides the key settles the question.
--- a/camphorrun/claims/tests/test_coordinator.py
+++ b/camphorrun/claims/tests/test_coordinator.py
@@ -25,7 +25,7 @@
         assert isinstance(reply, claims.StartGranted) and reply.offset == 1
 
     def test_late_start_is_withdrawn(self, world):
-        """Guards against a given-up ``Start`` that holds the key for ever."""
+        """Guards against a given-up ``Start`` that holds the key permanently."""
         key = world.key(1)
         world.log.late_s = 5.0
         reply = world.claim(key)
--- a/camphorrun/core/tests/test_core.py
+++ b/camphorrun/core/tests/test_core.py
@@ -54,7 +54,7 @@
 
 
 class TestSupervisor:
-    """Children are restarted, and a hopeless child fails the supervisor."""
+    """Children are restarted, and a child that keeps failing fails the supervisor."""
 
     def test_failed_child_is_restarted(self):
         """Guards against a background task that dies silently."""
--- a/camphorrun/core/tests/test_memory_log.py
+++ b/camphorrun/core/tests/test_memory_log.py
@@ -41,7 +41,7 @@
         assert len(page.records) == 1
 
     def test_waiting_reader_sees_an_append(self):
-        """Guards against a reader that sleeps through an append."""
+        """Guards against a waiting reader that misses an append."""
 
         async def scenario():
             log = MemoryLog(LoopTimerService())
--- a/camphorrun/daemon/tests/test_claim_parts.py
+++ b/camphorrun/daemon/tests/test_claim_parts.py
@@ -13,7 +13,7 @@
     """Operators see what the claims counted, under a bounded set of labels."""
 
     def test_counters_are_shown_once_and_labels_are_bounded(self):
-        """Guards against counts that are lost, doubled, or add labels for ever."""
+        """Guards against lost or doubled counts and an unbounded label set."""
         timers = ManualTimerService()
         log = MemoryLog(timers)
         claims = ClaimParticipant(log, timers, host="h", incarnation="i")
--- a/camphorrun/demo/local_system.py
+++ b/camphorrun/demo/local_system.py
@@ -41,7 +41,6 @@
     replicas: int
     profile: EndpointProfile = field(default_factory=EndpointProfile)
     kind: str = "plain"
-    reports_load: bool = True
     initial_limit: int = 8
 
 
@@ -139,9 +138,7 @@
         settings = AgentSettings(
             host=HostSettings(host, zone, REGION, listen),
             platform=self.platform,
-            endpoint=EndpointSettings(
-                f"http://{address}", spec.name, spec.kind, spec.reports_load
-            ),
+            endpoint=EndpointSettings(f"http://{address}", spec.name, spec.kind),
             keys=SHARED_KEYS,
             operator_credential=OPERATOR_CREDENTIAL,
             policy=self._policy,
--- a/camphorrun/demo/scenario_run.py
+++ b/camphorrun/demo/scenario_run.py
@@ -110,7 +110,6 @@
             service.replicas,
             EndpointProfile(**service.profile),
             service.kind,
-            service.reports_load,
             service.initial_limit,
         )
         for service in scenario.services
--- a/camphorrun/demo/tests/test_bad_requests.py
+++ b/camphorrun/demo/tests/test_bad_requests.py
@@ -51,7 +51,7 @@
     """Bad input gets a clear error, changes nothing and ends no process."""
 
     def test_each_mistake_is_named_and_service_continues(self):
-        """Guards against a crash, a retry of hopeless input, and a vague answer."""
+        """Guards against a crash, retries of invalid input, and a vague answer."""
 
         async def scenario():
             system = LocalSystem((ServiceSpec("engine", 1),), entries=1)
--- a/camphorrun/entry/api.py
+++ b/camphorrun/entry/api.py
@@ -22,6 +22,8 @@
 
 KEY_HEADER = "Idempotency-Key"
 MAX_BUFFERED_EVENTS = 4096
+# A caller that reads nothing for this long has gone, even if its connection is open.
+CALLER_WRITE_SECONDS = 30.0
 _CONFIGURATION_CODES = frozenset({"bad_credential", "not_ready", "unknown_template"})
 _LOOKUP_CODES = frozenset({"no_outcome", "no_request"})
 _NOT_RUN_STATUS = {
@@ -145,7 +147,8 @@
         try:
             while True:
                 event = await events.get()
-                await resp.write(msgspec.json.encode(event) + b"\n")
+                async with asyncio.timeout(CALLER_WRITE_SECONDS):
+                    await resp.write(msgspec.json.encode(event) + b"\n")
                 if event["event"] == "outcome":
                     return resp
         finally:
@@ -155,7 +158,8 @@
         self, events: asyncio.Queue, plan: RequestPlan, account: Account
     ) -> None:
         def on_part(part: ResultPart | None) -> None:
-            # A caller that does not read is cut off rather than buffered for ever.
+            # A caller that does not read misses parts, so that buffering stays bounded.
+            # The outcome event holds the whole output.
             try:
                 events.put_nowait(_part_event(part))
             except asyncio.QueueFull:
--- a/camphorrun/entry/stage_runner.py
+++ b/camphorrun/entry/stage_runner.py
@@ -73,7 +73,7 @@
     async def settle(
         self, call: StageCall, code: str, retry_after_s: float = 0.0
     ) -> bytes:
-        """Return the output of the call, or raise a truthful ``PipelineError``."""
+        """Return the output of the call, or raise an accurate ``PipelineError``."""
         ...
 
 
@@ -423,8 +423,8 @@
     ) -> bytes | None:
         """Decide what follows an attempt of a non-idempotent stage.
 
-        Another agent may be tried as long as the first one promised not to call, or
-        its fate is open: the first claim in the log decides which one may call.
+        Another agent may be tried only if the first one promised not to call. An open
+        outcome is settled by the log.
         """
         if isinstance(result, ResultEnd) and result.ok:
             return result.data
--- a/camphorrun/entry/tests/test_stage_runner.py
+++ b/camphorrun/entry/tests/test_stage_runner.py
@@ -271,7 +271,7 @@
 
 
 class TestUnrepeatable:
-    """The fate of a non-idempotent call comes from the log."""
+    """The outcome of a non-idempotent call comes from the log."""
 
     def test_lost_attempt_is_settled_by_the_log(self):
         """Guards against a second charge, and against a guess about the first."""
--- a/camphorrun/limits/queues.py
+++ b/camphorrun/limits/queues.py
@@ -174,7 +174,7 @@
         return len(self._entries)
 
     def push(self, item: QueueItem, now: float) -> QueuePush:
-        """Add an item, unless it is hopeless or nothing less important can yield."""
+        """Add an item, unless its deadline is unreachable or the queue is full."""
         if item.token in self._tokens:
             raise ValueError(f"token {item.token!r} is already queued")
         if latest_start(self._policy, item) < now:
@@ -241,7 +241,7 @@
         return min(waiting, key=lambda item: item.enqueued_at, default=None)
 
     def _displaceable(self, item: QueueItem, now: float) -> QueueItem | None:
-        """Return a queued item that is hopeless or less important than ``item``."""
+        """Return a queued item that is late or less important than ``item``."""
         for _, _, queued in self._entries:
             if latest_start(self._policy, queued) < now:
                 return queued
--- a/camphorrun/limits/tests/test_limits.py
+++ b/camphorrun/limits/tests/test_limits.py
@@ -143,7 +143,7 @@
         assert len(queue) == 1
 
     def test_patient_caller_is_not_starved(self):
-        """Guards against a reconciliation that waits for ever behind urgent work."""
+        """Guards against a reconciliation that is starved by urgent work."""
         queue = StageQueue(LeastLaxity(), 64)
         queue.push(item("patient", 1, deadline_at=900.0, patience=True), 0.0)
         served = []
--- a/camphorrun/platform/__init__.py
+++ b/camphorrun/platform/__init__.py
@@ -6,7 +6,6 @@
     KEY_HEADER,
     EndpointCall,
     EndpointClient,
-    EndpointLoad,
     EndpointReply,
     StreamPart,
 )
@@ -24,7 +23,6 @@
     "EndpointCall",
     "EndpointClient",
     "EndpointError",
-    "EndpointLoad",
     "EndpointReply",
     "HostEntry",
     "HostList",
--- a/camphorrun/platform/endpoint_client.py
+++ b/camphorrun/platform/endpoint_client.py
@@ -61,14 +61,6 @@
     output_units: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointLoad:
-    """Load as the endpoint reports it, which may lag."""
-
-    in_flight: int = 0
-    queued: int = 0
-
-
 _PART = msgspec.json.Decoder(StreamPart)
 _REPLY = msgspec.json.Decoder(EndpointReply)
 _CONTENTS = msgspec.json.Decoder(EndpointContents)
@@ -140,18 +132,6 @@
         except (aiohttp.ClientError, TimeoutError):
             return
 
-    async def load(self) -> EndpointLoad:
-        """Return the reported load or raise ``EndpointError``."""
-        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_SECONDS)
-        try:
-            async with self._session.get(
-                f"{self._base_url}/v1/load", timeout=timeout
-            ) as resp:
-                resp.raise_for_status()
-                return msgspec.json.decode(await resp.read(), type=EndpointLoad)
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as exc:
-            raise _converted(exc) from exc
-
     async def contents(self) -> EndpointContents:
         """Return what the endpoint serves or raise ``EndpointError``."""
         timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_SECONDS)
--- a/camphorrun/settings/roles.py
+++ b/camphorrun/settings/roles.py
@@ -62,7 +62,6 @@
     url: str
     service: str
     kind: Literal["engine", "pool", "plain"] = "plain"
-    reports_load: bool = True
     checks_fencing: bool = False
 
 
--- a/camphorrun/standins/endpoint_server.py
+++ b/camphorrun/standins/endpoint_server.py
@@ -16,7 +16,6 @@
     EXECUTED_HEADER,
     FENCING_HEADER,
     KEY_HEADER,
-    EndpointLoad,
     EndpointReply,
     StreamPart,
 )
@@ -30,6 +29,14 @@
 _ERROR_HEADER = "X-Error-Code"
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointLoad:
+    """Load as the endpoint reports it, which may lag."""
+
+    in_flight: int = 0
+    queued: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointProfile:
     """Service time curve, batch size, queue and faults of a stand-in endpoint.
--- a/camphorrun/transport/tests/test_links.py
+++ b/camphorrun/transport/tests/test_links.py
@@ -204,7 +204,7 @@
     """A connection whose answers stop is replaced."""
 
     def test_silent_link_is_replaced(self, monkeypatch):
-        """Guards against work that waits for ever on a half-open connection."""
+        """Guards against work that waits indefinitely on a half-open connection."""
         monkeypatch.setattr(dialer, "BUSY_HEARTBEAT_SECONDS", 0.1)
         monkeypatch.setattr(dialer, "SILENCE_SECONDS", 0.3)
         silent = {"next": True}
