--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -177,8 +177,8 @@
     Mutation(
         "a paused reader is not synchronised",
         "camphorrun/configuration/follower.py",
-        "        self._pauses += 1\n        self._synchronised = False\n",
-        "        self._pauses += 1\n",
+        "        self._peer_position = 0\n        self._set_synchronised(False)\n",
+        "        self._peer_position = 0\n",
         VIEW,
     ),
     Mutation(
