--- a/camphorrun/demo/tests/test_drain.py
+++ b/camphorrun/demo/tests/test_drain.py
@@ -58,6 +58,12 @@
         return (await resp.json())["status"]
 
 
+def _all_started(system: LocalSystem, count: int) -> bool:
+    """Return whether all early calls run, some of them at each endpoint."""
+    calls = [each.server.usage.calls for each in system.endpoints["engine"]]
+    return sum(calls) == count and min(calls) > 0
+
+
 async def _by_host_list(system: LocalSystem, _session, endpoint: LocalEndpoint) -> None:
     entry = system.host_list._hosts[endpoint.host]
     system.host_list.put(dataclasses.replace(entry, state="leaving"))
@@ -106,7 +112,7 @@
                     for number in range(6)
                 ]
                 endpoint = system.endpoints["engine"][0]
-                while not endpoint.server.usage.calls:
+                while not _all_started(system, len(early)):
                     await asyncio.sleep(0.01)
                 await retire(system, session, endpoint)
                 while endpoint.agent.lifecycle.state == "serving":
