Name idempotent stages and calls by the usual term

The code said repeatable and unrepeatable beside non-idempotent; messages, documents and names now use idempotent and non_idempotent throughout. 459 tests pass, make demo exits 0.

--- a/camphorrun/agent/endpoint_runner.py
+++ b/camphorrun/agent/endpoint_runner.py
@@ -16,7 +16,7 @@
 MAX_STREAM_RESUMES = 2
 # A call that may not be repeated is given this long beyond its deadline, so that its
 # outcome becomes known.
-UNREPEATABLE_GRACE_SECONDS = 30.0
+NON_IDEMPOTENT_GRACE_SECONDS = 30.0
 
 PartSender = Callable[[AttemptRecord, ResultPart], None]
 
@@ -118,9 +118,9 @@
 
     def _timeout_s(self, record: AttemptRecord) -> float:
         remaining_s = max(0.001, record.deadline_at - self._timers.now())
-        if record.dispatch.repeatable:
+        if record.dispatch.idempotent:
             return remaining_s
-        return remaining_s + UNREPEATABLE_GRACE_SECONDS
+        return remaining_s + NON_IDEMPOTENT_GRACE_SECONDS
 
     def _end(self, record: AttemptRecord, data: bytes, usage) -> ResultEnd:
         now = self._timers.now()
--- a/camphorrun/agent/tests/test_worker.py
+++ b/camphorrun/agent/tests/test_worker.py
@@ -125,7 +125,7 @@
             "model": "",
             "account": "a",
             "priority": 1,
-            "repeatable": True,
+            "idempotent": True,
             "remaining_s": 30.0,
             "payload": b"{}",
         }
@@ -290,7 +290,7 @@
 class TestCancel:
     """A cancelled attempt stops, except a non-idempotent call."""
 
-    def test_repeatable_call_is_cancelled_at_the_endpoint(self):
+    def test_idempotent_call_is_cancelled_at_the_endpoint(self):
         """Guards against work for a caller that has gone."""
 
         async def scenario():
@@ -322,7 +322,7 @@
     async def _claimed(world: _World, number: int = 1) -> Dispatch:
         prefix = await world.prefix()
         key = str(claim_key(_RING, "a", f"{prefix}.k", "charge"))
-        return world.dispatch(number, repeatable=False, key=key, body_digest=_BODY)
+        return world.dispatch(number, idempotent=False, key=key, body_digest=_BODY)
 
     def test_second_agent_does_not_run_the_same_key(self):
         """Guards against a doubled charge through two agents."""
--- a/camphorrun/agent/worker.py
+++ b/camphorrun/agent/worker.py
@@ -235,7 +235,7 @@
     async def _claim_and_run(
         self, record: AttemptRecord, in_flight: int
     ) -> FinalMessage:
-        if record.dispatch.repeatable:
+        if record.dispatch.idempotent:
             return await self._call(record, 0, in_flight)
         return await self._run_claimed(record, in_flight)
 
@@ -339,7 +339,7 @@
             self._queue.remove(record)
             self._drop_queued(record, "cancelled")
             return
-        if record.dispatch.repeatable and record.task is not None:
+        if record.dispatch.idempotent and record.task is not None:
             record.task.cancel()
 
     def _drop_queued(self, record: AttemptRecord, code: str) -> None:
--- a/camphorrun/cli/replaying.py
+++ b/camphorrun/cli/replaying.py
@@ -43,7 +43,10 @@
     parser.add_argument("--urls", nargs="+", help="entries; none starts a local system")
     parser.add_argument("--policy", default="recommended", help=_NAMES)
     parser.add_argument(
-        "--baseline", action="append", default=[], help="run and compare; repeatable"
+        "--baseline",
+        action="append",
+        default=[],
+        help="run and compare; may be given several times",
     )
     parser.add_argument("--json", action="store_true", help="print JSON")
     parser.add_argument("--plots", type=Path, help="directory for plots")
--- a/camphorrun/configuration/documents.py
+++ b/camphorrun/configuration/documents.py
@@ -31,7 +31,7 @@
     service: str
     operation: str
     after: tuple[str, ...] = ()
-    repeatable: bool = True
+    idempotent: bool = True
     stream: bool = False
 
 
@@ -56,7 +56,7 @@
     models: dict[str, str] = field(default_factory=dict)
     deadline_ms: int = 4000
     priority: int = 2
-    non_repeatable: tuple[str, ...] = ()
+    non_idempotent: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/camphorrun/demo/tests/test_silent_connections.py
+++ b/camphorrun/demo/tests/test_silent_connections.py
@@ -25,7 +25,7 @@
     ),
     templates=(
         Template("draft", (Stage("generate", "engine", "generate", stream=True),)),
-        Template("charge", (Stage("charge", "ledger", "charge", repeatable=False),)),
+        Template("charge", (Stage("charge", "ledger", "charge", idempotent=False),)),
     ),
     accounts=(
         ScenarioAccount("one", "s1", 1.0, {"draft": _PATIENT, "charge": _PATIENT}),
--- a/camphorrun/demo/tests/test_whole_path.py
+++ b/camphorrun/demo/tests/test_whole_path.py
@@ -39,7 +39,7 @@
                 ),
             ),
             Template(
-                "charge", (Stage("charge", "ledger", "charge", repeatable=False),)
+                "charge", (Stage("charge", "ledger", "charge", idempotent=False),)
             ),
         ),
         accounts=(
--- a/camphorrun/entry/api.py
+++ b/camphorrun/entry/api.py
@@ -178,7 +178,7 @@
         key = req.match_info["key"]
         outcome = await self._cache.find(account.name, key, "")
         if outcome is None:
-            stages = self._planner.unrepeatable_stages(account)
+            stages = self._planner.non_idempotent_stages(account)
             outcome = self._keys.recorded_outcome(account.name, key, stages)
         if outcome is None:
             raise RequestError(
--- a/camphorrun/entry/claim_resolver.py
+++ b/camphorrun/entry/claim_resolver.py
@@ -105,7 +105,7 @@
             or could not be ruled out.
         """
         for stage in plan.stages:
-            if stage.repeatable:
+            if stage.idempotent:
                 continue
             key = parse_claim_key(self.claim_key(plan, stage))
             reply = await self._void(key, bytes.fromhex(plan.body_digest))
--- a/camphorrun/entry/planner.py
+++ b/camphorrun/entry/planner.py
@@ -109,7 +109,7 @@
         """
         template, parameters = self._parameters(template_name, account)
         stages = _planned_stages(template, parameters, body.max_output)
-        if not all(stage.repeatable for stage in stages):
+        if not all(stage.idempotent for stage in stages):
             self._check_key(key)
         elif len(key) > MAX_KEY_CHARACTERS:
             raise RequestError("key is too long", code="bad_key", field=_KEY_FIELD)
@@ -127,13 +127,13 @@
             input_units=1 + len(input_bytes) // BYTES_PER_UNIT,
         )
 
-    def unrepeatable_stages(self, account: Account) -> list[str]:
+    def non_idempotent_stages(self, account: Account) -> list[str]:
         """Return names of stages that the account's requests may not repeat."""
         names: set[str] = set()
         for template_name in account.templates:
             template, parameters = self._parameters(template_name, account)
             stages = _planned_stages(template, parameters, 1)
-            names.update(stage.name for stage in stages if not stage.repeatable)
+            names.update(stage.name for stage in stages if not stage.idempotent)
         return sorted(names)
 
     def _parameters(
@@ -204,8 +204,8 @@
             operation=by_name[name].operation,
             model=parameters.models.get(name, ""),
             after=_bridged(by_name, name, set(names)),
-            repeatable=by_name[name].repeatable
-            and name not in parameters.non_repeatable,
+            idempotent=by_name[name].idempotent
+            and name not in parameters.non_idempotent,
             stream=by_name[name].stream,
             output_units=max_output if by_name[name].stream else 0,
         )
--- a/camphorrun/entry/request_service.py
+++ b/camphorrun/entry/request_service.py
@@ -172,7 +172,7 @@
         A refusal of an early stage alone does not keep the same key from running, or
         from having run, through another entry.
         """
-        if outcome.status is not OutcomeStatus.NOT_RUN or plan.repeatable:
+        if outcome.status is not OutcomeStatus.NOT_RUN or plan.idempotent:
             return outcome
         error = await self._claims.rule_out(plan)
         if error is None:
--- a/camphorrun/entry/stage_runner.py
+++ b/camphorrun/entry/stage_runner.py
@@ -222,7 +222,7 @@
         stage = call.stage
         delay_s = None
         if not stage.stream:
-            delay_s = self._hedges.delay_s(latency_class(stage), stage.repeatable)
+            delay_s = self._hedges.delay_s(latency_class(stage), stage.idempotent)
         if delay_s is None:
             return await self._attempt(call, peer, progress)
         sent_at = self._timers.now()
@@ -249,7 +249,7 @@
         choice = self._router.choose(self._candidates(call.stage), request, now)
         if isinstance(choice, NoEndpoint) or not self._hedges.try_hedge(
             latency_class(call.stage),
-            idempotent=call.stage.repeatable,
+            idempotent=call.stage.idempotent,
             waited_s=now - sent_at,
             queue_wait_s=choice.predicted_wait_s,
             remaining_s=self._remaining_s(call),
@@ -294,7 +294,7 @@
         self, call: StageCall, peer: AgentPeer, progress: _StageProgress
     ) -> Dispatch:
         plan, stage = call.plan, call.stage
-        key = "" if stage.repeatable else self._claims.claim_key(plan, stage)
+        key = "" if stage.idempotent else self._claims.claim_key(plan, stage)
         return Dispatch(
             attempt=AttemptId(plan.request_id, stage.index, progress.attempt),
             incarnation=peer.incarnation,
@@ -303,7 +303,7 @@
             model=stage.model,
             account=plan.account,
             priority=plan.priority,
-            repeatable=stage.repeatable,
+            idempotent=stage.idempotent,
             remaining_s=self._remaining_s(call),
             payload=call.payload,
             downstream_s=call.downstream_s,
@@ -384,18 +384,18 @@
     ) -> bytes | None:
         """Return the output, or None to try again; raise if the stage is over."""
         progress.exclude.add(peer.listed.host)
-        if not call.stage.repeatable:
-            return await self._after_unrepeatable(result, call, progress)
-        return await self._after_repeatable(result, call, progress)
+        if not call.stage.idempotent:
+            return await self._after_non_idempotent(result, call, progress)
+        return await self._after_idempotent(result, call, progress)
 
     @singledispatchmethod
-    async def _after_repeatable(
+    async def _after_idempotent(
         self, result: object, call: StageCall, progress: _StageProgress
     ) -> bytes | None:
         """Decide what follows an attempt of an idempotent stage."""
         raise TypeError(f"unexpected result {type(result).__name__}")
 
-    @_after_repeatable.register
+    @_after_idempotent.register
     async def _(
         self, result: ResultEnd, call: StageCall, progress: _StageProgress
     ) -> bytes | None:
@@ -403,19 +403,19 @@
             return result.data
         return await self._retry(call, progress, result.code)
 
-    @_after_repeatable.register
+    @_after_idempotent.register
     async def _(
         self, result: AttemptLostError, call: StageCall, progress: _StageProgress
     ) -> bytes | None:
         return await self._retry(call, progress, result.code)
 
-    @_after_repeatable.register
+    @_after_idempotent.register
     async def _(
         self, result: NotStarted, call: StageCall, progress: _StageProgress
     ) -> bytes | None:
         return await self._move(call, progress, result)
 
-    async def _after_unrepeatable(
+    async def _after_non_idempotent(
         self,
         result: AttemptResult | AttemptLostError,
         call: StageCall,
@@ -465,7 +465,7 @@
         Without the log a refusal would say "not run" although the same key may have
         run through another entry.
         """
-        if call.stage.repeatable:
+        if call.stage.idempotent:
             raise self._error(call, progress, progress.last_code)
         return await self._claims.settle(
             call, progress.last_code, progress.retry_after_s
@@ -482,5 +482,5 @@
             code=code,
             status=status,
             retry_after_s=progress.retry_after_s,
-            safe_to_repeat=call.stage.repeatable,
+            safe_to_repeat=call.stage.idempotent,
         )
--- a/camphorrun/entry/tests/test_stage_runner.py
+++ b/camphorrun/entry/tests/test_stage_runner.py
@@ -120,12 +120,12 @@
         self.executor = PipelineExecutor(runner, self.timers)
 
     async def plan(
-        self, *, repeatable: bool = True, stream: bool = False, remaining_s: float = 5.0
+        self, *, idempotent: bool = True, stream: bool = False, remaining_s: float = 5.0
     ) -> RequestPlan:
         await self.follower.read_to_end()
         prefix = mint_prefix(_RING, max(1, self.follower.ledger.log_time_ms))
         stage = PlannedStage(
-            0, "charge", "s", "op", "", repeatable=repeatable, stream=stream
+            0, "charge", "s", "op", "", idempotent=idempotent, stream=stream
         )
         return RequestPlan(
             "req-1",
@@ -270,7 +270,7 @@
         _run(scenario)
 
 
-class TestUnrepeatable:
+class TestNonIdempotent:
     """The outcome of a non-idempotent call comes from the log."""
 
     def test_lost_attempt_is_settled_by_the_log(self):
@@ -278,7 +278,7 @@
 
         async def scenario():
             world = _World([_LOST], [_OK])
-            outcome = await world.executor.run(await world.plan(repeatable=False))
+            outcome = await world.executor.run(await world.plan(idempotent=False))
             if world.peers[0].dispatches:
                 assert outcome.status is OutcomeStatus.NOT_RUN
                 assert world.attempts == 1
@@ -290,7 +290,7 @@
 
         async def scenario():
             world = _World([_LOST])
-            plan = await world.plan(repeatable=False)
+            plan = await world.plan(idempotent=False)
             world.log.available = False
             outcome = await world.executor.run(plan)
             assert outcome.status is OutcomeStatus.OUTCOME_UNKNOWN
@@ -303,7 +303,7 @@
 
         async def scenario():
             world = _World([_CLAIM_LOST])
-            plan = await world.plan(repeatable=False)
+            plan = await world.plan(idempotent=False)
             await world.run_elsewhere(plan)
             following = asyncio.ensure_future(world.follower.run())
             outcome = await world.executor.run(plan)
@@ -322,7 +322,7 @@
 
         async def scenario():
             world = _World([_DRAINING])
-            plan = await world.plan(repeatable=False)
+            plan = await world.plan(idempotent=False)
             await world.run_elsewhere(plan)
             outcome = await world.executor.run(plan)
             assert outcome.status is OutcomeStatus.ANSWERED
@@ -335,7 +335,7 @@
         async def scenario():
             world = _World([_CLAIM_LOST])
             world.owner_gone = True
-            plan = await world.plan(repeatable=False, remaining_s=3600.0)
+            plan = await world.plan(idempotent=False, remaining_s=3600.0)
             await world.run_elsewhere(plan, finish=False)
             outcome = await world.executor.run(plan)
             assert outcome.status is OutcomeStatus.OUTCOME_UNKNOWN
@@ -348,7 +348,7 @@
 
         async def scenario():
             world = _World([_DRAINING])
-            plan = await world.plan(repeatable=False)
+            plan = await world.plan(idempotent=False)
             await world.run_elsewhere(plan)
             lookup = PlannedStage(0, "lookup", "s", "op", "")
             charge = dataclasses.replace(plan.stages[0], index=1, after=("lookup",))
@@ -372,7 +372,7 @@
 
         async def scenario():
             world = _World([_OK])
-            plan = await world.plan(repeatable=False)
+            plan = await world.plan(idempotent=False)
             assert await world.resolver.rule_out(plan) is None
             key = parse_claim_key(world.resolver.claim_key(plan, plan.stages[0]))
             assert world.follower.ledger.decision(key).never_runs
--- a/camphorrun/messages/attempts.py
+++ b/camphorrun/messages/attempts.py
@@ -47,7 +47,7 @@
     same slot refuses the attempt. ``remaining_s`` is the time left until the
     deadline and ``downstream_s`` the predicted need of the stages that follow.
     ``payload`` is the JSON input of the stage. ``key`` is the claim key of an
-    unrepeatable call and ``body_digest`` identifies account and body.
+    non-idempotent call and ``body_digest`` identifies account and body.
     """
 
     attempt: AttemptId
@@ -57,7 +57,7 @@
     model: str
     account: str
     priority: int
-    repeatable: bool
+    idempotent: bool
     remaining_s: float
     payload: bytes
     downstream_s: float = 0.0
--- a/camphorrun/pipeline/executor.py
+++ b/camphorrun/pipeline/executor.py
@@ -187,7 +187,7 @@
     safe = exc.safe_to_repeat
     if status is OutcomeStatus.NOT_RUN and any(call.started for call in calls):
         status = OutcomeStatus.OUTCOME_UNKNOWN
-        safe = all(call.stage.repeatable for call in calls if call.started)
+        safe = all(call.stage.idempotent for call in calls if call.started)
     return Outcome(
         plan.request_id,
         status,
--- a/camphorrun/pipeline/plan.py
+++ b/camphorrun/pipeline/plan.py
@@ -23,7 +23,7 @@
     operation: str
     model: str
     after: tuple[str, ...] = ()
-    repeatable: bool = True
+    idempotent: bool = True
     stream: bool = False
     output_units: int = 0
 
@@ -76,9 +76,9 @@
         return [stage for stage in self.stages if stage.name not in used]
 
     @property
-    def repeatable(self) -> bool:
+    def idempotent(self) -> bool:
         """Whether every stage may run more than once."""
-        return all(stage.repeatable for stage in self.stages)
+        return all(stage.idempotent for stage in self.stages)
 
 
 def stage_input(plan: RequestPlan, stage: PlannedStage, outputs: dict) -> bytes:
--- a/camphorrun/pipeline/tests/test_pipeline.py
+++ b/camphorrun/pipeline/tests/test_pipeline.py
@@ -16,8 +16,8 @@
 )
 
 
-def _stage(index: int, name: str, *after: str, repeatable: bool = True) -> PlannedStage:
-    return PlannedStage(index, name, "s", name, "", after=after, repeatable=repeatable)
+def _stage(index: int, name: str, *after: str, idempotent: bool = True) -> PlannedStage:
+    return PlannedStage(index, name, "s", name, "", after=after, idempotent=idempotent)
 
 
 def _plan(*stages: PlannedStage) -> RequestPlan:
@@ -118,7 +118,7 @@
 
     def test_non_idempotent_stage_makes_repeating_unsafe(self):
         """Guards against a caller that is told to repeat a charge."""
-        charge = _stage(0, "charge", repeatable=False)
+        charge = _stage(0, "charge", idempotent=False)
         plan = _plan(charge, _stage(1, "notify", "charge"))
         outcome = _execute(plan, _Dispatcher({"notify": PipelineError("no")}))
         assert outcome.status is OutcomeStatus.OUTCOME_UNKNOWN
--- a/camphorrun/replay/driver.py
+++ b/camphorrun/replay/driver.py
@@ -116,7 +116,7 @@
             req.account,
             parameters.priority,
             self._scenario.deadline_s(req),
-            unrepeatable=tuple(s.name for s in stages if not s.repeatable),
+            non_idempotent=tuple(s.name for s in stages if not s.idempotent),
         )
 
     @property
--- a/camphorrun/replay/records.py
+++ b/camphorrun/replay/records.py
@@ -54,7 +54,7 @@
     asked: int = 0
     cost: dict[str, dict[str, float]] = field(default_factory=dict)
     fingerprints: dict[str, str] = field(default_factory=dict)
-    unrepeatable: tuple[str, ...] = ()
+    non_idempotent: tuple[str, ...] = ()
 
     @property
     def in_time(self) -> bool:
--- a/camphorrun/retries/tests/test_retries.py
+++ b/camphorrun/retries/tests/test_retries.py
@@ -61,7 +61,7 @@
         return hedges.try_hedge("s", **values)
 
     def test_hedge_only_when_idempotent_late_and_idle(self):
-        """Guards against hedges of unrepeatable calls, early ones and added load."""
+        """Guards against hedges of non-idempotent calls, early ones and added load."""
         hedges = self.make(Unbounded())
         assert self.ask(hedges)
         assert not self.ask(hedges, idempotent=False)
--- a/tools/bench_configuration.py
+++ b/tools/bench_configuration.py
@@ -46,7 +46,7 @@
     parameters = TemplateParameters(
         models={"generate": "model-3@2026-11", "rerank": "rerank-1@2026-09"},
         priority=index % 4,
-        non_repeatable=("book",),
+        non_idempotent=("book",),
     )
     digest = hashlib.sha256(name.encode()).hexdigest()
     templates = {"draft-letter": parameters, "summarise": parameters}
--- a/tools/capacity_requests.py
+++ b/tools/capacity_requests.py
@@ -164,7 +164,7 @@
     return [
         Template("one", (Stage("s1", SERVICE, "run"),)),
         Template("four", tuple(chain)),
-        Template("charge", (Stage("s1", SERVICE, "run", repeatable=False),)),
+        Template("charge", (Stage("s1", SERVICE, "run", idempotent=False),)),
         Template("generate", (Stage("s1", SERVICE, "run", stream=True),)),
     ]
 
--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -68,7 +68,7 @@
             ("", *chain), chain, (False, False, False, True), strict=False
         )
     )
-    charge = (Stage("charge", "billing", "charge", repeatable=False),)
+    charge = (Stage("charge", "billing", "charge", idempotent=False),)
     lookup = (Stage("lookup", "retrieve", "lookup"),)
     templates = {
         "draft": TemplateParameters(deadline_ms=8000),
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -71,7 +71,7 @@
     Mutation(
         "the agent claims before a non-idempotent call",
         "camphorrun/agent/worker.py",
-        "        if record.dispatch.repeatable:\n            return await self._call",
+        "        if record.dispatch.idempotent:\n            return await self._call",
         "        if True:\n            return await self._call",
         AGENT,
     ),
@@ -100,7 +100,7 @@
     Mutation(
         "a non-idempotent call is not cut off by a cancellation",
         "camphorrun/agent/worker.py",
-        "if record.dispatch.repeatable and record.task is not None:",
+        "if record.dispatch.idempotent and record.task is not None:",
         "if record.task is not None:",
         AGENT,
     ),
@@ -114,7 +114,7 @@
     Mutation(
         "a lost non-idempotent attempt is settled by the log",
         "camphorrun/entry/stage_runner.py",
-        "        if call.stage.repeatable:\n            raise self._error",
+        "        if call.stage.idempotent:\n            raise self._error",
         "        if True:\n            raise self._error",
         ENTRY,
     ),
@@ -128,7 +128,7 @@
     Mutation(
         "a refused early stage rules out later keys",
         "camphorrun/entry/request_service.py",
-        "if outcome.status is not OutcomeStatus.NOT_RUN or plan.repeatable:",
+        "if outcome.status is not OutcomeStatus.NOT_RUN or plan.idempotent:",
         "if True:",
         ENTRY,
     ),
