Test how an entry matches doubled, foreign and incomplete replies

The first invariant rests on this matching and had no focused test. Two mutations are added and caught.

--- a/camphorrun/entry/tests/test_agent_peer.py
+++ b/camphorrun/entry/tests/test_agent_peer.py
@@ -12,6 +12,8 @@
     NotStarted,
     ResultAck,
     ResultEnd,
+    ResultPart,
+    Resume,
     StageCost,
 )
 from ...metrics import Metrics
@@ -123,3 +125,45 @@
         assert peers[1].state.ejection is EjectionState.ACTIVE
         text = metrics.render().decode()
         assert 'ejections_total{reason="failing",service="s"} 1.0' in text
+
+
+class TestReplies:
+    """Replies are matched by request, stage and attempt, and parts by sequence."""
+
+    @staticmethod
+    async def _run(*messages: object) -> tuple[AgentPeer, object, list[bytes]]:
+        """Return the peer, the result and the parts after the messages arrived."""
+        peer = _peer(LoopTimerService())
+        running = asyncio.ensure_future(peer.attempt(_dispatch(), None, 10.0))
+        await asyncio.sleep(0)
+        for message in messages:
+            peer.handle(message, None)
+        result, parts = await running
+        return peer, result, parts
+
+    def test_doubled_and_foreign_replies_are_dropped(self):
+        """Guards against doubled parts and a result of another request."""
+        other = AttemptId("other", 0, 1)
+        earlier = AttemptId("req", 0, 9)
+        first, second = (ResultPart(_ATTEMPT, n, b"%d" % n) for n in range(2))
+        _, result, parts = asyncio.run(
+            self._run(
+                ResultPart(other, 0, b"x"),
+                ResultEnd(other, ok=True, data=b"other"),
+                ResultEnd(earlier, ok=True, data=b"earlier"),
+                first,
+                first,
+                second,
+                ResultEnd(_ATTEMPT, ok=True, parts=2),
+                ResultEnd(_ATTEMPT, ok=True, data=b"late"),
+            )
+        )
+        assert (result.attempt, result.data, parts) == (_ATTEMPT, b"", [b"0", b"1"])
+
+    def test_end_without_all_parts_asks_for_them(self):
+        """Guards against an answer that lacks a part."""
+        first, second = (ResultPart(_ATTEMPT, n, b"%d" % n) for n in range(2))
+        end = ResultEnd(_ATTEMPT, ok=True, parts=2)
+        peer, _, parts = asyncio.run(self._run(first, end, second, end))
+        assert Resume(_ATTEMPT, peer.incarnation, 1) in peer.dialer.sent
+        assert parts == [b"0", b"1"]
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -202,6 +202,20 @@
         "if False:",
         SEALING,
     ),
+    Mutation(
+        "a doubled part is dropped by the entry",
+        "camphorrun/entry/agent_peer.py",
+        "        if part.sequence != self.next_sequence:\n            return False\n",
+        "",
+        "camphorrun/entry/tests/test_agent_peer.py",
+    ),
+    Mutation(
+        "an end without all parts asks for them",
+        "camphorrun/entry/agent_peer.py",
+        "if pending.next_sequence != message.parts and message.ok:",
+        "if False:",
+        "camphorrun/entry/tests/test_agent_peer.py",
+    ),
     Mutation(
         "a draining agent refuses new work",
         "camphorrun/agent/worker.py",
