--- a/camphorrun/agent/daemon.py
+++ b/camphorrun/agent/daemon.py
@@ -3,6 +3,12 @@
 import aiohttp
 from aiohttp import web
 
+from ..clients import (
+    EndpointClient,
+    HostEntry,
+    HostListClient,
+    WeightStoreClient,
+)
 from ..daemon import (
     DRAIN_POLL_SECONDS,
     FLEET_STREAM,
@@ -13,12 +19,6 @@
 )
 from ..limits import ConcurrencyLimit, StageQueue, queue_policy_by_name
 from ..messages import DrainNotice, Hello, Ping, Pong
-from ..platform import (
-    EndpointClient,
-    HostEntry,
-    HostListClient,
-    WeightStoreClient,
-)
 from ..relay import Announce
 from ..transport import LINK_PATH, Link, LinkListener
 from .attempts import AttemptStore
--- a/camphorrun/agent/endpoint_runner.py
+++ b/camphorrun/agent/endpoint_runner.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
+from ..clients import EndpointCall, EndpointClient, EndpointError, StreamPart
 from ..core import TimerService
 from ..messages import LoadReport, ResultEnd, ResultPart, StageCost
-from ..platform import EndpointCall, EndpointClient, EndpointError, StreamPart
 from .attempts import AttemptRecord
 
 # Tokens that arrive within this time travel in one message. It is well below the
--- a/camphorrun/agent/orders.py
+++ b/camphorrun/agent/orders.py
@@ -9,11 +9,11 @@
 
 from absl import logging
 
+from ..clients import EndpointError, PlatformError, WeightsRefusedError
 from ..configuration import Placement, PlacementIndex, StreamFollower
 from ..core import TimerService
 from ..metrics import Metrics
 from ..placement import EndpointContents, Order, kept_models, next_order
-from ..platform import EndpointError, PlatformError, WeightsRefusedError
 from ..retries import Backoff
 
 COMPARE_SECONDS = 1.0
--- a/camphorrun/agent/tests/test_orders.py
+++ b/camphorrun/agent/tests/test_orders.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from ...clients import EndpointError, WeightsRefusedError
 from ...configuration import (
     ConfigurationChange,
     ConfigurationView,
@@ -16,7 +17,6 @@
 from ...core import LogError, ManualTimerService, MemoryLog, new_identifier
 from ...metrics import Metrics
 from ...placement import EndpointContents, Order
-from ...platform import EndpointError, WeightsRefusedError
 from ...standins import OrderBook, OrderError
 from ..orders import EndpointUse, OrderDriver
 
--- a/camphorrun/agent/tests/test_worker.py
+++ b/camphorrun/agent/tests/test_worker.py
@@ -16,6 +16,7 @@
     mint_prefix,
     parse_claim_key,
 )
+from ...clients import EndpointError
 from ...core import LoopTimerService, MemoryLog
 from ...limits import ConcurrencyLimit, StageQueue
 from ...messages import (
@@ -34,7 +35,6 @@
     SharedKey,
 )
 from ...metrics import Metrics
-from ...platform import EndpointError
 from ..attempts import AttemptStore
 from ..outcome_store import OutcomeStore
 from ..worker import AgentWorker, send_part
--- a/camphorrun/agent/worker.py
+++ b/camphorrun/agent/worker.py
@@ -14,6 +14,7 @@
     StartRefused,
     parse_claim_key,
 )
+from ..clients import EndpointError
 from ..core import TimerService
 from ..limits import ConcurrencyLimit, LatencySample, QueueItem, StageQueue
 from ..messages import (
@@ -33,7 +34,6 @@
     StoreOutcome,
 )
 from ..metrics import Metrics
-from ..platform import EndpointError
 from ..transport import Link, LinkError
 from .attempts import AttemptRecord, AttemptState, AttemptStore, FinalMessage
 from .endpoint_runner import EndpointRunner
--- /dev/null
+++ b/camphorrun/catalog/__init__.py
@@ -0,0 +1,37 @@
+"""What a gateway knows of its deployment: routes, services, accounts and replicas.
+
+Public: ``Deployment``, ``Route``, ``RouteKind``, ``StageTemplate``, ``Service``,
+``StageCapacity``, ``EngineCapacity``, ``Account``, ``CallerLimits``, ``Replica``,
+``ReplicaState``, ``RecordView``, ``Record``, ``RecordPage``.
+"""
+
+from .deployment import (
+    Account,
+    CallerLimits,
+    Deployment,
+    EngineCapacity,
+    Route,
+    RouteKind,
+    Service,
+    StageCapacity,
+    StageTemplate,
+)
+from .records import Record, RecordPage, RecordView
+from .replicas import Replica, ReplicaState
+
+__all__ = [
+    "Account",
+    "CallerLimits",
+    "Deployment",
+    "EngineCapacity",
+    "Record",
+    "RecordPage",
+    "RecordView",
+    "Replica",
+    "ReplicaState",
+    "Route",
+    "RouteKind",
+    "Service",
+    "StageCapacity",
+    "StageTemplate",
+]
--- a/camphorrun/cli/arguments.py
+++ b/camphorrun/cli/arguments.py
@@ -30,6 +30,7 @@
     commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
     _add_daemon(commands, "entry", "serve callers on an entry host")
     _add_daemon(commands, "agent", "run beside one endpoint")
+    _add_gateway(commands)
     _add_demo(commands)
     add_replay(commands)
     add_standin(commands)
@@ -48,6 +49,12 @@
     )
 
 
+def _add_gateway(commands) -> None:
+    """List the command; it has a parser of its own, see ``gateway.build_parser``."""
+    text = "serve callers on an entry host of the users' platform"
+    commands.add_parser("gateway", help=text, description=text, add_help=False)
+
+
 def _add_demo(commands) -> None:
     text = "run the whole path on loopback with stand-ins"
     parser = commands.add_parser("demo", help=text, description=text)
--- /dev/null
+++ b/camphorrun/cli/commands.py
@@ -0,0 +1,25 @@
+"""Commands of the program other than the gateway."""
+
+from argparse import Namespace
+from collections.abc import Callable
+
+from .arguments import build_parser
+from .daemons import run_daemon
+from .operate import run_ctl
+from .replaying import run_demo_command, run_replay
+from .standins import run_standin
+
+_COMMANDS: dict[str, Callable[[Namespace], int]] = {
+    "entry": run_daemon,
+    "agent": run_daemon,
+    "demo": run_demo_command,
+    "replay": run_replay,
+    "standin": run_standin,
+    "ctl": run_ctl,
+}
+
+
+def run_command(argv: list[str] | None) -> int:
+    """Parse the arguments, run the command and return its exit code."""
+    args = build_parser().parse_args(argv)
+    return _COMMANDS[args.command](args)
--- a/camphorrun/cli/main.py
+++ b/camphorrun/cli/main.py
@@ -1,22 +1,8 @@
 """Entry point of the ``camphorrun`` program."""
 
-from argparse import Namespace
-from collections.abc import Callable
+import sys
 
-from .arguments import build_parser
-from .daemons import run_daemon
-from .operate import run_ctl
-from .replaying import run_demo_command, run_replay
-from .standins import run_standin
-
-_COMMANDS: dict[str, Callable[[Namespace], int]] = {
-    "entry": run_daemon,
-    "agent": run_daemon,
-    "demo": run_demo_command,
-    "replay": run_replay,
-    "standin": run_standin,
-    "ctl": run_ctl,
-}
+GATEWAY = "gateway"
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -27,5 +13,13 @@
     argv : list of str, optional
         Arguments without the program name; defaults to those of the process.
     """
-    args = build_parser().parse_args(argv)
-    return _COMMANDS[args.command](args)
+    words = sys.argv[1:] if argv is None else argv
+    # Imported here, because a gateway would otherwise hold the libraries of all other
+    # commands in the small memory of its host.
+    if words[:1] == [GATEWAY]:
+        from .gateway import run_gateway
+
+        return run_gateway(words[1:])
+    from .commands import run_command
+
+    return run_command(argv)
--- /dev/null
+++ b/camphorrun/clients/__init__.py
@@ -0,0 +1,35 @@
+"""Clients of outside systems: log service, host list, weight store, endpoints."""
+
+from .endpoint_client import (
+    EXECUTED_HEADER,
+    FENCING_HEADER,
+    KEY_HEADER,
+    EndpointCall,
+    EndpointClient,
+    EndpointReply,
+    StreamPart,
+)
+from .errors import EndpointError, PlatformError
+from .host_list import HostEntry, HostList, HostListClient
+from .log_client import AppendReply, AppendRequest, LogClient
+from .weight_store import WeightsRefusedError, WeightStoreClient
+
+__all__ = [
+    "EXECUTED_HEADER",
+    "FENCING_HEADER",
+    "KEY_HEADER",
+    "AppendReply",
+    "AppendRequest",
+    "EndpointCall",
+    "EndpointClient",
+    "EndpointError",
+    "EndpointReply",
+    "HostEntry",
+    "HostList",
+    "HostListClient",
+    "LogClient",
+    "PlatformError",
+    "StreamPart",
+    "WeightStoreClient",
+    "WeightsRefusedError",
+]
--- a/camphorrun/core/__init__.py
+++ b/camphorrun/core/__init__.py
@@ -4,11 +4,13 @@
 ``ManualTimerService``, ``PauseDetector``, ``Supervisor``, ``SupervisionError``,
 ``new_identifier``, ``LogStore``, ``LogRecord``,
 ``LogPage``, ``LogError``, ``MemoryLog``, ``AppendFault``,
-``bounded``.
+``bounded``, ``Lifecycle``, ``EventLog``.
 """
 
 from .errors import CamphorrunError
+from .event_log import EventLog
 from .identifiers import new_identifier
+from .lifecycle import Lifecycle
 from .log import LogError, LogPage, LogRecord, LogStore
 from .memory_log import AppendFault, MemoryLog
 from .supervision import SupervisionError, Supervisor
@@ -25,6 +27,8 @@
 __all__ = [
     "AppendFault",
     "CamphorrunError",
+    "EventLog",
+    "Lifecycle",
     "LogError",
     "LogPage",
     "LogRecord",
--- a/camphorrun/daemon/__init__.py
+++ b/camphorrun/daemon/__init__.py
@@ -1,12 +1,12 @@
 """Parts that entry and agent daemons share: lifecycle, admin routes, hosts, relay."""
 
+from ..core import Lifecycle
 from .admin import AdminRoutes
 from .announcer import Announcer
 from .base import ACCOUNTS_STREAM, DRAIN_POLL_SECONDS, FLEET_STREAM, Daemon
 from .claim_parts import ClaimMetrics, claim_participant
 from .configuration_sync import ConfigurationSync
 from .hosts import HostWatcher
-from .lifecycle import Lifecycle
 from .policies import check_policies
 from .relay_node import RelayNode
 from .server import start_server
--- a/camphorrun/daemon/admin.py
+++ b/camphorrun/daemon/admin.py
@@ -7,8 +7,8 @@
 import msgspec
 from aiohttp import web
 
+from ..core import Lifecycle
 from ..metrics import Metrics
-from .lifecycle import Lifecycle
 
 _CONTENT_TYPE_METRICS = "text/plain; version=0.0.4; charset=utf-8"
 
--- a/camphorrun/daemon/announcer.py
+++ b/camphorrun/daemon/announcer.py
@@ -7,10 +7,10 @@
 import aiohttp
 from absl import logging
 
+from ..clients import HostEntry
 from ..core import TimerService, bounded
 from ..messages import KeyRing
 from ..metrics import Metrics
-from ..platform import HostEntry
 from ..relay import Announce, RelayClient, RelayError
 
 ANNOUNCE_SECONDS = 30.0
--- a/camphorrun/daemon/base.py
+++ b/camphorrun/daemon/base.py
@@ -6,13 +6,12 @@
 import aiohttp
 from aiohttp import web
 
-from ..core import LoopTimerService, Supervisor, TimerService, new_identifier
+from ..clients import HostEntry, LogClient
+from ..core import Lifecycle, LoopTimerService, Supervisor, TimerService, new_identifier
 from ..metrics import Metrics
-from ..platform import HostEntry, LogClient
 from ..settings import AgentSettings, EntrySettings, key_ring
 from .claim_parts import ClaimMetrics, claim_participant
 from .configuration_sync import ConfigurationSync
-from .lifecycle import Lifecycle
 from .relay_node import RelayNode
 from .server import start_server
 
--- a/camphorrun/daemon/hosts.py
+++ b/camphorrun/daemon/hosts.py
@@ -4,8 +4,8 @@
 
 from absl import logging
 
+from ..clients import HostEntry, HostListClient, PlatformError
 from ..core import TimerService
-from ..platform import HostEntry, HostListClient, PlatformError
 
 POLL_SECONDS = 1.0
 
--- a/camphorrun/daemon/relay_node.py
+++ b/camphorrun/daemon/relay_node.py
@@ -5,11 +5,11 @@
 import aiohttp
 from aiohttp import web
 
+from ..clients import HostEntry
 from ..configuration import ACCOUNTS_STREAM
 from ..core import TimerService
 from ..messages import KeyRing
 from ..metrics import Metrics
-from ..platform import HostEntry
 from ..relay import Announce, RelayPeers, RelayServer
 from ..settings import HostSettings
 from .configuration_sync import ConfigurationSync
--- a/camphorrun/demo/local_system.py
+++ b/camphorrun/demo/local_system.py
@@ -10,11 +10,11 @@
 from aiohttp import web
 
 from ..agent import AgentDaemon
+from ..clients import HostEntry, LogClient
 from ..configuration import ACCOUNTS_STREAM, FLEET_STREAM
 from ..core import LoopTimerService, TimerService
 from ..daemon import start_server
 from ..entry import EntryDaemon
-from ..platform import HostEntry, LogClient
 from ..replay import Scenario
 from ..settings import (
     AgentSettings,
--- a/camphorrun/demo/tests/test_relay_and_announcement.py
+++ b/camphorrun/demo/tests/test_relay_and_announcement.py
@@ -5,8 +5,8 @@
 
 import aiohttp
 
+from ...clients import HostEntry
 from ...configuration import Stage, Template, TemplateParameters
-from ...platform import HostEntry
 from ...replay import Scenario, ScenarioAccount, ScenarioService
 from ..local_system import LocalSystem, ServiceSpec, free_port
 from ..publication import publish_scenario
--- a/camphorrun/entry/agent_peer.py
+++ b/camphorrun/entry/agent_peer.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from functools import singledispatchmethod
 
+from ..clients import HostEntry
 from ..core import TimerHandle, TimerService, bounded
 from ..messages import (
     AttemptId,
@@ -24,7 +25,6 @@
     Resume,
 )
 from ..metrics import Metrics
-from ..platform import HostEntry
 from ..routing import EndpointState
 from ..transport import Link, LinkDialer, LinkError, LinkEvents
 from .errors import AttemptLostError
--- a/camphorrun/entry/daemon.py
+++ b/camphorrun/entry/daemon.py
@@ -7,6 +7,7 @@
 
 from ..admission import AdmissionGroup
 from ..admission import policy_by_name as admission_policy_by_name
+from ..clients import HostEntry, HostListClient
 from ..configuration import CarryForwarder, PlacementIndex
 from ..core import TimerService
 from ..daemon import (
@@ -19,7 +20,6 @@
 )
 from ..messages import Hello
 from ..pipeline import PipelineExecutor
-from ..platform import HostEntry, HostListClient
 from ..retries import Backoff, budget_by_name, hedges_by_name
 from ..routing import (
     Router,
--- a/camphorrun/entry/peer_pool.py
+++ b/camphorrun/entry/peer_pool.py
@@ -8,6 +8,7 @@
 import xxhash
 from absl import logging
 
+from ..clients import HostEntry
 from ..core import TimerService, bounded
 from ..messages import (
     GetOutcome,
@@ -17,7 +18,6 @@
     StoreOutcome,
 )
 from ..metrics import Metrics
-from ..platform import HostEntry
 from ..relay import Announce
 from ..routing import EndpointState
 from ..settings import SettingsError, check_address
--- a/camphorrun/entry/tests/test_agent_peer.py
+++ b/camphorrun/entry/tests/test_agent_peer.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ...clients import HostEntry
 from ...core import LoopTimerService, ManualTimerService
 from ...messages import (
     AttemptId,
@@ -17,7 +18,6 @@
     StageCost,
 )
 from ...metrics import Metrics
-from ...platform import HostEntry
 from ...routing import EjectionState, EndpointState
 from .. import agent_peer
 from ..agent_peer import AgentPeer
--- a/camphorrun/entry/tests/test_peer_pool.py
+++ b/camphorrun/entry/tests/test_peer_pool.py
@@ -3,10 +3,10 @@
 import asyncio
 from dataclasses import replace
 
+from ...clients import HostEntry
 from ...core import ManualTimerService
 from ...messages import Hello, KeyRing, SharedKey
 from ...metrics import Metrics
-from ...platform import HostEntry
 from ...relay import Announce
 from .. import peer_pool
 from ..peer_pool import UNLISTED_GRACE_SECONDS, PeerPool
--- a/camphorrun/entry/tests/test_stage_runner.py
+++ b/camphorrun/entry/tests/test_stage_runner.py
@@ -16,6 +16,7 @@
     mint_prefix,
     parse_claim_key,
 )
+from ...clients import HostEntry
 from ...core import LoopTimerService, MemoryLog
 from ...messages import (
     ClaimLost,
@@ -33,7 +34,6 @@
     PlannedStage,
     RequestPlan,
 )
-from ...platform import HostEntry
 from ...retries import Backoff, RetryBudget
 from ...routing import EndpointState, Router, StageEstimator
 from .. import stage_runner
--- /dev/null
+++ b/camphorrun/gateway/attempts.py
@@ -0,0 +1,423 @@
+"""Sends a request to replicas until it has an answer or none can be had."""
+
+import asyncio
+from random import Random
+
+from ..catalog import RouteKind
+from ..core import EventLog, TimerService, bounded
+from ..http1 import (
+    ClientConnection,
+    HttpError,
+    ResponseHead,
+    ServerResponder,
+)
+from ..metrics import Metrics
+from ..platform import (
+    ReplyFacts,
+    encode_request,
+    event_id,
+    relay_headers,
+    reply_facts,
+)
+from ..retries import RetryBudget
+from ..routing import (
+    AffinityPolicy,
+    NoEndpoint,
+    RouteChoice,
+    Router,
+    StageRequest,
+)
+from .context import RequestContext
+from .errors import RefusedError
+from .events import EventBuffer
+from .replicas import ReplicaHandle, ReplicaPool, endpoints
+
+CONNECT_TIMEOUT_SECONDS = 0.4
+# Unsafe requests use no connection that was idle for longer: a replica that closes it
+# at that moment leaves the outcome unknown.
+UNSAFE_IDLE_SECONDS = 1.0
+# Answers up to this size are read to their end before the caller gets the first byte,
+# so that a repeatable request can still be sent to another replica.
+BUFFERED_ANSWER_BYTES = 256 * 1024
+# A repeatable request without answer goes to another replica after this multiple of
+# its objective, but not before the least time.
+PATIENCE_FACTOR = 2.0
+LEAST_PATIENCE_SECONDS = 0.3
+STREAM_HEAD_SECONDS = 2.5
+STREAM_GAP_SECONDS = 2.0
+MAX_REJECTIONS = 4
+REFUSED_RETRY_SECONDS = 0.3
+MIN_USEFUL_SECONDS = 0.02
+
+
+class _Failed(Exception):
+    """An attempt ended without an answer for the caller."""
+
+    def __init__(self, reason: str, *, not_run: bool, inputs_gone: bool = False):
+        super().__init__(reason)
+        self.reason = reason
+        self.not_run = not_run
+        self.inputs_gone = inputs_gone
+
+
+class InputsGoneError(Exception):
+    """The replica lacks a stage result that the request needs."""
+
+
+class Attempts:
+    """Runs the attempts of requests.
+
+    Parameters
+    ----------
+    replicas : ReplicaPool
+        Replicas of all services.
+    budget_of : callable
+        Returns the retry budget of a service.
+    """
+
+    def __init__(
+        self,
+        replicas: ReplicaPool,
+        budget_of,
+        availability_zone: str,
+        *,
+        timers: TimerService,
+        metrics: Metrics,
+        events: EventLog,
+        seed: int = 0,
+    ):
+        self._replicas = replicas
+        self._budget_of = budget_of
+        self._timers = timers
+        self._metrics = metrics
+        self._events = events
+        rng = Random(seed)
+        self._plain = Router(None, availability_zone, rng.getrandbits(32))
+        self._engine = Router(AffinityPolicy(), availability_zone, rng.getrandbits(32))
+
+    async def answer(self, ctx: RequestContext, responder: ServerResponder) -> None:
+        """Answer a request.
+
+        Raises
+        ------
+        RefusedError
+            If the caller has no answer yet and gets none from a replica.
+        InputsGoneError
+            If stage results must be made again; the request has not run there.
+        """
+        budget: RetryBudget = self._budget_of(ctx.service)
+        budget.deposit(self._timers.now())
+        rejections = 0
+        reason = ""
+        while True:
+            handle = self._choose(ctx, reason)
+            try:
+                await self._attempt(ctx, handle, responder)
+                return
+            except _Failed as exc:
+                reason = exc.reason
+                self._note_failure(ctx, handle, exc)
+                if exc.inputs_gone:
+                    raise InputsGoneError(reason) from exc
+                rejections += exc.not_run
+            if not self._may_repeat(ctx, budget, rejections, reason):
+                self._give_up(ctx, responder, reason)
+                return
+
+    def _choose(self, ctx: RequestContext, reason: str) -> ReplicaHandle:
+        now = self._timers.now()
+        if ctx.end_at - now < MIN_USEFUL_SECONDS:
+            raise self._refusal(ctx, reason or "deadline")
+        handles = self._replicas.usable(ctx.service)
+        prompt = ctx.caller.prompt
+        # The last part belongs to the request alone; the one before it is shared.
+        prefix = prompt[-2].identifier if len(prompt) > 1 else ctx.request_id
+        request = StageRequest(
+            ctx.service,
+            prefix=prefix,
+            remaining_s=ctx.end_at - now,
+            exclude=frozenset(ctx.tried),
+        )
+        router = self._engine if ctx.route.uses_engine else self._plain
+        choice = router.choose(endpoints(handles), request, now)
+        if isinstance(choice, NoEndpoint) and ctx.tried:
+            # All others are gone; a replica that rejected may take it by now.
+            ctx.tried.clear()
+            request = StageRequest(ctx.service, prefix=prefix)
+            choice = router.choose(endpoints(handles), request, now)
+        if isinstance(choice, NoEndpoint):
+            raise self._refusal(ctx, choice.reason)
+        return self._chosen(ctx, choice)
+
+    def _chosen(self, ctx: RequestContext, choice: RouteChoice) -> ReplicaHandle:
+        handle = self._replicas.get(choice.endpoint.host)
+        self._events.request(
+            "attempt",
+            ctx.request_id,
+            replica=choice.endpoint.host,
+            service=ctx.service,
+            in_flight=choice.endpoint.in_flight,
+            failure_rate=round(choice.endpoint.failure_rate, 3),
+            probe=choice.probe,
+            left_s=round(ctx.end_at - self._timers.now(), 3),
+        )
+        return handle
+
+    def _may_repeat(
+        self, ctx: RequestContext, budget: RetryBudget, rejections: int, reason: str
+    ) -> bool:
+        """Return whether the request may be sent once more."""
+        route = ctx.route
+        if ctx.sent and not route.repeatable:
+            return False
+        if ctx.runs >= route.max_attempts or rejections >= MAX_REJECTIONS:
+            return False
+        if reason in ("connect_failed", "connect_timeout"):
+            return True
+        if not budget.try_withdraw(self._timers.now()):
+            self._metrics.refusals.labels("retry_budget").inc()
+            return False
+        self._metrics.retries.labels(reason).inc()
+        return True
+
+    def _give_up(
+        self, ctx: RequestContext, responder: ServerResponder, reason: str
+    ) -> None:
+        if responder.started:
+            responder.abort()
+            return
+        raise self._refusal(ctx, reason)
+
+    def _refusal(self, ctx: RequestContext, reason: str) -> RefusedError:
+        """Return the answer for a request that no replica answered."""
+        if not ctx.sent:
+            return RefusedError(
+                reason, code=reason, status=503, retry_after_s=REFUSED_RETRY_SECONDS
+            )
+        late = self._timers.now() >= ctx.end_at - MIN_USEFUL_SECONDS
+        return RefusedError(reason, code=reason, status=504 if late else 502)
+
+    def _note_failure(
+        self, ctx: RequestContext, handle: ReplicaHandle, exc: _Failed
+    ) -> None:
+        ctx.tried.add(handle.replica.identifier)
+        self._metrics.attempts.labels(ctx.service, exc.reason).inc()
+        self._events.request(
+            "attempt_failed",
+            ctx.request_id,
+            replica=handle.replica.identifier,
+            reason=exc.reason,
+            not_run=exc.not_run,
+            runs=ctx.runs,
+            last_event=ctx.last_event,
+        )
+
+    # One attempt
+
+    async def _attempt(
+        self, ctx: RequestContext, handle: ReplicaHandle, responder: ServerResponder
+    ) -> None:
+        started_at = self._timers.now()
+        handle.endpoint.on_dispatch()
+        ok = None
+        conn = None
+        try:
+            conn = await self._connect(ctx, handle)
+            await self._exchange(ctx, handle, conn, responder)
+            ok = True
+        except _Failed as exc:
+            # A replica that is full is busy, not broken.
+            ok = None if exc.reason == "rejected" else False
+            raise
+        except BaseException:
+            if conn is not None:
+                conn.abort()
+            raise
+        finally:
+            if conn is not None:
+                handle.pool.release(conn)
+            elapsed_s = self._timers.now() - started_at
+            if ok is None:
+                handle.endpoint.on_cancel()
+            else:
+                handle.endpoint.on_result(ok, elapsed_s, self._timers.now())
+
+    async def _connect(
+        self, ctx: RequestContext, handle: ReplicaHandle
+    ) -> ClientConnection:
+        repeatable = ctx.route.repeatable
+        idle_s = float("inf") if repeatable else UNSAFE_IDLE_SECONDS
+        left_s = max(MIN_USEFUL_SECONDS, ctx.end_at - self._timers.now())
+        try:
+            return await bounded(
+                self._timers,
+                handle.pool.acquire(CONNECT_TIMEOUT_SECONDS, idle_s),
+                left_s,
+            )
+        except HttpError as exc:
+            raise _Failed(exc.code, not_run=True) from exc
+        except TimeoutError as exc:
+            raise _Failed("connect_timeout", not_run=True) from exc
+
+    async def _exchange(
+        self,
+        ctx: RequestContext,
+        handle: ReplicaHandle,
+        conn: ClientConnection,
+        responder: ServerResponder,
+    ) -> None:
+        now = self._timers.now()
+        data = encode_request(
+            ctx.caller,
+            address_host=handle.replica.address,
+            replica=handle.replica.identifier,
+            account=ctx.account,
+            deadline_s=ctx.end_at - now,
+            priority=ctx.priority if ctx.route.uses_engine else None,
+            inputs=None if ctx.results is None else ctx.results.final(),
+            resume_after=ctx.last_event or ctx.caller.resume_after,
+        )
+        was_sent = ctx.sent
+        ctx.sent = True
+        ctx.runs += 1
+        try:
+            head = await self._head(ctx, conn, data)
+            facts = reply_facts(head, ctx.caller)
+            if facts.not_run:
+                await self._drop_body(conn)
+                ctx.sent = was_sent
+                ctx.runs -= 1
+                raise _rejection(facts)
+            if not facts.own or (200 <= head.status < 300 and not facts.stamped):
+                raise _Failed("foreign_answer", not_run=False)
+            if ctx.route.kind is RouteKind.STREAM and head.status == 200:
+                await self._relay_events(ctx, head, conn, responder)
+            else:
+                await self._relay_whole(ctx, head, conn, responder)
+        except HttpError as exc:
+            conn.abort()
+            raise _Failed(exc.code, not_run=False) from exc
+        except TimeoutError as exc:
+            conn.abort()
+            raise _Failed("timeout", not_run=False) from exc
+        except _Failed as exc:
+            if exc.reason == "foreign_answer":
+                conn.abort()
+            raise
+
+    async def _head(
+        self, ctx: RequestContext, conn: ClientConnection, data: bytes
+    ) -> ResponseHead:
+        left_s = ctx.end_at - self._timers.now()
+        return (
+            await bounded(
+                self._timers, conn.request(data), max(MIN_USEFUL_SECONDS, left_s)
+            )
+            if not self._may_move(ctx)
+            else await bounded(
+                self._timers, conn.request(data), min(left_s, self._patience_s(ctx))
+            )
+        )
+
+    def _may_move(self, ctx: RequestContext) -> bool:
+        """Return whether a replica that stays silent is given up for another one."""
+        return ctx.route.repeatable and ctx.runs < ctx.route.max_attempts
+
+    def _patience_s(self, ctx: RequestContext) -> float:
+        if ctx.route.kind is RouteKind.STREAM:
+            return max(STREAM_HEAD_SECONDS, ctx.route.objective_s)
+        return max(LEAST_PATIENCE_SECONDS, ctx.route.objective_s * PATIENCE_FACTOR)
+
+    async def _drop_body(self, conn: ClientConnection) -> None:
+        try:
+            await bounded(
+                self._timers,
+                conn.read_all(BUFFERED_ANSWER_BYTES),
+                CONNECT_TIMEOUT_SECONDS,
+            )
+        except (HttpError, TimeoutError):
+            conn.abort()
+
+    async def _relay_whole(
+        self,
+        ctx: RequestContext,
+        head: ResponseHead,
+        conn: ClientConnection,
+        responder: ServerResponder,
+    ) -> None:
+        """Pass on an answer with one body."""
+        if responder.started:
+            # A resumed stream that is answered by anything but events.
+            raise _Failed("resume_failed", not_run=False)
+        left_s = max(MIN_USEFUL_SECONDS, ctx.end_at - self._timers.now())
+        async with asyncio.timeout(left_s):
+            parts: list[bytes] = []
+            size = 0
+            while size <= BUFFERED_ANSWER_BYTES:
+                data = await conn.read()
+                if not data:
+                    break
+                parts.append(data)
+                size += len(data)
+        failed = head.status >= 500
+        if failed and self._may_move(ctx) and size <= BUFFERED_ANSWER_BYTES:
+            budget = self._budget_of(ctx.service)
+            if budget.try_withdraw(self._timers.now()):
+                raise _Failed("replica_error", not_run=False)
+        body = b"".join(parts)
+        if size <= BUFFERED_ANSWER_BYTES:
+            responder.start(head.status, relay_headers(head), len(body), head.reason)
+            await responder.write(body)
+            responder.finish()
+            return
+        responder.start(head.status, relay_headers(head), None, head.reason)
+        await responder.write(body)
+        async with asyncio.timeout(left_s):
+            while data := await conn.read():
+                await responder.write(data)
+        responder.finish()
+
+    async def _relay_events(
+        self,
+        ctx: RequestContext,
+        head: ResponseHead,
+        conn: ClientConnection,
+        responder: ServerResponder,
+    ) -> None:
+        """Pass on events as they arrive, each one whole."""
+        buffer = EventBuffer()
+        while True:
+            left_s = max(MIN_USEFUL_SECONDS, ctx.end_at - self._timers.now())
+            if self._may_move(ctx):
+                left_s = min(left_s, STREAM_GAP_SECONDS)
+            data = await bounded(self._timers, conn.read(), left_s)
+            if not data:
+                break
+            events = buffer.feed(data)
+            if events:
+                await self._pass_on(ctx, head, events, responder)
+        if not responder.started:
+            responder.start(head.status, relay_headers(head), None, head.reason)
+        await responder.write(buffer.rest)
+        responder.finish()
+
+    async def _pass_on(
+        self,
+        ctx: RequestContext,
+        head: ResponseHead,
+        events: list[bytes],
+        responder: ServerResponder,
+    ) -> None:
+        if not responder.started:
+            responder.start(head.status, relay_headers(head), None, head.reason)
+        for event in events:
+            ctx.last_event = event_id(event) or ctx.last_event
+        await responder.write(b"".join(events))
+
+
+def _rejection(facts: ReplyFacts) -> _Failed:
+    if facts.inputs_gone:
+        return _Failed("inputs_gone", not_run=True, inputs_gone=True)
+    if facts.misdirected:
+        return _Failed("misdirected", not_run=True)
+    return _Failed("rejected", not_run=True)
--- /dev/null
+++ b/camphorrun/gateway/front.py
@@ -0,0 +1,207 @@
+"""Serves callers: finds the route, refuses what can't be served, runs the rest."""
+
+import xxhash
+
+from ..catalog import Account, Deployment, Route
+from ..core import EventLog, TimerService
+from ..http1 import ServerRequest, ServerResponder
+from ..metrics import Metrics
+from ..platform import (
+    CallerRequest,
+    DecodeError,
+    decode_caller_request,
+    refusal_headers,
+)
+from .attempts import Attempts, InputsGoneError
+from .context import RequestContext
+from .errors import RefusedError, StageError
+from .stage_runner import StageRunner
+from .state import GatewayState
+
+# Answer to callers while nothing is known yet.
+NOT_READY_RETRY_SECONDS = 0.5
+STAGE_RETRY_SECONDS = 0.5
+# Assumed time from the call of a model replica to its first event.
+FIRST_EVENT_SECONDS = 0.25
+DEFAULT_DEADLINE_SECONDS = 30.0
+MAX_INPUT_REMAKES = 2
+
+
+class Front:
+    """Handler of callers' requests."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        stages: StageRunner,
+        attempts: Attempts,
+        *,
+        timers: TimerService,
+        metrics: Metrics,
+        events: EventLog,
+    ):
+        self._state = state
+        self._stages = stages
+        self._attempts = attempts
+        self._timers = timers
+        self._metrics = metrics
+        self._events = events
+        self.in_flight = 0
+
+    async def handle(self, req: ServerRequest, responder: ServerResponder) -> None:
+        """Answer one request."""
+        self.in_flight += 1
+        attempt_id = ""
+        route_name = ""
+        code = "left"
+        try:
+            caller = decode_caller_request(req)
+            attempt_id = caller.attempt_id
+            ctx = self._accept(caller)
+            route_name = ctx.route.name
+            await self._serve(ctx, responder)
+            code = "ok" if responder.ended else "broken"
+        except DecodeError as exc:
+            code = exc.code
+            self._refuse(responder, attempt_id, 400, exc.code, 0.0)
+        except RefusedError as exc:
+            code = exc.code
+            self._refuse(responder, attempt_id, exc.status, exc.code, exc.retry_after_s)
+        finally:
+            self.in_flight -= 1
+            self._note_end(req, attempt_id, route_name, code)
+
+    def _note_end(
+        self, req: ServerRequest, attempt_id: str, route: str, code: str
+    ) -> None:
+        seconds = self._timers.now() - req.received_at
+        self._metrics.outcomes.labels("gateway", code, "").inc()
+        self._metrics.request_seconds.labels("").observe(seconds)
+        self._events.request(
+            "end", attempt_id, route=route, code=code, seconds=round(seconds, 4)
+        )
+
+    def _refuse(
+        self,
+        responder: ServerResponder,
+        attempt_id: str,
+        status: int,
+        code: str,
+        retry_after_s: float,
+    ) -> None:
+        self._metrics.refusals.labels(code).inc()
+        if responder.started:
+            responder.abort()
+            return
+        headers = refusal_headers(attempt_id, retry_after_s, code)
+        responder.respond(status, headers)
+
+    # Acceptance
+
+    def _accept(self, caller: CallerRequest) -> RequestContext:
+        """Return the context of a request that may be served."""
+        deployment = self._state.deployment
+        if deployment is None or not self._state.ready:
+            raise RefusedError(
+                "nothing is known yet",
+                code="not_ready",
+                status=503,
+                retry_after_s=NOT_READY_RETRY_SECONDS,
+            )
+        route = deployment.route(caller.host, caller.path)
+        if route is None:
+            raise RefusedError("no such route", code="unknown_route", status=404)
+        account = self._account(deployment, route, caller)
+        ctx = self._context(caller, route, account)
+        self._events.request(
+            "accepted",
+            ctx.request_id,
+            route=route.name,
+            service=ctx.service,
+            account=ctx.account,
+            version=deployment.version,
+            deadline_s=caller.deadline_s,
+            pieces=list(caller.pieces),
+        )
+        return ctx
+
+    def _account(
+        self, deployment: Deployment, route: Route, caller: CallerRequest
+    ) -> Account | None:
+        account = deployment.accounts.get(caller.credential)
+        if account is None and deployment.accounts and not route.public:
+            raise RefusedError("unknown key", code="unknown_key", status=401)
+        return account
+
+    def _context(
+        self, caller: CallerRequest, route: Route, account: Account | None
+    ) -> RequestContext:
+        priority = route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        received_at = caller.raw.first_byte_at
+        deadline_s = caller.deadline_s or DEFAULT_DEADLINE_SECONDS
+        point = xxhash.xxh32_intdigest(caller.attempt_id) / 2**32
+        return RequestContext(
+            caller,
+            route,
+            route.service_for(point),
+            account.name if account is not None else "",
+            priority,
+            received_at,
+            received_at + route.objective_s,
+            received_at + deadline_s,
+            received_at + route.timeout_s,
+        )
+
+    # Service
+
+    async def _serve(self, ctx: RequestContext, responder: ServerResponder) -> None:
+        if not ctx.route.stages:
+            await self._attempts.answer(ctx, responder)
+            return
+        self._check_time(ctx)
+        for remake in range(MAX_INPUT_REMAKES + 1):
+            await self._run_stages(ctx)
+            try:
+                await self._attempts.answer(ctx, responder)
+                return
+            except InputsGoneError:
+                if remake == MAX_INPUT_REMAKES:
+                    raise RefusedError(
+                        "stage results vanished",
+                        code="inputs_gone",
+                        status=502 if ctx.sent else 503,
+                    ) from None
+            finally:
+                self._stages.release_all(ctx.route, ctx.results)
+
+    def _check_time(self, ctx: RequestContext) -> None:
+        """Refuse a request whose stages can't be made before its deadline."""
+        predicted_s = self._stages.predicted_s(ctx.route, ctx.caller.pieces)
+        left_s = ctx.end_at - self._timers.now()
+        if predicted_s + FIRST_EVENT_SECONDS > left_s:
+            raise RefusedError(
+                "stages would end after the deadline",
+                code="deadline_unreachable",
+                status=503,
+                retry_after_s=STAGE_RETRY_SECONDS,
+            )
+
+    async def _run_stages(self, ctx: RequestContext) -> None:
+        try:
+            ctx.results = await self._stages.run(
+                ctx.caller,
+                ctx.route,
+                priority=ctx.priority,
+                objective_at=ctx.objective_at,
+                deadline_at=ctx.end_at,
+                final_s=FIRST_EVENT_SECONDS,
+            )
+        except StageError as exc:
+            raise RefusedError(
+                str(exc),
+                code=f"stage_{exc.code}",
+                status=502 if ctx.sent else 503,
+                retry_after_s=STAGE_RETRY_SECONDS,
+            ) from exc
--- /dev/null
+++ b/camphorrun/gateway/messages.py
@@ -0,0 +1,66 @@
+"""Messages between gateways; times are remaining seconds, never clock readings."""
+
+import msgspec
+
+SCHEMA_VERSION = 1
+
+
+class RecordMessage(msgspec.Struct, array_like=True):
+    """One record of the store."""
+
+    key: str
+    offset: int
+    value: bytes
+
+
+class TopicMessage(msgspec.Struct):
+    """Records of a topic up to an offset; without records a question for newer ones."""
+
+    end: int
+    records: list[RecordMessage] = []
+    is_listing: bool = False
+
+
+class SyncMessage(msgspec.Struct):
+    """What a daemon knows of the store, and the members that it sees."""
+
+    topics: dict[str, TopicMessage]
+    members: list[str] = []
+    version: int = SCHEMA_VERSION
+
+
+class PieceOrder(msgspec.Struct):
+    """Asks the owner of a stage service for pieces of one stage of one request."""
+
+    service: str
+    request_id: str
+    stage: int
+    pieces: list[int]
+    key: str
+    inputs: list[str] | None
+    result_bytes: int
+    priority: int
+    objective_left_s: float
+    deadline_left_s: float
+    downstream_s: float
+    version: int = SCHEMA_VERSION
+
+
+class PieceReply(msgspec.Struct):
+    """Results in the order of the pieces, or the code of a fault.
+
+    ``backlog_s`` is the time that the service needs for what waits now.
+    """
+
+    handles: list[str]
+    fault: str = ""
+    backlog_s: float = 0.0
+    version: int = SCHEMA_VERSION
+
+
+class ReleaseOrder(msgspec.Struct):
+    """Results that no request needs any more."""
+
+    service: str
+    handles: list[str]
+    version: int = SCHEMA_VERSION
--- /dev/null
+++ b/camphorrun/gateway/stage_owner.py
@@ -0,0 +1,402 @@
+"""Makes the pieces of one stage service in batches, for all gateways."""
+
+import asyncio
+import itertools
+from collections import deque
+
+from ..catalog import StageCapacity
+from ..core import EventLog, TimerService, bounded
+from ..http1 import HttpError
+from ..metrics import Metrics
+from ..pipeline import BatchQueue, PieceGroup, SpaceLedger
+from ..platform import (
+    DecodeError,
+    StageFault,
+    StageItem,
+    StageItemResult,
+    decode_stage_reply,
+    encode_release,
+    encode_stage_call,
+)
+from ..retries import RetryBudget
+from .errors import StageError
+from .replicas import ReplicaHandle, ReplicaPool
+
+CONNECT_TIMEOUT_SECONDS = 0.4
+# A call that takes this multiple of its usual time is given up.
+CALL_TIMEOUT_FACTOR = 3.0
+CALL_TIMEOUT_SLACK_SECONDS = 0.3
+MAX_ANSWER_BYTES = 1024 * 1024
+# Pause of a replica after a failed call; a fast failure must not attract the next one.
+FIRST_PAUSE_SECONDS = 0.2
+MAX_PAUSE_SECONDS = 3.0
+# Pause after a replica reported that it has no space, or that it is full.
+FULL_PAUSE_SECONDS = 0.1
+RETRY_DISPATCH_SECONDS = 0.05
+RELEASE_DELAY_SECONDS = 0.01
+RELEASE_TIMEOUT_SECONDS = 1.0
+MAX_TRIES = 3
+# A replica that needs this multiple of the usual time gets work only for a backlog.
+SLOW_RATIO = 2.0
+RATIO_WEIGHT = 0.4
+
+
+class _Job:
+    """A group with the results that it has so far."""
+
+    __slots__ = ("fut", "group", "results", "total", "tries")
+
+    def __init__(self, group: PieceGroup, fut: asyncio.Future):
+        self.group = group
+        self.fut = fut
+        self.total = len(group.waiting)
+        self.results: dict[int, str] = {}
+        self.tries = 0
+
+
+class _Worker:
+    """One replica as the owner of its service uses it."""
+
+    __slots__ = ("busy", "failures", "handle", "ledger", "paused_until", "ratio")
+
+    def __init__(self, handle: ReplicaHandle, capacity: StageCapacity):
+        self.handle = handle
+        self.ledger = SpaceLedger(capacity.result_bytes, capacity.result_life_s)
+        self.busy = 0
+        self.failures = 0
+        self.paused_until = float("-inf")
+        self.ratio = 1.0
+
+
+class StageOwner:
+    """Queue and replicas of one stage service.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    capacity : StageCapacity
+        Capacity of one replica.
+    replicas : ReplicaPool
+        Replicas of all services.
+    budget : RetryBudget
+        Bounds pieces that are sent once more.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        capacity: StageCapacity,
+        replicas: ReplicaPool,
+        budget: RetryBudget,
+        *,
+        timers: TimerService,
+        metrics: Metrics,
+        events: EventLog,
+    ):
+        self._service = service
+        self._capacity = capacity
+        self._queue = BatchQueue(capacity)
+        self._replicas = replicas
+        self._budget = budget
+        self._timers = timers
+        self._metrics = metrics
+        self._events = events
+        self._jobs: dict[PieceGroup, _Job] = {}
+        self._workers: dict[tuple[str, int], _Worker] = {}
+        self._calls = itertools.count()
+        self._tasks: set[asyncio.Task] = set()
+        self._redispatch_scheduled = False
+        self._to_release: dict[str, list[str]] = {}
+
+    async def make(self, group: PieceGroup) -> list[str]:
+        """Return the results of a group in the order of its pieces.
+
+        Raises
+        ------
+        StageError
+            If a piece can't be made.
+        """
+        pieces = list(group.waiting)
+        job = _Job(group, asyncio.get_running_loop().create_future())
+        self._jobs[group] = job
+        self._budget.deposit(self._timers.now())
+        self._queue.add(group)
+        self._dispatch()
+        try:
+            await job.fut
+            return [job.results[piece] for piece in pieces]
+        finally:
+            del self._jobs[group]
+            self._queue.remove(group)
+            if not job.fut.done() or job.fut.cancelled() or job.fut.exception():
+                self.release(list(job.results.values()))
+
+    def backlog_s(self) -> float:
+        """Return the time that the service needs for what waits now."""
+        return self._queue.backlog_s(len(self._current_workers()))
+
+    def release(self, handles: list[str]) -> None:
+        """Free results at their makers, a little later and in one call each."""
+        for result in handles:
+            address = result.partition("/")[0]
+            if not self._to_release:
+                self._timers.call_after(RELEASE_DELAY_SECONDS, self._send_releases)
+            self._to_release.setdefault(address, []).append(result)
+
+    def close(self) -> None:
+        """Cancel all calls."""
+        for task in self._tasks:
+            task.cancel()
+
+    # Dispatch
+
+    def _current_workers(self) -> list[_Worker]:
+        """Return workers of the replicas that take work, and forget the others."""
+        handles = {h.replica.boot: h for h in self._replicas.usable(self._service)}
+        for boot in self._workers.keys() - handles.keys():
+            if not self._workers[boot].busy:
+                del self._workers[boot]
+        for boot, handle in handles.items():
+            if boot not in self._workers:
+                self._workers[boot] = _Worker(handle, self._capacity)
+        return [self._workers[boot] for boot in handles]
+
+    def _dispatch(self) -> None:
+        now = self._timers.now()
+        for group in self._queue.expire(now):
+            self._fail(group, "late")
+        workers = self._current_workers()
+        free = [w for w in workers if w.busy < self._capacity.calls]
+        free = [w for w in free if w.paused_until <= now]
+        free.sort(key=lambda worker: worker.ratio)
+        for worker in free:
+            if not len(self._queue):
+                return
+            if not self._is_worth(worker, workers, now):
+                continue
+            space = worker.ledger.free_bytes(now)
+            batch = self._queue.next_batch(space, len(workers), now)
+            if batch:
+                self._start(worker, batch)
+        if len(self._queue):
+            self._schedule_dispatch()
+
+    def _is_worth(self, worker: _Worker, workers: list[_Worker], now: float) -> bool:
+        """Return whether work at a slow replica ends before the others get to it."""
+        if worker.ratio < SLOW_RATIO:
+            return True
+        fast = [w for w in workers if w.ratio < SLOW_RATIO and w.paused_until <= now]
+        if not fast:
+            return True
+        call_s = self._capacity.call_time_s(self._capacity.batch)
+        return self._queue.backlog_s(len(fast)) > (worker.ratio - 1.0) * call_s
+
+    def _schedule_dispatch(self) -> None:
+        if not self._redispatch_scheduled:
+            self._redispatch_scheduled = True
+            self._timers.call_after(RETRY_DISPATCH_SECONDS, self._redispatch)
+
+    def _redispatch(self) -> None:
+        self._redispatch_scheduled = False
+        self._dispatch()
+
+    def _start(self, worker: _Worker, batch: list[tuple[PieceGroup, int]]) -> None:
+        worker.busy += 1
+        task = asyncio.ensure_future(self._call(worker, batch))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _call(self, worker: _Worker, batch: list[tuple[PieceGroup, int]]) -> None:
+        call = next(self._calls)
+        started_at = self._timers.now()
+        worker.ledger.reserve(call, sum(group.result_bytes for group, _ in batch))
+        made: list[tuple[str, int]] = []
+        try:
+            results = await self._send(worker, batch)
+        except (HttpError, DecodeError, TimeoutError) as exc:
+            self._on_failed_call(worker, batch, exc)
+        else:
+            self._on_results(worker, batch, results, made, started_at)
+        finally:
+            worker.busy -= 1
+            worker.ledger.settle(call, made, self._timers.now())
+        self._dispatch()
+
+    async def _send(
+        self, worker: _Worker, batch: list[tuple[PieceGroup, int]]
+    ) -> list[StageItemResult]:
+        now = self._timers.now()
+        items = [
+            StageItem(
+                group.request_id,
+                group.stage,
+                piece,
+                group.deadline_at - now,
+                group.key,
+                group.inputs,
+            )
+            for group, piece in batch
+        ]
+        replica = worker.handle.replica
+        data = encode_stage_call(replica.address, replica.identifier, items)
+        usual_s = self._capacity.call_time_s(len(batch)) * max(1.0, worker.ratio)
+        timeout_s = usual_s * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_SLACK_SECONDS
+        pool = worker.handle.pool
+        conn = await pool.acquire(CONNECT_TIMEOUT_SECONDS)
+
+        async def exchange() -> list[StageItemResult]:
+            head = await conn.request(data)
+            body = await conn.read_all(MAX_ANSWER_BYTES)
+            if head.status != 200:
+                raise HttpError(f"stage call: status {head.status}", code="refused")
+            return decode_stage_reply(body, len(batch))
+
+        try:
+            return await bounded(self._timers, exchange(), timeout_s)
+        except HttpError as exc:
+            if exc.code != "refused":
+                conn.abort()
+            raise
+        except BaseException:
+            conn.abort()
+            raise
+        finally:
+            pool.release(conn)
+
+    # Results
+
+    def _on_results(
+        self,
+        worker: _Worker,
+        batch: list[tuple[PieceGroup, int]],
+        results: list[StageItemResult],
+        made: list[tuple[str, int]],
+        started_at: float,
+    ) -> None:
+        elapsed_s = self._timers.now() - started_at
+        ratio = elapsed_s / self._capacity.call_time_s(len(batch))
+        worker.ratio += RATIO_WEIGHT * (ratio - worker.ratio)
+        worker.failures = 0
+        self._metrics.stage_seconds.labels(self._service).observe(elapsed_s)
+        for (group, piece), result in zip(batch, results, strict=True):
+            if result.handle:
+                made.append((result.handle, group.result_bytes))
+                self._on_piece(group, piece, result.handle)
+            else:
+                self._on_fault(worker, group, piece, result.fault)
+
+    def _on_piece(self, group: PieceGroup, piece: int, handle: str) -> None:
+        job = self._jobs.get(group)
+        if job is None:
+            # The caller has left meanwhile.
+            self.release([handle])
+            return
+        job.results[piece] = handle
+        if len(job.results) == job.total and not job.fut.done():
+            job.fut.set_result(None)
+
+    def _on_fault(
+        self, worker: _Worker, group: PieceGroup, piece: int, fault: StageFault
+    ) -> None:
+        self._metrics.attempts.labels(self._service, fault.value).inc()
+        if fault is StageFault.NO_SPACE:
+            worker.ledger.on_full(self._timers.now(), FULL_PAUSE_SECONDS)
+            self._queue_again(group, [piece], counts=False)
+        elif fault is StageFault.FAILED:
+            self._queue_again(group, [piece], counts=True)
+        else:
+            code = "late" if fault is StageFault.LATE else "input_gone"
+            self._fail(group, code)
+
+    def _on_failed_call(
+        self,
+        worker: _Worker,
+        batch: list[tuple[PieceGroup, int]],
+        exc: Exception,
+    ) -> None:
+        refused = isinstance(exc, HttpError) and exc.code == "refused"
+        pause_s = FULL_PAUSE_SECONDS
+        if not refused:
+            worker.failures += 1
+            pause_s = FIRST_PAUSE_SECONDS * 2 ** min(8, worker.failures - 1)
+        worker.paused_until = self._timers.now() + min(MAX_PAUSE_SECONDS, pause_s)
+        unsent = isinstance(exc, HttpError) and exc.unsent
+        reason = getattr(exc, "code", "timeout")
+        self._metrics.retries.labels(f"stage_{reason}").inc()
+        self._events.belief(
+            "stage_call_failed",
+            service=self._service,
+            replica=worker.handle.replica.identifier,
+            pieces=len(batch),
+            requests=sorted({group.request_id for group, _ in batch}),
+            reason=reason,
+            error=str(exc),
+        )
+        pieces: dict[PieceGroup, list[int]] = {}
+        for group, piece in batch:
+            pieces.setdefault(group, []).append(piece)
+        for group, numbers in pieces.items():
+            self._queue_again(group, numbers, counts=not (unsent or refused))
+
+    def _queue_again(self, group: PieceGroup, pieces: list[int], counts: bool) -> None:
+        """Queue pieces once more; ``counts`` if they may have been worked on."""
+        job = self._jobs.get(group)
+        if job is None or job.fut.done():
+            return
+        if counts:
+            job.tries += 1
+            now = self._timers.now()
+            if job.tries >= MAX_TRIES or not self._budget.try_withdraw(now):
+                self._fail(group, "failed")
+                return
+        group.waiting.extendleft(reversed(pieces))
+        self._queue.add(group)
+
+    def _fail(self, group: PieceGroup, code: str) -> None:
+        job = self._jobs.get(group)
+        if job is not None and not job.fut.done():
+            error = StageError(f"stage {group.stage} at {self._service}", code=code)
+            job.fut.set_exception(error)
+        group.waiting = deque()
+        self._queue.remove(group)
+
+    # Release of results
+
+    def _send_releases(self) -> None:
+        pending, self._to_release = self._to_release, {}
+        for address, handles in pending.items():
+            for worker in self._workers.values():
+                if worker.handle.replica.address == address:
+                    for result in handles:
+                        worker.ledger.release(result)
+            handle = self._replicas.at_address(address)
+            if handle is not None:
+                task = asyncio.ensure_future(self._release_at(handle, handles))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+        if len(self._queue):
+            self._dispatch()
+
+    async def _release_at(self, handle: ReplicaHandle, handles: list[str]) -> None:
+        data = encode_release(handle.replica.address, handles)
+        try:
+            conn = await handle.pool.acquire(CONNECT_TIMEOUT_SECONDS)
+        except HttpError:
+            return
+
+        async def exchange() -> None:
+            await conn.request(data)
+            await conn.read_all(MAX_ANSWER_BYTES)
+
+        try:
+            await bounded(self._timers, exchange(), RELEASE_TIMEOUT_SECONDS)
+        except (HttpError, TimeoutError):
+            # The replica drops unused results by itself after a while.
+            conn.abort()
+            self._metrics.drops.labels("release").inc()
+        except BaseException:
+            conn.abort()
+            raise
+        finally:
+            handle.pool.release(conn)
--- /dev/null
+++ b/camphorrun/gateway/stage_runner.py
@@ -0,0 +1,344 @@
+"""Runs the stages of a request through the owners of their services."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+
+from ..catalog import Route
+from ..core import EventLog, TimerService
+from ..metrics import Metrics
+from ..pipeline import (
+    PieceGroup,
+    downstream_s,
+    final_stages,
+    run_stages,
+)
+from ..platform import CallerRequest
+from ..retries import RetryBudget
+from ..routing import owner_orders
+from .errors import PeerError, StageError
+from .messages import PieceOrder, PieceReply, ReleaseOrder
+from .peers import Peers, member_address
+from .replicas import ReplicaPool
+from .stage_owner import StageOwner
+from .state import GatewayState
+
+# Owners that are asked before a gateway makes the pieces itself.
+MAX_OWNERS = 2
+MAX_REMAKES = 2
+RELEASE_TIMEOUT_SECONDS = 1.0
+# Part of the share of the retry budget that stages may use.
+BUDGET_SHARE = 0.5
+
+
+class StageResults:
+    """Results of the stages of one request, and those that are still held."""
+
+    __slots__ = ("after", "by_stage", "held", "remaining")
+
+    def __init__(self, route: Route, counts: tuple[int, ...]):
+        self.after = [stage.after for stage in route.stages]
+        self.by_stage: dict[int, list[str]] = {}
+        self.held: dict[int, list[str]] = {}
+        # Stages that still need the results of a stage.
+        self.remaining = {
+            index: {i for i, needs in enumerate(self.after) if index in needs}
+            for index in range(len(self.after))
+        }
+
+    def inputs(self, index: int) -> list[str]:
+        """Return the results that a stage needs, in the order of the stages."""
+        return [h for needed in self.after[index] for h in self.by_stage[needed]]
+
+    def final(self) -> tuple[str, ...]:
+        """Return the results that the request itself needs."""
+        stages = final_stages(self.after)
+        return tuple(h for index in stages for h in self.by_stage.get(index, ()))
+
+
+class StageRunner:
+    """Makes stage results for this gateway's requests, and pieces for all gateways."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        replicas: ReplicaPool,
+        peers: Peers,
+        new_budget: Callable[[], RetryBudget],
+        *,
+        timers: TimerService,
+        metrics: Metrics,
+        events: EventLog,
+    ):
+        self._state = state
+        self._replicas = replicas
+        self._peers = peers
+        self._new_budget = new_budget
+        self._timers = timers
+        self._metrics = metrics
+        self._events = events
+        self._owners: dict[str, StageOwner] = {}
+        self._orders: dict[str, list[str]] = {}
+        self._forecasts: dict[str, tuple[float, float]] = {}
+        self._tasks: set[asyncio.Task] = set()
+        state.subscribe(deployment=self._refresh, members=self._refresh)
+
+    # Requests of this gateway
+
+    async def run(
+        self,
+        caller: CallerRequest,
+        route: Route,
+        *,
+        priority: int,
+        objective_at: float,
+        deadline_at: float,
+        final_s: float,
+    ) -> StageResults:
+        """Return the results that a request needs.
+
+        Parameters
+        ----------
+        final_s : float
+            Predicted need of the request itself after its stages.
+
+        Raises
+        ------
+        StageError
+            If a stage has no result; the request has not run.
+        """
+        results = StageResults(route, caller.pieces)
+        need_s = [self._need_s(route, index) for index in range(len(route.stages))]
+
+        async def run_one(index: int, _: list) -> list[str]:
+            if index in results.by_stage:
+                return results.by_stage[index]
+            count = caller.pieces[index] if index < len(caller.pieces) else 1
+            after_s = downstream_s(results.after, need_s, index) + final_s
+            handles = []
+            if count:
+                handles = await self._make(
+                    caller,
+                    route,
+                    index,
+                    count,
+                    results,
+                    priority=priority,
+                    objective_at=objective_at,
+                    deadline_at=deadline_at,
+                    downstream=after_s,
+                )
+            results.by_stage[index] = handles
+            results.held[index] = handles
+            self._release_unneeded(route, results, index)
+            return handles
+
+        for remake in range(MAX_REMAKES + 1):
+            try:
+                await run_stages(results.after, run_one)
+                return results
+            except StageError as exc:
+                if exc.code != "input_gone" or remake == MAX_REMAKES:
+                    self.release_all(route, results)
+                    raise
+                self._metrics.retries.labels("stage_input_gone").inc()
+                self.release_all(route, results)
+                results = StageResults(route, caller.pieces)
+            except BaseException:
+                self.release_all(route, results)
+                raise
+        raise StageError("stage inputs vanished", code="input_gone")
+
+    def release_all(self, route: Route, results: StageResults) -> None:
+        """Free all results that are still held."""
+        for index, handles in results.held.items():
+            self._release(route.stages[index].service, handles)
+        results.held = {}
+
+    def predicted_s(self, route: Route, counts: tuple[int, ...]) -> float:
+        """Return the predicted time of all stages of a request, waits included."""
+        after = [stage.after for stage in route.stages]
+        need_s = [
+            self._need_s(route, index) if counts[index : index + 1] != (0,) else 0.0
+            for index in range(len(after))
+        ]
+        return max(
+            (need_s[i] + downstream_s(after, need_s, i) for i in range(len(after))),
+            default=0.0,
+        )
+
+    def _need_s(self, route: Route, index: int) -> float:
+        """Return the predicted time of one stage: its wait and its call."""
+        service = route.stages[index].service
+        deployment = self._state.deployment
+        known = deployment.services.get(service) if deployment else None
+        if known is None or known.stage is None:
+            return 0.0
+        backlog_s, seen_at = self._forecasts.get(service, (0.0, 0.0))
+        age_s = self._timers.now() - seen_at
+        return max(0.0, backlog_s - age_s) + known.stage.call_time_s(
+            max(1, known.stage.batch // 2)
+        )
+
+    async def _make(
+        self,
+        caller: CallerRequest,
+        route: Route,
+        index: int,
+        count: int,
+        results: StageResults,
+        *,
+        priority: int,
+        objective_at: float,
+        deadline_at: float,
+        downstream: float,
+    ) -> list[str]:
+        stage = route.stages[index]
+        now = self._timers.now()
+        order = PieceOrder(
+            stage.service,
+            caller.attempt_id,
+            index,
+            list(range(count)),
+            caller.piece_key,
+            results.inputs(index) if stage.after else None,
+            stage.result_bytes,
+            priority,
+            objective_at - now,
+            deadline_at - now,
+            downstream,
+        )
+        reply = await self._ask_owner(order, deadline_at)
+        self._forecasts[stage.service] = reply.backlog_s, self._timers.now()
+        self._events.request(
+            "stage",
+            caller.attempt_id,
+            stage=index,
+            service=stage.service,
+            pieces=count,
+            fault=reply.fault,
+            seconds=round(self._timers.now() - now, 4),
+            backlog_s=round(reply.backlog_s, 3),
+        )
+        if reply.fault:
+            raise StageError(f"stage {index} at {stage.service}", code=reply.fault)
+        return reply.handles
+
+    async def _ask_owner(self, order: PieceOrder, deadline_at: float) -> PieceReply:
+        """Ask the owner of the service, then the next one, then make them here."""
+        for member in self._orders.get(order.service, ())[:MAX_OWNERS]:
+            if member == self._state.member:
+                break
+            link = self._peers.link(member_address(member))
+            if link.suspect:
+                continue
+            left_s = deadline_at - self._timers.now()
+            try:
+                data = await link.call("/pieces", order, max(0.05, left_s))
+                return msgspec.msgpack.decode(data, type=PieceReply)
+            except (PeerError, msgspec.DecodeError) as exc:
+                self._metrics.retries.labels("stage_owner").inc()
+                self._events.request(
+                    "owner_failed",
+                    order.request_id,
+                    owner=member,
+                    service=order.service,
+                    error=str(exc),
+                )
+        return await self.make_pieces(order)
+
+    # Pieces for all gateways
+
+    async def make_pieces(self, order: PieceOrder) -> PieceReply:
+        """Make pieces at this gateway."""
+        owner = self._owner(order.service)
+        if owner is None:
+            return PieceReply([], "failed")
+        now = self._timers.now()
+        group = PieceGroup(
+            order.request_id,
+            order.stage,
+            order.key,
+            None if order.inputs is None else tuple(order.inputs),
+            order.result_bytes,
+            order.priority,
+            now + order.objective_left_s,
+            now + order.deadline_left_s,
+            order.downstream_s,
+            now,
+            deque(order.pieces),
+        )
+        try:
+            handles = await owner.make(group)
+        except StageError as exc:
+            return PieceReply([], exc.code, owner.backlog_s())
+        return PieceReply(handles, "", owner.backlog_s())
+
+    def release(self, order: ReleaseOrder) -> None:
+        """Free results that were made through this gateway."""
+        owner = self._owner(order.service)
+        if owner is not None:
+            owner.release(order.handles)
+
+    def close(self) -> None:
+        """Cancel all calls."""
+        for owner in self._owners.values():
+            owner.close()
+        for task in self._tasks:
+            task.cancel()
+
+    def _owner(self, service: str) -> StageOwner | None:
+        owner = self._owners.get(service)
+        if owner is not None:
+            return owner
+        deployment = self._state.deployment
+        known = deployment.services.get(service) if deployment else None
+        if known is None or known.stage is None:
+            return None
+        owner = self._owners[service] = StageOwner(
+            service,
+            known.stage,
+            self._replicas,
+            self._new_budget(),
+            timers=self._timers,
+            metrics=self._metrics,
+            events=self._events,
+        )
+        return owner
+
+    def _refresh(self) -> None:
+        deployment = self._state.deployment
+        if deployment is not None:
+            services = deployment.stage_services()
+            self._orders = owner_orders(services, self._state.members)
+
+    def _release_unneeded(
+        self, route: Route, results: StageResults, index: int
+    ) -> None:
+        """Free the inputs of a stage once no other stage needs them."""
+        for needed in results.after[index]:
+            results.remaining[needed].discard(index)
+            if not results.remaining[needed] and needed in results.held:
+                handles = results.held.pop(needed)
+                self._release(route.stages[needed].service, handles)
+
+    def _release(self, service: str, handles: list[str]) -> None:
+        if not handles:
+            return
+        order = ReleaseOrder(service, handles)
+        owners = self._orders.get(service, ())
+        if not owners or owners[0] == self._state.member:
+            self.release(order)
+            return
+        task = asyncio.ensure_future(self._release_remote(owners[0], order))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _release_remote(self, member: str, order: ReleaseOrder) -> None:
+        link = self._peers.link(member_address(member))
+        try:
+            await link.call("/release", order, RELEASE_TIMEOUT_SECONDS)
+        except PeerError:
+            self.release(order)
--- /dev/null
+++ b/camphorrun/gateway/state.py
@@ -0,0 +1,151 @@
+"""What a gateway knows: configuration, replicas and members."""
+
+from collections.abc import Callable
+
+from absl import logging
+
+from ..catalog import Deployment, RecordPage, RecordView, Replica
+from ..core import EventLog
+from ..metrics import Metrics
+from ..platform import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    REPLICA_TOPIC,
+    DecodeError,
+    decode_deployment,
+    decode_replica,
+)
+
+Listener = Callable[[], None]
+
+
+class GatewayState:
+    """Records of the store, decoded, whatever way they came.
+
+    Attributes
+    ----------
+    deployment : Deployment or None
+        The newest configuration that could be read; None before the first one.
+    replicas : dict of str to Replica
+        Registered replicas by identifier.
+    members : tuple of str
+        Daemons that share the work, sorted, this one included.
+    """
+
+    def __init__(self, member: str, metrics: Metrics, events: EventLog):
+        self.member = member
+        self.deployment: Deployment | None = None
+        self.replicas: dict[str, Replica] = {}
+        self.members: tuple[str, ...] = (member,)
+        self.views = {CONFIGURATION_TOPIC: RecordView(), REPLICA_TOPIC: RecordView()}
+        self._metrics = metrics
+        self._events = events
+        self._on_deployment: list[Listener] = []
+        self._on_replicas: list[Listener] = []
+        self._on_members: list[Listener] = []
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be served."""
+        return self.deployment is not None and self.views[REPLICA_TOPIC].known
+
+    def subscribe(
+        self,
+        *,
+        deployment: Listener | None = None,
+        replicas: Listener | None = None,
+        members: Listener | None = None,
+    ) -> None:
+        """Call listeners after the respective change."""
+        if deployment is not None:
+            self._on_deployment.append(deployment)
+        if replicas is not None:
+            self._on_replicas.append(replicas)
+        if members is not None:
+            self._on_members.append(members)
+
+    def apply(self, topic: str, page: RecordPage, source: str) -> None:
+        """Take over records that were read from the store or from a peer."""
+        self._changed(topic, self.views[topic].apply(page), source)
+
+    def set_members(self, members: tuple[str, ...]) -> None:
+        """Take over the members of the group; this daemon is always one."""
+        members = tuple(sorted({*members, self.member}))
+        if members != self.members:
+            self.members = members
+            self._events.belief("members", count=len(members), members=list(members))
+            _notify(self._on_members)
+
+    def _changed(self, topic: str, keys: list[str], source: str) -> None:
+        if not keys:
+            return
+        if topic == CONFIGURATION_TOPIC:
+            if CONFIGURATION_KEY in keys:
+                self._take_deployment(source)
+        else:
+            self._take_replicas(keys, source)
+
+    def _take_deployment(self, source: str) -> None:
+        record = self.views[CONFIGURATION_TOPIC].get(CONFIGURATION_KEY)
+        if record is None:
+            return
+        try:
+            deployment = decode_deployment(record.value)
+        except DecodeError as exc:
+            # The newest good configuration stays in force.
+            self._metrics.config_records.labels("unreadable").inc()
+            logging.error("configuration at offset %d: %s", record.offset, exc)
+            self._events.belief(
+                "configuration_unreadable", offset=record.offset, error=str(exc)
+            )
+            return
+        self.deployment = deployment
+        self._metrics.config_records.labels("applied").inc()
+        self._events.belief(
+            "configuration",
+            version=deployment.version,
+            offset=record.offset,
+            routes=len(deployment.routes),
+            source=source,
+        )
+        _notify(self._on_deployment)
+
+    def _take_replicas(self, keys: list[str], source: str) -> None:
+        changed = False
+        for key in keys:
+            changed = self._take_replica(key, source) or changed
+        if changed:
+            _notify(self._on_replicas)
+
+    def _take_replica(self, key: str, source: str) -> bool:
+        record = self.views[REPLICA_TOPIC].get(key)
+        old = self.replicas.get(key)
+        new = None
+        if record is not None:
+            try:
+                new = decode_replica(key, record.value)
+            except DecodeError as exc:
+                # Another writer's entry names no replica to use.
+                self._metrics.drops.labels("registration").inc()
+                logging.warning("%s", exc)
+        if new == old:
+            return False
+        if new is None:
+            del self.replicas[key]
+        else:
+            self.replicas[key] = new
+        if new is None or old is None or new.state != old.state or new.boot != old.boot:
+            self._events.belief(
+                "replica",
+                replica=key,
+                service=(new or old).service,
+                state=new.state.value if new else "gone",
+                offset=record.offset if record else 0,
+                source=source,
+            )
+        return True
+
+
+def _notify(listeners: list[Listener]) -> None:
+    for listener in listeners:
+        listener()
--- /dev/null
+++ b/camphorrun/http1/client.py
@@ -0,0 +1,297 @@
+"""Client side: one connection that carries one request at a time."""
+
+import asyncio
+import contextlib
+import socket
+from collections import deque
+from dataclasses import dataclass
+
+import httptools
+
+from ..core import TimerService
+from .errors import HttpError
+from .headers import Headers
+
+# Above this many unread bytes of a body the transport stops reading.
+READ_HIGH_WATER_BYTES = 256 * 1024
+# A peer that acknowledges nothing for this long is unreachable (TCP_USER_TIMEOUT).
+UNACKNOWLEDGED_MILLISECONDS = 4000
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """Status line and header fields of a response."""
+
+    status: int
+    reason: bytes
+    headers: Headers
+
+
+class ClientConnection(asyncio.Protocol):
+    """A connection to one address.
+
+    ``request`` sends a request and returns the head of the response; ``read`` then
+    returns the body piece by piece. The connection may carry another request only if
+    ``reusable`` holds after the body has ended.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Clock.
+    """
+
+    def __init__(self, timers: TimerService):
+        self._timers = timers
+        self._transport: asyncio.Transport | None = None
+        self._waiter: asyncio.Future | None = None
+        self._error: HttpError | None = None
+        self._in_use = False
+        self._keep_open = True
+        self._unexpected = False
+        self.idle_since = timers.now()
+        self.idle_limit_s = 0.0
+        self.requests = 0
+        self._begin()
+
+    # State of one message.
+
+    def _begin(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._fields: list[tuple[bytes, bytes]] = []
+        self._reason = b""
+        self._head: ResponseHead | None = None
+        self._chunks: deque[bytes] = deque()
+        self._buffered = 0
+        self._complete = False
+        self._until_close = False
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may be sent."""
+        return (
+            self._transport is not None
+            and not self._transport.is_closing()
+            and self._error is None
+            and not self._in_use
+            and self._keep_open
+            and not self._unexpected
+        )
+
+    @property
+    def complete(self) -> bool:
+        """Whether the response has ended completely and was read to its end."""
+        return self._complete and not self._chunks
+
+    async def request(self, data: bytes) -> ResponseHead:
+        """Send a request that is already encoded; return the head of its response.
+
+        Raises
+        ------
+        HttpError
+            If no usable head arrives.
+        """
+        self._begin()
+        self._in_use = True
+        self.requests += 1
+        if self._transport is None or self._transport.is_closing():
+            raise self._error or HttpError("connection is closed")
+        self._transport.write(data)
+        while self._head is None:
+            if self._error is not None:
+                raise self._error
+            await self._wait()
+        return self._head
+
+    async def read(self) -> bytes:
+        """Return the next bytes of the body; empty at its complete end.
+
+        Raises
+        ------
+        HttpError
+            If the connection ends before the body is complete.
+        """
+        while not self._chunks:
+            if self._complete:
+                self._finish()
+                return b""
+            if self._error is not None:
+                raise self._error
+            await self._wait()
+        data = b"".join(self._chunks)
+        self._chunks.clear()
+        self._buffered = 0
+        if self._transport is not None:
+            with contextlib.suppress(RuntimeError):
+                self._transport.resume_reading()
+        return data
+
+    async def read_all(self, limit: int) -> bytes:
+        """Return the rest of the body.
+
+        Raises
+        ------
+        HttpError
+            If the body is incomplete or longer than ``limit`` bytes.
+        """
+        parts = []
+        size = 0
+        while data := await self.read():
+            size += len(data)
+            if size > limit:
+                self.abort()
+                raise HttpError(f"body exceeds {limit} bytes", code="malformed")
+            parts.append(data)
+        return b"".join(parts)
+
+    def _finish(self) -> None:
+        if self._in_use:
+            self._in_use = False
+            self.idle_since = self._timers.now()
+
+    def abort(self) -> None:
+        """Close at once; unsent bytes are dropped."""
+        self._keep_open = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser; bytes that no request waits for spoil the connection."""
+        if not self._in_use or self._complete:
+            self._unexpected = True
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail(HttpError("unexpected upgrade", code="malformed"))
+        except httptools.HttpParserError as exc:
+            self._on_parser_error(exc)
+        if self._buffered > READ_HIGH_WATER_BYTES and self._transport is not None:
+            with contextlib.suppress(RuntimeError):
+                self._transport.pause_reading()
+        self._wake()
+
+    def _on_parser_error(self, exc: Exception) -> None:
+        self._unexpected = True
+        if not self._complete:
+            self._fail(HttpError(f"no HTTP response: {exc}", code="malformed"))
+        self.abort()
+
+    def eof_received(self) -> bool:
+        """End a body that has no length; anything else is incomplete."""
+        if self._until_close and self._head is not None:
+            self._complete = True
+        self._keep_open = False
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail what still waits."""
+        self._keep_open = False
+        self._fail(HttpError(f"connection lost: {exc or 'closed by the peer'}"))
+        self._wake()
+
+    def _fail(self, error: HttpError) -> None:
+        if self._error is None:
+            self._error = error
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Notice a second response that follows the first one."""
+        if self._complete:
+            self._unexpected = True
+
+    def on_status(self, status: bytes) -> None:
+        """Collect the reason phrase."""
+        self._reason += status
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header field."""
+        if not self._complete:
+            self._fields.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Publish the head, unless it is an interim response."""
+        if self._complete:
+            return
+        status = self._parser.get_status_code()
+        if 100 <= status < 200:
+            self._fields = []
+            self._reason = b""
+            return
+        headers = Headers(self._fields)
+        self._until_close = (
+            "transfer-encoding" not in headers
+            and "content-length" not in headers
+            and status not in (204, 304)
+        )
+        self._note_persistence(headers)
+        self._head = ResponseHead(status, self._reason, headers)
+
+    def _note_persistence(self, headers: Headers) -> None:
+        if not self._parser.should_keep_alive() or self._until_close:
+            self._keep_open = False
+        for part in headers.get("keep-alive").split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.strip().isdigit():
+                self.idle_limit_s = float(value)
+
+    def on_body(self, body: bytes) -> None:
+        """Buffer a part of the body."""
+        if not self._complete:
+            self._chunks.append(body)
+            self._buffered += len(body)
+
+    def on_message_complete(self) -> None:
+        """Mark the response as complete."""
+        if self._head is not None and not self._until_close:
+            self._complete = True
+
+
+async def connect(
+    host: str, port: int, timers: TimerService, timeout_s: float
+) -> ClientConnection:
+    """Open a connection.
+
+    Raises
+    ------
+    HttpError
+        With code ``connect_failed`` or ``connect_timeout``; nothing was sent.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            transport, conn = await loop.create_connection(
+                lambda: ClientConnection(timers), host, port
+            )
+    except TimeoutError as exc:
+        raise HttpError(f"{host}:{port}: no answer", code="connect_timeout") from exc
+    except OSError as exc:
+        raise HttpError(f"{host}:{port}: {exc}", code="connect_failed") from exc
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                UNACKNOWLEDGED_MILLISECONDS,
+            )
+    return conn
--- /dev/null
+++ b/camphorrun/http1/server.py
@@ -0,0 +1,449 @@
+"""Server side: connections that hand one request at a time to a handler."""
+
+import asyncio
+import contextlib
+import socket
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import httptools
+from absl import logging
+
+from ..core import Subscription, TimerService
+from .headers import Headers
+
+SWEEP_SECONDS = 0.5
+# Requests that a caller may send ahead on one connection before it is closed.
+MAX_PIPELINED = 16
+WRITE_HIGH_WATER_BYTES = 64 * 1024
+UNACKNOWLEDGED_MILLISECONDS = 8000
+
+_REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+@dataclass(slots=True)
+class ServerLimits:
+    """What a caller may send and how long it may take.
+
+    Sizes in bytes, times in seconds.
+    """
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(slots=True)
+class ServerRequest:
+    """A request that was read completely."""
+
+    method: str
+    target: bytes
+    headers: Headers
+    body: bytes
+    keep_alive: bool
+    received_at: float
+    first_byte_at: float
+
+
+Handler = Callable[[ServerRequest, "ServerResponder"], Awaitable[None]]
+
+
+class ServerResponder:
+    """Writes the response to one request."""
+
+    __slots__ = ("_chunked", "_conn", "_ended", "_keep_alive", "started")
+
+    def __init__(self, conn: "ServerConnection", keep_alive: bool):
+        self._conn = conn
+        self._keep_alive = keep_alive
+        self._chunked = False
+        self._ended = False
+        self.started = False
+
+    def start(
+        self,
+        status: int,
+        headers: Headers,
+        length: int | None,
+        reason: bytes = b"",
+    ) -> None:
+        """Write the head; without a length the body is sent in chunks."""
+        self.started = True
+        self._chunked = length is None
+        keep_alive = self._keep_alive and not self._conn.server.closing
+        self._keep_alive = keep_alive
+        lines = [
+            b"HTTP/1.1 %d %s\r\n" % (status, reason or _REASONS.get(status, b"")),
+            headers.encode(),
+        ]
+        if length is None:
+            lines.append(b"Transfer-Encoding: chunked\r\n")
+        else:
+            lines.append(b"Content-Length: %d\r\n" % length)
+        if not keep_alive:
+            lines.append(b"Connection: close\r\n")
+        lines.append(b"\r\n")
+        self._conn.write(b"".join(lines))
+
+    async def write(self, data: bytes) -> None:
+        """Write a part of the body and wait while the caller does not read."""
+        if not data:
+            return
+        if self._chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._conn.write(data)
+        await self._conn.drain()
+
+    def finish(self) -> None:
+        """End the body completely."""
+        self._ended = True
+        if self._chunked:
+            self._conn.write(b"0\r\n\r\n")
+        if not self._keep_alive:
+            self._conn.close_after_write()
+
+    def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Write a whole response."""
+        self.start(status, headers, len(body))
+        if body:
+            self._conn.write(body)
+        self.finish()
+
+    def abort(self) -> None:
+        """Close the connection, so that the response can't look complete."""
+        self._ended = True
+        self._conn.abort()
+
+    @property
+    def ended(self) -> bool:
+        """Whether the response is complete or was aborted."""
+        return self._ended
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, server: "HttpServer"):
+        self.server = server
+        self._timers = server.timers
+        self._transport: asyncio.Transport | None = None
+        self._task: asyncio.Task | None = None
+        self._ready: deque[ServerRequest] = deque()
+        self._can_write: asyncio.Future | None = None
+        self._last_activity = self._timers.now()
+        self._message_at: float | None = None
+        self._broken = False
+        self._reset_message()
+        self._parser = httptools.HttpRequestParser(self)
+
+    # Reading
+
+    def _reset_message(self) -> None:
+        self._target = b""
+        self._fields: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._head_size = 0
+        self._body_size = 0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Register the connection."""
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        sock = transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                UNACKNOWLEDGED_MILLISECONDS,
+            )
+        self.server.connections.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
+        if self._broken:
+            return
+        self._last_activity = self._timers.now()
+        if self._message_at is None:
+            self._message_at = self._last_activity
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            self._refuse(400)
+        else:
+            if self._task is None and not self._ready and not self._broken:
+                self._check_head_size(len(data))
+
+    def _check_head_size(self, size: int) -> None:
+        if not self._body_size and not self._head_done:
+            self._head_size += size
+            if self._head_size > self.server.limits.header_bytes:
+                self._refuse(431)
+
+    _head_done = False
+
+    def on_message_begin(self) -> None:
+        """Start a new request."""
+        self._reset_message()
+        self._head_done = False
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header field."""
+        self._fields.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the framing, which decides where the next request begins."""
+        self._head_done = True
+        headers = Headers(self._fields)
+        encodings = headers.get_all("transfer-encoding")
+        if encodings and (
+            [value.lower() for value in encodings] != ["chunked"]
+            or "content-length" in headers
+        ):
+            self._refuse(400)
+        elif sum(len(k) + len(v) + 4 for k, v in headers) > (
+            self.server.limits.header_bytes
+        ):
+            self._refuse(431)
+        elif headers.get("expect").lower() == "100-continue" and not self._busy:
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        if self._broken:
+            return
+        self._body.append(body)
+        self._body_size += len(body)
+        if self._body_size > self.server.limits.body_bytes:
+            self._refuse(413)
+
+    def on_message_complete(self) -> None:
+        """Queue the request for the handler."""
+        if self._broken:
+            return
+        now = self._timers.now()
+        req = ServerRequest(
+            self._parser.get_method().decode("latin-1"),
+            self._target,
+            Headers(self._fields),
+            b"".join(self._body),
+            self._parser.should_keep_alive(),
+            now,
+            self._message_at if self._message_at is not None else now,
+        )
+        self._message_at = None
+        self._reset_message()
+        if len(self._ready) >= MAX_PIPELINED:
+            self.abort()
+            return
+        self._ready.append(req)
+        self._next()
+
+    @property
+    def _busy(self) -> bool:
+        return self._task is not None or bool(self._ready)
+
+    # Handling
+
+    def _next(self) -> None:
+        if self._task is None and self._ready and not self._broken:
+            req = self._ready.popleft()
+            self._task = asyncio.get_running_loop().create_task(self._run(req))
+
+    async def _run(self, req: ServerRequest) -> None:
+        responder = ServerResponder(self, req.keep_alive)
+        try:
+            await self.server.handler(req, responder)
+        except asyncio.CancelledError:
+            self.abort()
+            raise
+        except Exception as exc:
+            logging.error("request handler failed: %r", exc, exc_info=exc)
+        finally:
+            self._task = None
+            self._last_activity = self._timers.now()
+            self.server.note_end()
+        if not responder.ended:
+            self.abort()
+        self._next()
+
+    def _refuse(self, status: int) -> None:
+        """Answer a request that can't be read, and close."""
+        if self._broken:
+            return
+        self._broken = True
+        self.server.on_unreadable(status)
+        if self._busy:
+            # The answer would be taken for that of the request in progress.
+            self.abort()
+            return
+        reason = _REASONS[status]
+        self.write(
+            b"HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+            % (status, reason)
+        )
+        self.close_after_write()
+
+    def sweep(self, now: float) -> None:
+        """Close the connection if its caller takes too long."""
+        limits = self.server.limits
+        if self._busy or self._broken:
+            return
+        if self._message_at is not None:
+            if now - self._message_at > limits.header_timeout_s:
+                self._refuse(408)
+        elif now - self._last_activity > limits.idle_timeout_s:
+            self.abort()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being read or handled."""
+        if not self._busy and self._message_at is None:
+            self.close_after_write()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being read or handled."""
+        return not self._busy and self._message_at is None
+
+    # Writing
+
+    def write(self, data: bytes) -> None:
+        """Write bytes; after the connection was lost nothing happens."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait while the transport's buffer is above its high-water mark."""
+        if self._can_write is not None:
+            await self._can_write
+
+    def pause_writing(self) -> None:
+        """Make ``drain`` wait."""
+        self._can_write = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Let ``drain`` return."""
+        if self._can_write is not None and not self._can_write.done():
+            self._can_write.set_result(None)
+        self._can_write = None
+
+    def close_after_write(self) -> None:
+        """Close once all bytes are sent."""
+        self._broken = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once with a reset."""
+        self._broken = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def eof_received(self) -> bool:
+        """Treat a half-closed connection as closed: its caller has left."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the request in progress, because its caller has left."""
+        self._broken = True
+        self.server.connections.discard(self)
+        if self._can_write is not None and not self._can_write.done():
+            self._can_write.cancel()
+        if self._task is not None:
+            self._task.cancel()
+
+
+class HttpServer:
+    """Listens on one address.
+
+    Parameters
+    ----------
+    handler : callable
+        Coroutine function that answers one request.
+    timers : TimerService
+        Clock.
+    limits : ServerLimits
+        May be replaced while the server runs.
+    on_unreadable : callable
+        Called with the status of each request that could not be read.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        timers: TimerService,
+        limits: ServerLimits | None = None,
+        on_unreadable: Callable[[int], None] = lambda status: None,
+    ):
+        self.handler = handler
+        self.timers = timers
+        self.limits = limits or ServerLimits()
+        self.on_unreadable = on_unreadable
+        self.connections: set[ServerConnection] = set()
+        self.closing = False
+        self._server: asyncio.Server | None = None
+        self._sweeper: Subscription | None = None
+
+    async def start(self, host: str, port: int, backlog: int = 512) -> int:
+        """Listen and return the port."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(self), host, port, backlog=backlog
+        )
+        self._sweeper = self.timers.subscribe(SWEEP_SECONDS, self._sweep)
+        return self._server.sockets[0].getsockname()[1]
+
+    def _sweep(self) -> None:
+        now = self.timers.now()
+        for conn in list(self.connections):
+            conn.sweep(now)
+
+    def note_end(self) -> None:
+        """Close idle connections once the server is closing."""
+        if self.closing:
+            asyncio.get_running_loop().call_soon(self.close_idle)
+
+    def close_idle(self) -> None:
+        """Close each connection that has no request in progress."""
+        for conn in list(self.connections):
+            conn.close_if_idle()
+
+    @property
+    def active(self) -> int:
+        """Requests that are being read or handled."""
+        return sum(not conn.idle for conn in self.connections)
+
+    def stop_listening(self) -> None:
+        """Accept no further connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close(self) -> None:
+        """Stop listening and close all connections at once."""
+        self.stop_listening()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for conn in list(self.connections):
+            conn.abort()
--- a/camphorrun/operators/context.py
+++ b/camphorrun/operators/context.py
@@ -9,8 +9,8 @@
 import aiohttp
 import msgspec
 
+from ..clients import HostEntry, HostListClient, LogClient, PlatformError
 from ..core import LogStore, LoopTimerService, TimerService
-from ..platform import HostEntry, HostListClient, LogClient, PlatformError
 from ..settings import OperatorSettings
 from .console import CommandStatus, Console, OperatorError
 
--- a/camphorrun/operators/drain.py
+++ b/camphorrun/operators/drain.py
@@ -3,8 +3,8 @@
 import asyncio
 from typing import Any
 
+from ..clients import HostEntry
 from ..configuration import Drain, encode_document
-from ..platform import HostEntry
 from .changes import publish_body
 from .console import CommandResult, CommandStatus, OperatorError
 from .context import HostReply, OperatorContext
--- a/camphorrun/operators/fleet.py
+++ b/camphorrun/operators/fleet.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
+from ..clients import HostEntry
 from ..configuration import ACCOUNTS_STREAM, FLEET_STREAM
-from ..platform import HostEntry
 from .console import CommandResult, CommandStatus, OperatorError, table
 from .context import HostReply, OperatorContext
 
--- a/camphorrun/operators/tests/test_ctl.py
+++ b/camphorrun/operators/tests/test_ctl.py
@@ -7,8 +7,8 @@
 import msgspec
 import pytest
 
+from ...clients import HostEntry
 from ...demo.local_system import OPERATOR_CREDENTIAL, LocalSystem, ServiceSpec
-from ...platform import HostEntry
 from ...settings import OperatorSettings
 from .. import (
     CommandStatus,
--- a/camphorrun/pipeline/__init__.py
+++ b/camphorrun/pipeline/__init__.py
@@ -1,5 +1,6 @@
 """Request plans, their execution stage by stage, and outcomes."""
 
+from .batches import BatchQueue, PieceGroup, SpaceLedger
 from .executor import PartHandler, PipelineExecutor, StageCall, StageDispatcher
 from .outcomes import (
     AttemptTrace,
@@ -9,8 +10,21 @@
     StageTrace,
 )
 from .plan import PlannedStage, RequestPlan, prompt_prefix, stage_input
+from .stage_graph import (
+    check_dependencies,
+    downstream_s,
+    final_stages,
+    run_stages,
+)
 
 __all__ = [
+    "BatchQueue",
+    "PieceGroup",
+    "SpaceLedger",
+    "check_dependencies",
+    "downstream_s",
+    "final_stages",
+    "run_stages",
     "AttemptTrace",
     "Outcome",
     "OutcomeStatus",
--- /dev/null
+++ b/camphorrun/pipeline/batches.py
@@ -0,0 +1,190 @@
+"""Which pieces of a stage go into the next call of a replica.
+
+Load pattern: a stage replica takes one call at a time and needs a fixed time for it
+however few pieces it has, so throughput depends on full calls. In a burst more pieces
+wait than can be made in time; a queue in order of arrival would then spend every call
+on requests that are late already.
+
+Order: requests that can still meet their objective before late ones; while the backlog
+is long, urgent ones before less urgent ones; then the earliest latest start.
+"""
+
+import math
+from collections import deque
+from dataclasses import dataclass, field
+
+from ..catalog import StageCapacity
+
+# Backlog, in calls of each replica, above which priority goes before urgency.
+LONG_BACKLOG_CALLS = 1.0
+
+
+@dataclass(slots=True, eq=False)
+class PieceGroup:
+    """Pieces of one stage of one request that are still to be made.
+
+    Attributes
+    ----------
+    objective_at, deadline_at : float
+        When the whole request should be and must be answered, on the timer service.
+    downstream_s : float
+        Predicted need of what follows this stage.
+    waiting : deque of int
+        Numbers of the pieces that no call has taken yet.
+    """
+
+    request_id: str
+    stage: int
+    key: str
+    inputs: tuple[str, ...] | None
+    result_bytes: int
+    priority: int
+    objective_at: float
+    deadline_at: float
+    downstream_s: float
+    arrived_at: float
+    waiting: deque[int] = field(default_factory=deque)
+
+    def latest_start(self, call_s: float) -> float:
+        """Return when a call of this stage must begin to meet the objective."""
+        return self.objective_at - self.downstream_s - call_s
+
+
+class BatchQueue:
+    """Pieces that wait for the replicas of one stage service.
+
+    Parameters
+    ----------
+    capacity : StageCapacity
+        Capacity of one replica.
+
+    Examples
+    --------
+    >>> capacity = StageCapacity(1, 2, 4, 0.2, 0.01, 1000, 4.0)
+    >>> queue = BatchQueue(capacity)
+    >>> group = PieceGroup("r", 0, "k", None, 10, 1, 2.0, 8.0, 0.5, 0.0, deque([0, 1]))
+    >>> queue.add(group)
+    >>> [piece for _, piece in queue.next_batch(25, 1, now=0.0)]
+    [0, 1]
+    """
+
+    def __init__(self, capacity: StageCapacity):
+        self.capacity = capacity
+        self._groups: list[PieceGroup] = []
+
+    def __len__(self) -> int:
+        return sum(len(group.waiting) for group in self._groups)
+
+    def add(self, group: PieceGroup) -> None:
+        """Queue a group, again if some of its pieces must be made once more."""
+        if group not in self._groups:
+            self._groups.append(group)
+
+    def remove(self, group: PieceGroup) -> None:
+        """Forget a group whose caller has left."""
+        if group in self._groups:
+            self._groups.remove(group)
+
+    def next_batch(
+        self, free_bytes: int, replicas: int, now: float
+    ) -> list[tuple[PieceGroup, int]]:
+        """Take the pieces of the next call.
+
+        Parameters
+        ----------
+        free_bytes : int
+            Space for results at the replica that gets the call.
+        replicas : int
+            Replicas that share the backlog.
+        now : float
+            Present time.
+        """
+        chosen: list[tuple[PieceGroup, int]] = []
+        for group in self._ordered(replicas, now):
+            while group.waiting and len(chosen) < self.capacity.batch:
+                if group.result_bytes > free_bytes:
+                    break
+                free_bytes -= group.result_bytes
+                chosen.append((group, group.waiting.popleft()))
+            if len(chosen) >= self.capacity.batch:
+                break
+        self._groups = [group for group in self._groups if group.waiting]
+        return chosen
+
+    def expire(self, now: float) -> list[PieceGroup]:
+        """Remove and return the groups that can't be made before their deadline."""
+        least_s = self.capacity.call_time_s(1)
+        expired = [g for g in self._groups if g.deadline_at - least_s < now]
+        for group in expired:
+            self._groups.remove(group)
+        return expired
+
+    def backlog_s(self, replicas: int) -> float:
+        """Return how long the replicas need for what waits now."""
+        if not replicas:
+            return math.inf
+        calls = len(self) / self.capacity.batch
+        return calls * self.capacity.call_time_s(self.capacity.batch) / replicas
+
+    def _ordered(self, replicas: int, now: float) -> list[PieceGroup]:
+        call_s = self.capacity.call_time_s(self.capacity.batch)
+        is_long = self.backlog_s(replicas) > LONG_BACKLOG_CALLS * call_s
+
+        def rank(group: PieceGroup) -> tuple[bool, int, float]:
+            start_at = group.latest_start(call_s)
+            return start_at < now, group.priority if is_long else 0, start_at
+
+        return sorted(self._groups, key=rank)
+
+
+class SpaceLedger:
+    """Space for results at one replica, reserved before a call is sent.
+
+    A call whose pieces find no space has used the time of a call for nothing, so the
+    account is kept here and corrected when the replica says otherwise.
+
+    Examples
+    --------
+    >>> ledger = SpaceLedger(100, life_s=4.0)
+    >>> ledger.reserve("call", 60)
+    >>> ledger.free_bytes(0.0)
+    40
+    >>> ledger.settle("call", [("h", 30)], 1.0)
+    >>> ledger.free_bytes(1.0), ledger.free_bytes(6.0)
+    (70, 100)
+    """
+
+    def __init__(self, capacity_bytes: int, life_s: float):
+        self._capacity = capacity_bytes
+        self._life_s = life_s
+        self._reserved: dict[object, int] = {}
+        self._results: dict[str, tuple[int, float]] = {}
+        self._full_until = -math.inf
+
+    def free_bytes(self, now: float) -> int:
+        """Return the space that is neither reserved nor used."""
+        if now < self._full_until:
+            return 0
+        for handle, (_, expires_at) in list(self._results.items()):
+            if expires_at <= now:
+                del self._results[handle]
+        used = sum(size for size, _ in self._results.values())
+        return max(0, self._capacity - used - sum(self._reserved.values()))
+
+    def reserve(self, call: object, size: int) -> None:
+        """Reserve space for the results of a call."""
+        self._reserved[call] = size
+
+    def settle(self, call: object, results: list[tuple[str, int]], now: float) -> None:
+        """Replace a reservation by the results that were made."""
+        self._reserved.pop(call, None)
+        for handle, size in results:
+            self._results[handle] = size, now + self._life_s
+
+    def release(self, handle: str) -> bool:
+        """Free a result; return whether it was known."""
+        return self._results.pop(handle, None) is not None
+
+    def on_full(self, now: float, pause_s: float) -> None:
+        """Use no space for a while: the replica has less than this account says."""
+        self._full_until = now + pause_s
--- a/camphorrun/platform/__init__.py
+++ b/camphorrun/platform/__init__.py
@@ -1,35 +1,64 @@
-"""Clients of outside systems: log service, host list, weight store, endpoints."""
+"""Adapter to the users' platform: its names, formats and calls; it decides nothing.
 
-from .endpoint_client import (
-    EXECUTED_HEADER,
-    FENCING_HEADER,
-    KEY_HEADER,
-    EndpointCall,
-    EndpointClient,
-    EndpointReply,
-    StreamPart,
+Public: ``StoreClient``, ``StoreError``, ``Membership``, ``CONFIGURATION_KEY``,
+``CONFIGURATION_TOPIC``, ``REPLICA_TOPIC``, ``decode_deployment``, ``decode_replica``,
+``DecodeError``, ``CallerRequest``, ``decode_caller_request``, ``encode_request``,
+``ReplyFacts``, ``reply_facts``, ``relay_headers``, ``refusal_headers``, ``event_id``,
+``StageItem``, ``StageItemResult``, ``StageFault``, ``encode_stage_call``,
+``decode_stage_reply``, ``encode_release``.
+"""
+
+from .configuration import decode_deployment
+from .errors import DecodeError, StoreError
+from .exchange import (
+    CallerRequest,
+    ReplyFacts,
+    decode_caller_request,
+    encode_request,
+    event_id,
+    refusal_headers,
+    relay_headers,
+    reply_facts,
+)
+from .registrations import decode_replica
+from .stages import (
+    StageFault,
+    StageItem,
+    StageItemResult,
+    decode_stage_reply,
+    encode_release,
+    encode_stage_call,
+)
+from .store import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    REPLICA_TOPIC,
+    Membership,
+    StoreClient,
 )
-from .errors import EndpointError, PlatformError
-from .host_list import HostEntry, HostList, HostListClient
-from .log_client import AppendReply, AppendRequest, LogClient
-from .weight_store import WeightsRefusedError, WeightStoreClient
 
 __all__ = [
-    "EXECUTED_HEADER",
-    "FENCING_HEADER",
-    "KEY_HEADER",
-    "AppendReply",
-    "AppendRequest",
-    "EndpointCall",
-    "EndpointClient",
-    "EndpointError",
-    "EndpointReply",
-    "HostEntry",
-    "HostList",
-    "HostListClient",
-    "LogClient",
-    "PlatformError",
-    "StreamPart",
-    "WeightStoreClient",
-    "WeightsRefusedError",
+    "CONFIGURATION_KEY",
+    "CONFIGURATION_TOPIC",
+    "REPLICA_TOPIC",
+    "CallerRequest",
+    "DecodeError",
+    "Membership",
+    "ReplyFacts",
+    "StageFault",
+    "StageItem",
+    "StageItemResult",
+    "StoreClient",
+    "StoreError",
+    "decode_caller_request",
+    "decode_deployment",
+    "decode_replica",
+    "decode_stage_reply",
+    "encode_release",
+    "encode_request",
+    "encode_stage_call",
+    "event_id",
+    "refusal_headers",
+    "relay_headers",
+    "reply_facts",
 ]
--- /dev/null
+++ b/camphorrun/platform/configuration.py
@@ -0,0 +1,190 @@
+"""Decodes the operator's configuration.
+
+Names on the wire that mislead: ``TargetLatencyMs`` of a stream is the time to its first
+event; ``Public`` means that no key is needed; ``Sticky`` marks routes to a language
+model; ``HeadroomMb`` is all space for results, free or not.
+"""
+
+import msgspec
+
+from ..catalog import (
+    Account,
+    CallerLimits,
+    Deployment,
+    EngineCapacity,
+    Route,
+    RouteKind,
+    Service,
+    StageCapacity,
+    StageTemplate,
+)
+from .errors import DecodeError
+
+_KINDS = {
+    "safe": RouteKind.SAFE,
+    "unsafe": RouteKind.UNSAFE,
+    "streaming": RouteKind.STREAM,
+}
+_MEGABYTE = 1_000_000
+_DEFAULT_TIMEOUT_MS = 30_000
+
+
+class _Wire(msgspec.Struct, rename="pascal"):
+    """Base of the wire's objects; unknown fields are ignored."""
+
+
+class _Stage(_Wire):
+    service: str
+    after: list[int] = []
+    payload_bytes: float = 0
+
+
+class _Split(_Wire):
+    service: str
+    weight: float = 1
+
+
+class _Route(_Wire):
+    name: str
+    host: str
+    path_prefix: str
+    route_type: str
+    timeout_ms: float = _DEFAULT_TIMEOUT_MS
+    target_latency_ms: float = 0
+    priority: int = 5
+    service: str = ""
+    split: list[_Split] = []
+    max_attempts: int = 1
+    stages: list[_Stage] = []
+    public: bool = False
+    sticky: bool = False
+    resumable: bool = False
+    gap_target_ms: float = 0
+
+
+class _Pieces(_Wire):
+    slots: int = 1
+    queue: int = 0
+    batch: int = 1
+    call_ms: float = 0
+    item_ms: float = 0
+    headroom_mb: float = 0
+    handle_s: float = 0
+
+
+class _Engine(_Wire):
+    slots: int = 1
+    kv_capacity: int = 0
+
+
+class _Service(_Wire):
+    name: str
+    health_path: str = ""
+    max_conns: int = 64
+    pieces: _Pieces | None = None
+    engine: _Engine | None = None
+
+
+class _Tenant(_Wire):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Limits(_Wire):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Configuration(_Wire):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits | None = None
+    tenants: list[_Tenant] = []
+
+
+def decode_deployment(data: bytes) -> Deployment:
+    """Return the configuration in the product's own terms.
+
+    Raises
+    ------
+    DecodeError
+        If it can't be read; the newest good configuration then stays in force.
+    """
+    try:
+        raw = msgspec.json.decode(data, type=_Configuration)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise DecodeError(f"configuration: {exc}", field="$") from exc
+    return Deployment(
+        raw.version,
+        tuple(_route(item) for item in raw.routes),
+        {item.name: _service(item) for item in raw.services},
+        {key: Account(t.name, t.priority) for t in raw.tenants for key in t.api_keys},
+        _limits(raw.limits),
+    )
+
+
+def _route(raw: _Route) -> Route:
+    if raw.route_type not in _KINDS:
+        raise DecodeError(
+            f"expected safe, unsafe or streaming, got {raw.route_type!r}",
+            field=f"routes.{raw.name}.kind",
+        )
+    services = tuple((s.service, int(s.weight)) for s in raw.split if s.weight > 0)
+    return Route(
+        raw.name,
+        raw.host.lower(),
+        raw.path_prefix,
+        _KINDS[raw.route_type],
+        raw.timeout_ms / 1000,
+        raw.target_latency_ms / 1000,
+        raw.priority,
+        services or ((raw.service, 1),),
+        max(1, raw.max_attempts),
+        tuple(
+            StageTemplate(s.service, tuple(s.after), int(s.payload_bytes))
+            for s in raw.stages
+        ),
+        raw.public,
+        raw.resumable,
+        raw.sticky,
+        raw.gap_target_ms / 1000,
+    )
+
+
+def _service(raw: _Service) -> Service:
+    return Service(
+        raw.name,
+        raw.health_path,
+        raw.max_conns,
+        None if raw.pieces is None else _stage_capacity(raw.pieces),
+        None
+        if raw.engine is None
+        else EngineCapacity(raw.engine.slots, raw.engine.kv_capacity),
+    )
+
+
+def _stage_capacity(raw: _Pieces) -> StageCapacity:
+    return StageCapacity(
+        raw.slots,
+        raw.queue,
+        max(1, raw.batch),
+        raw.call_ms / 1000,
+        raw.item_ms / 1000,
+        int(raw.headroom_mb * _MEGABYTE),
+        raw.handle_s,
+    )
+
+
+def _limits(raw: _Limits | None) -> CallerLimits | None:
+    if raw is None:
+        return None
+    return CallerLimits(
+        raw.max_header_bytes,
+        raw.max_body_bytes,
+        raw.header_timeout_ms / 1000,
+        raw.idle_timeout_ms / 1000,
+    )
--- a/camphorrun/platform/errors.py
+++ b/camphorrun/platform/errors.py
@@ -1,25 +1,22 @@
-"""Errors of the clients of outside systems."""
+"""Errors of the adapter."""
 
 from ..core import CamphorrunError
 
 
-class PlatformError(CamphorrunError):
-    """An outside system failed, refused, or did not answer in time."""
+class StoreError(CamphorrunError):
+    """A call to the store gave no usable answer.
 
-    default_code = "platform_unavailable"
+    Codes: ``unavailable`` (nothing was done), ``uncertain`` (the call may have been
+    executed, or may be later), ``trimmed`` (the records asked for were deleted).
+    """
 
+    default_code = "unavailable"
 
-class EndpointError(PlatformError):
-    """A call of an endpoint failed.
 
-    Attributes
-    ----------
-    executed : bool
-        False only when the call provably did not take effect.
-    """
+class DecodeError(CamphorrunError):
+    """Bytes of the platform that can't be understood; ``field`` is the path at fault.
 
-    default_code = "endpoint_failed"
+    The code of a caller's request is ``bad_request``.
+    """
 
-    def __init__(self, message: str, *, code: str = "", executed: bool = True):
-        super().__init__(message, code=code)
-        self.executed = executed
+    default_code = "malformed"
--- /dev/null
+++ b/camphorrun/platform/exchange.py
@@ -0,0 +1,256 @@
+"""Requests of callers and answers of replicas, between the wire and typed values."""
+
+from dataclasses import dataclass
+from urllib.parse import quote
+
+from ..http1 import Headers, ResponseHead, ServerRequest
+from .errors import DecodeError
+
+# Set by the system alone; a caller's value never reaches a replica.
+_SYSTEM_FIELDS = frozenset(
+    {
+        b"api-key",
+        b"content-length",
+        b"expect",
+        b"kv-fetch",
+        b"kv-from",
+        b"last-event-id",
+        b"x-deadline-ms",
+        b"x-expect-replica",
+        b"x-expect-version",
+        b"x-hold",
+        b"x-inputs",
+        b"x-kv-backup",
+        b"x-pin-ms",
+        b"x-request-priority",
+        b"x-tenant",
+    }
+)
+MAX_DEADLINE_SECONDS = 600.0
+LEAST_PRIORITY = 9
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt that requests may share."""
+
+    identifier: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """What a caller asks for, in the product's own terms.
+
+    Attributes
+    ----------
+    attempt_id : str
+        Identifier of this attempt of the caller; a repeat has a new one.
+    deadline_s : float
+        Time the caller waits, from when it sent the request; 0 if it did not say.
+    credential : str
+        Key of a client account.
+    resume_after : str
+        Identifier of the last event that the caller has, empty if none.
+    pieces : tuple of int
+        Pieces of each stage; 0 leaves the stage out.
+    piece_key : str
+        Key of the pieces of stages without inputs.
+    """
+
+    raw: ServerRequest
+    host: str
+    path: str
+    attempt_id: str
+    deadline_s: float
+    credential: str
+    resume_after: str
+    prompt: tuple[PromptPart, ...]
+    prompt_tokens: int
+    output_tokens: int
+    pieces: tuple[int, ...]
+    piece_key: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyFacts:
+    """What a replica's answer says about the request.
+
+    Attributes
+    ----------
+    not_run : bool
+        The replica states that it did not run the request.
+    misdirected : bool
+        Another replica has the address.
+    inputs_gone : bool
+        A stage result that the request needs no longer exists.
+    own : bool
+        The answer belongs to the request that was sent.
+    stamped : bool
+        The answer carries the replica's stamp.
+    """
+
+    not_run: bool
+    misdirected: bool
+    inputs_gone: bool
+    own: bool
+    stamped: bool
+
+
+def decode_caller_request(req: ServerRequest) -> CallerRequest:
+    """Return a caller's request in typed form.
+
+    Raises
+    ------
+    DecodeError
+        With code ``bad_request`` if a field that decides about the request is missing,
+        doubled or malformed.
+    """
+    headers = req.headers
+    path = req.target.decode("latin-1").partition("?")[0]
+    if not path.startswith("/"):
+        raise _bad("target", "expected a path")
+    tokens = _numbers(_single(headers, "x-token-count"), "token count")
+    return CallerRequest(
+        req,
+        _single(headers, "host").partition(":")[0].lower(),
+        path,
+        _required(headers, "x-attempt-id"),
+        _deadline_s(_single(headers, "x-deadline-ms")),
+        _single(headers, "api-key"),
+        _single(headers, "last-event-id"),
+        _prompt(_single(headers, "x-prefix-hash")),
+        tokens[0] if tokens else 0,
+        tokens[1] if len(tokens) > 1 else 0,
+        _numbers(_single(headers, "x-pieces"), "pieces"),
+        _single(headers, "x-piece-key"),
+    )
+
+
+def encode_request(
+    caller: CallerRequest,
+    *,
+    address_host: str,
+    replica: str,
+    account: str,
+    deadline_s: float,
+    priority: int | None,
+    inputs: tuple[str, ...] | None,
+    resume_after: str,
+) -> bytes:
+    """Return the bytes of a caller's request as a replica gets them.
+
+    ``inputs`` are the stage results that the request needs, None if its route has no
+    stages. Method, target, body and all other fields stay as the caller sent them.
+    """
+    raw = caller.raw
+    fields = list(raw.headers.end_to_end().without(_SYSTEM_FIELDS))
+    added = [
+        ("X-Expect-Replica", replica),
+        ("X-Deadline-Ms", str(max(1, int(deadline_s * 1000)))),
+    ]
+    if account:
+        added.append(("X-Tenant", account))
+    if priority is not None:
+        added.append(("X-Request-Priority", str(min(LEAST_PRIORITY, max(0, priority)))))
+    if inputs is not None:
+        added.append(("X-Inputs", ",".join(inputs)))
+    if resume_after:
+        added.append(("Last-Event-Id", resume_after))
+    if raw.body or "content-length" in raw.headers:
+        added.append(("Content-Length", str(len(raw.body))))
+    elif "transfer-encoding" in raw.headers:
+        added.append(("Content-Length", "0"))
+    fields.extend((name.encode(), value.encode("latin-1")) for name, value in added)
+    line = raw.method.encode() + b" " + raw.target + b" HTTP/1.1\r\n"
+    return line + Headers(fields).encode() + b"\r\n" + raw.body
+
+
+def reply_facts(head: ResponseHead, caller: CallerRequest) -> ReplyFacts:
+    """Return what an answer says about the request that it follows."""
+    headers = head.headers
+    echoed = headers.get("x-attempt-id")
+    not_run = "x-not-executed" in headers
+    misdirected = head.status == 421
+    return ReplyFacts(
+        not_run or misdirected,
+        misdirected,
+        not_run and head.status == 409,
+        echoed == caller.attempt_id,
+        "x-replica-stamp" in headers,
+    )
+
+
+def relay_headers(head: ResponseHead) -> Headers:
+    """Return the fields of a replica's answer that the caller gets."""
+    return head.headers.end_to_end().without({b"content-length", b"x-replica-load"})
+
+
+def refusal_headers(attempt_id: str, retry_after_s: float, reason: str) -> Headers:
+    """Return the fields of an answer of our own."""
+    fields = [(b"X-Reason", reason.encode())]
+    if attempt_id:
+        fields.append((b"X-Attempt-Id", attempt_id.encode("latin-1")))
+    if retry_after_s > 0:
+        fields.append((b"Retry-After", b"%.2f" % retry_after_s))
+    return Headers(fields)
+
+
+def event_id(event: bytes) -> str:
+    """Return the identifier of one event of a stream, empty if it has none."""
+    for line in event.splitlines():
+        if line.startswith(b"id:"):
+            return line[3:].strip().decode("latin-1")
+    return ""
+
+
+def _bad(field: str, text: str) -> DecodeError:
+    return DecodeError(f"{field}: {text}", code="bad_request", field=field)
+
+
+def _single(headers: Headers, name: str) -> str:
+    values = headers.get_all(name)
+    if len(set(values)) > 1:
+        raise _bad(name, "given more than once")
+    return values[0] if values else ""
+
+
+def _required(headers: Headers, name: str) -> str:
+    value = _single(headers, name)
+    if not value or quote(value, safe="") != value:
+        raise _bad(name, "missing or malformed")
+    return value
+
+
+def _deadline_s(text: str) -> float:
+    if not text:
+        return 0.0
+    try:
+        milliseconds = float(text)
+    except ValueError:
+        raise _bad("deadline", "expected milliseconds") from None
+    if not 0 <= milliseconds <= MAX_DEADLINE_SECONDS * 1000:
+        raise _bad("deadline", "out of range")
+    return milliseconds / 1000
+
+
+def _numbers(text: str, field: str) -> tuple[int, ...]:
+    if not text:
+        return ()
+    try:
+        values = tuple(int(part) for part in text.split(","))
+    except ValueError:
+        raise _bad(field, "expected whole numbers") from None
+    if min(values) < 0:
+        raise _bad(field, "expected numbers of 0 or more")
+    return values
+
+
+def _prompt(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in filter(None, text.split(",")):
+        identifier, _, tokens = entry.strip().partition(":")
+        if not tokens.isascii() or not tokens.isdigit():
+            raise _bad("prompt", "expected ID:TOKENS entries")
+        parts.append(PromptPart(identifier, int(tokens)))
+    return tuple(parts)
--- /dev/null
+++ b/camphorrun/platform/registrations.py
@@ -0,0 +1,51 @@
+"""Decodes the registrations of replicas.
+
+Other writers may leave entries that are no registration; they name no replica.
+"""
+
+import msgspec
+
+from ..catalog import Replica, ReplicaState
+from .errors import DecodeError
+
+_STATES = {"ready": ReplicaState.READY, "draining": ReplicaState.DRAINING}
+
+
+class _Registration(msgspec.Struct, rename="pascal"):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    cold_remaining_ms: float = 0
+    # Start of this boot in Unix milliseconds; the only field named in lower case.
+    born: int = msgspec.field(name="born", default=0)
+
+
+def decode_replica(identifier: str, data: bytes) -> Replica:
+    """Return the replica that an entry describes.
+
+    Raises
+    ------
+    DecodeError
+        If the entry is no registration.
+    """
+    try:
+        raw = msgspec.json.decode(data, type=_Registration)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise DecodeError(f"registration {identifier!r}: {exc}") from exc
+    host, _, port = raw.address.rpartition(":")
+    if raw.state not in _STATES:
+        raise DecodeError(f"registration {identifier!r}: state", field="state")
+    if not host or not port.isascii() or not port.isdigit() or not raw.service:
+        raise DecodeError(f"registration {identifier!r}: address", field="address")
+    return Replica(
+        identifier,
+        raw.service,
+        raw.address,
+        raw.zone,
+        raw.slots,
+        _STATES[raw.state],
+        raw.born,
+        raw.cold_remaining_ms / 1000,
+    )
--- /dev/null
+++ b/camphorrun/platform/stages.py
@@ -0,0 +1,115 @@
+"""Calls of replicas that run stages.
+
+Names on the wire that mislead: ``Items`` are pieces of a stage, ``Handle`` names a
+result where it was made, ``Key`` is the caller's key of the pieces.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+from .errors import DecodeError
+
+
+class StageFault(Enum):
+    """Why a piece has no result.
+
+    ``LATE``: its time was over at its turn. ``INPUT_GONE``: an input no longer exists.
+    ``NO_SPACE``: the replica has no space for the result. ``FAILED``: any other.
+    """
+
+    LATE = "late"
+    INPUT_GONE = "gone"
+    NO_SPACE = "room"
+    FAILED = "error"
+
+
+@dataclass(frozen=True, slots=True)
+class StageItem:
+    """One piece to make; ``inputs`` are results, None for a stage without inputs."""
+
+    request_id: str
+    stage: int
+    piece: int
+    left_s: float
+    key: str
+    inputs: tuple[str, ...] | None
+
+
+@dataclass(frozen=True, slots=True)
+class StageItemResult:
+    """The result of a piece, or the reason why there is none."""
+
+    handle: str = ""
+    fault: StageFault | None = None
+
+
+class _Result(msgspec.Struct, rename="pascal"):
+    handle: str = ""
+    reason: str = ""
+
+
+class _Reply(msgspec.Struct, rename="pascal"):
+    items: list[_Result]
+
+
+def encode_stage_call(address: str, identifier: str, items: list[StageItem]) -> bytes:
+    """Return the request that makes pieces at a replica."""
+    body = msgspec.json.encode({"Items": [_item(item) for item in items]})
+    return _post(address, "/stage-run", body, identifier)
+
+
+def decode_stage_reply(body: bytes, count: int) -> list[StageItemResult]:
+    """Return the results in the order of the call.
+
+    Raises
+    ------
+    DecodeError
+        If the answer is not one result for each piece.
+    """
+    try:
+        raw = msgspec.json.decode(body, type=_Reply)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise DecodeError(f"stage reply: {exc}") from exc
+    if len(raw.items) != count:
+        raise DecodeError(f"stage reply: expected {count} items, got {len(raw.items)}")
+    return [_result(item) for item in raw.items]
+
+
+def encode_release(address: str, handles: list[str]) -> bytes:
+    """Return the request that frees results at their maker."""
+    body = msgspec.json.encode({"Handles": handles})
+    return _post(address, "/stage-free", body, "")
+
+
+def _item(item: StageItem) -> dict[str, object]:
+    raw: dict[str, object] = {
+        "Id": item.request_id,
+        "Stage": item.stage,
+        "Piece": item.piece,
+        "LeftMs": max(1, int(item.left_s * 1000)),
+    }
+    if item.inputs is None:
+        raw["Key"] = item.key
+    else:
+        raw["Inputs"] = list(item.inputs)
+    return raw
+
+
+def _result(raw: _Result) -> StageItemResult:
+    if raw.handle:
+        return StageItemResult(raw.handle)
+    try:
+        return StageItemResult(fault=StageFault(raw.reason))
+    except ValueError:
+        return StageItemResult(fault=StageFault.FAILED)
+
+
+def _post(address: str, path: str, body: bytes, identifier: str) -> bytes:
+    expect = f"X-Expect-Replica: {identifier}\r\n" if identifier else ""
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {address}\r\n{expect}"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
--- /dev/null
+++ b/camphorrun/platform/store.py
@@ -0,0 +1,246 @@
+"""Client of the platform's metadata store.
+
+The store is a log with topics; in topics whose name begins with ``keyed.`` it keeps
+the newest record of each key for ever.
+"""
+
+import base64
+import struct
+from dataclasses import dataclass
+from urllib.parse import urlencode
+
+import msgspec
+
+from ..catalog import Record, RecordPage
+from ..core import TimerService, bounded
+from ..http1 import ClientConnection, ConnectionPool, HttpError
+from .errors import StoreError
+
+CONFIGURATION_TOPIC = "keyed.op"
+REPLICA_TOPIC = "keyed.servers"
+CONFIGURATION_KEY = "config"
+
+CONNECT_TIMEOUT_SECONDS = 0.5
+CALL_TIMEOUT_SECONDS = 1.5
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+MAX_PAGES = 200
+_LENGTH = struct.Struct(">I")
+_POSITIONS = struct.Struct(">QQ")
+
+
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """Members of a group and the generation that was current."""
+
+    generation: int
+    members: tuple[str, ...]
+
+
+class _Item(msgspec.Struct, rename="pascal"):
+    key: str
+    value: str
+    offset: int
+
+
+class _Newest(msgspec.Struct, rename="pascal"):
+    items: list[_Item]
+    end: int
+    has_more: bool = False
+
+
+class _Joined(msgspec.Struct, rename="pascal"):
+    generation: int
+
+
+class StoreClient:
+    """Calls of the store, each with a bound.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port``.
+    timers : TimerService
+        Clock.
+
+    Attributes
+    ----------
+    calls : int
+        Calls made, because each one is priced.
+    """
+
+    def __init__(self, address: str, timers: TimerService):
+        host, _, port = address.rpartition(":")
+        self._address = address
+        self._pool = ConnectionPool(host, int(port), timers)
+        self._timers = timers
+        self.calls = 0
+
+    async def read_records(
+        self, topic: str, offset: int, wait_s: float = 0.0
+    ) -> RecordPage:
+        """Return the records of a keyed topic from ``offset`` on.
+
+        Raises
+        ------
+        StoreError
+            With code ``trimmed`` if the records were deleted; list the topic instead.
+        """
+        query = {"Topic": topic, "part": 0, "From": offset}
+        if wait_s > 0:
+            query["WaitMs"] = int(wait_s * 1000)
+        status, body = await self._call("GET", "/log-read", query, wait_s=wait_s)
+        if status == 410:
+            raise StoreError(f"{topic}: records deleted", code="trimmed")
+        self._check(status, body)
+        return _decode_records(body, offset)
+
+    async def list_records(self, topic: str) -> RecordPage:
+        """Return the newest record of each key.
+
+        Pages are no snapshot, so the end is that of the first page: what changed
+        meanwhile is read again from there.
+        """
+        records: list[Record] = []
+        end = None
+        after = ""
+        for _ in range(MAX_PAGES):
+            query = {"Topic": topic, "part": 0}
+            if after:
+                query["After"] = after
+            status, body = await self._call("GET", "/log-newest", query)
+            self._check(status, body)
+            page = _decode(body, _Newest)
+            end = page.end if end is None else end
+            records.extend(
+                Record(item.key, item.offset, base64.b64decode(item.value))
+                for item in page.items
+            )
+            if not page.has_more or not page.items:
+                return RecordPage(tuple(records), end, is_listing=True)
+            after = page.items[-1].key
+        raise StoreError(f"{topic}: more than {MAX_PAGES} pages")
+
+    async def join(
+        self, group: str, topic: str, member: str, generation: int, ttl_s: float
+    ) -> int:
+        """Join a group or stay in it; return its generation."""
+        body = {
+            "group": group,
+            "Member": member,
+            "Topics": [topic],
+            "TtlMs": int(ttl_s * 1000),
+            "Generation": generation,
+        }
+        status, answer = await self._call("POST", "/log-join", {}, body)
+        self._check(status, answer)
+        return _decode(answer, _Joined).generation
+
+    async def leave(self, group: str, member: str) -> None:
+        """Leave a group."""
+        body = {"group": group, "Member": member}
+        status, answer = await self._call("POST", "/log-leave", {}, body)
+        self._check(status, answer)
+
+    async def members(self, group: str) -> tuple[str, ...]:
+        """Return the members that own a partition of the group's topic, sorted."""
+        status, body = await self._call("GET", "/log-owners", {"group": group})
+        self._check(status, body)
+        # Rows are topic, partition, member and offset.
+        rows = _owner_rows(_decode(body, object))
+        return tuple(sorted({row[2] for row in rows if len(row) > 2 and row[2]}))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, object],
+        body: object = None,
+        wait_s: float = 0.0,
+    ) -> tuple[int, bytes]:
+        target = f"{path}?{urlencode(query)}" if query else path
+        data = b"" if body is None else msgspec.json.encode(body)
+        head = f"{method} {target} HTTP/1.1\r\nHost: {self._address}\r\n"
+        if body is not None:
+            head += f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n"
+        self.calls += 1
+        try:
+            conn = await self._pool.acquire(CONNECT_TIMEOUT_SECONDS)
+        except HttpError as exc:
+            raise StoreError(f"store: {exc}") from exc
+        try:
+            # A connection that lost one answer returns nothing further, so any
+            # failure closes it.
+            return await self._exchange(
+                conn, head.encode() + b"\r\n" + data, CALL_TIMEOUT_SECONDS + wait_s
+            )
+        except (HttpError, TimeoutError) as exc:
+            conn.abort()
+            raise StoreError(f"store: {path}: {exc!r}", code="uncertain") from exc
+        except BaseException:
+            conn.abort()
+            raise
+        finally:
+            self._pool.release(conn)
+
+    async def _exchange(
+        self, conn: ClientConnection, data: bytes, timeout_s: float
+    ) -> tuple[int, bytes]:
+        async def exchange() -> tuple[int, bytes]:
+            head = await conn.request(data)
+            return head.status, await conn.read_all(MAX_ANSWER_BYTES)
+
+        return await bounded(self._timers, exchange(), timeout_s)
+
+    @staticmethod
+    def _check(status: int, body: bytes) -> None:
+        if status != 200:
+            raise StoreError(f"store: status {status}: {body[:80]!r}")
+
+
+def _decode(body: bytes, kind: type):
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise StoreError(f"store: unreadable answer: {exc}", code="uncertain") from exc
+
+
+def _owner_rows(answer: object) -> list[list]:
+    """Return the rows of an answer, which are the answer itself or its only list."""
+    if isinstance(answer, dict):
+        lists = [value for value in answer.values() if isinstance(value, list)]
+        answer = lists[0] if lists else []
+    if not isinstance(answer, list):
+        return []
+    return [row for row in answer if isinstance(row, list)]
+
+
+def _decode_records(body: bytes, offset: int) -> RecordPage:
+    """Return the records of a read: positions, then length, key and value of each."""
+    if len(body) < _POSITIONS.size:
+        raise StoreError("store: short read", code="uncertain")
+    end, _ = _POSITIONS.unpack_from(body)
+    position = _POSITIONS.size
+    records = []
+    while position + _LENGTH.size <= len(body):
+        (size,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        content = body[position : position + size]
+        if len(content) < size:
+            raise StoreError("store: record cut off", code="uncertain")
+        position += size
+        record = _decode_record(content, offset)
+        if record is not None:
+            records.append(record)
+        offset += 1
+    return RecordPage(tuple(records), offset, offset >= end)
+
+
+def _decode_record(content: bytes, offset: int) -> Record | None:
+    """Return the keyed record; None if its bytes have no readable key."""
+    if not content or len(content) < 1 + content[0]:
+        return None
+    key = content[1 : 1 + content[0]]
+    try:
+        return Record(key.decode(), offset, content[1 + content[0] :])
+    except UnicodeDecodeError:
+        return None
--- a/camphorrun/routing/__init__.py
+++ b/camphorrun/routing/__init__.py
@@ -1,8 +1,10 @@
 """Endpoint selection, load estimates, outlier ejection and baselines."""
 
+from .affinity import AffinityPolicy, rendezvous_order
 from .endpoints import EjectionState, EndpointState, StageRequest
 from .estimates import StageEstimator, load_share, service_capacity
 from .outliers import OutlierDetector
+from .ownership import owner_orders
 from .policies import (
     BalancedPolicy,
     LeastReportedLoadPolicy,
@@ -14,6 +16,7 @@
 from .router import NoEndpoint, RouteChoice, Router
 
 __all__ = [
+    "AffinityPolicy",
     "BalancedPolicy",
     "EjectionState",
     "EndpointState",
@@ -28,6 +31,8 @@
     "StageEstimator",
     "StageRequest",
     "load_share",
+    "owner_orders",
     "policy_by_name",
+    "rendezvous_order",
     "service_capacity",
 ]
--- a/camphorrun/settings/__init__.py
+++ b/camphorrun/settings/__init__.py
@@ -1,6 +1,12 @@
 """Settings of each role, decoded from JSON into checked types."""
 
 from .decoding import SettingsError, check_address, decode_settings, load_settings
+from .gateway import (
+    BoundSettings,
+    GatewayHostSettings,
+    GatewaySettings,
+    StoreSettings,
+)
 from .roles import (
     AgentSettings,
     ClaimSettings,
@@ -17,15 +23,19 @@
 
 __all__ = [
     "AgentSettings",
+    "BoundSettings",
     "ClaimSettings",
     "EndpointSettings",
     "EntrySettings",
+    "GatewayHostSettings",
+    "GatewaySettings",
     "HostSettings",
     "KeySettings",
     "OperatorSettings",
     "PlatformSettings",
     "PolicySettings",
     "SettingsError",
+    "StoreSettings",
     "check_address",
     "check_settings",
     "decode_settings",
--- a/camphorrun/standins/endpoint_server.py
+++ b/camphorrun/standins/endpoint_server.py
@@ -10,15 +10,15 @@
 import msgspec
 from aiohttp import web
 
-from ..core import TimerService
-from ..pipeline import prompt_prefix
-from ..platform import (
+from ..clients import (
     EXECUTED_HEADER,
     FENCING_HEADER,
     KEY_HEADER,
     EndpointReply,
     StreamPart,
 )
+from ..core import TimerService
+from ..pipeline import prompt_prefix
 from .operations import fingerprint, input_units, run_operation, streamed_text
 from .orders import Order, OrderBook, OrderError
 from .prefix_cache import PrefixCache
--- a/camphorrun/standins/host_list_server.py
+++ b/camphorrun/standins/host_list_server.py
@@ -4,8 +4,8 @@
 import xxhash
 from aiohttp import web
 
+from ..clients import HostEntry, HostList
 from ..core import TimerService
-from ..platform import HostEntry, HostList
 
 
 class HostListServer:
--- a/camphorrun/standins/log_server.py
+++ b/camphorrun/standins/log_server.py
@@ -7,8 +7,8 @@
 import msgspec
 from aiohttp import web
 
+from ..clients import AppendReply, AppendRequest
 from ..core import AppendFault, LogError, MemoryLog, TimerService
-from ..platform import AppendReply, AppendRequest
 
 _EXPIRY_SECONDS = 1.0
 MAX_BODY_BYTES = 32 * 1024 * 1024
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -13,9 +13,9 @@
 import aiohttp
 import pytest
 
+from camphorrun.clients import HostEntry
 from camphorrun.daemon import start_server
 from camphorrun.demo.local_system import LocalSystem, free_port
-from camphorrun.platform import HostEntry
 from camphorrun.standins import EndpointProfile, EndpointServer
 
 REPOSITORY = Path(__file__).parent.parent
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,20 +9,21 @@
 # Subpackages by level; imports go to the same subpackage or to an earlier group.
 LEVELS = (
     ("core",),
-    ("metrics", "messages"),
+    ("metrics", "messages", "catalog", "http1"),
     ("settings",),
     ("limits", "retries"),
     ("routing", "admission", "configuration", "claims", "pipeline"),
     ("placement",),
-    ("platform", "transport", "relay"),
+    ("clients", "transport", "relay", "platform"),
     ("daemon",),
-    ("entry", "agent", "standins"),
+    ("entry", "agent", "standins", "gateway"),
     ("operators", "replay"),
     ("demo",),
     ("cli",),
 )
 DECISION_LOGIC = (
     "admission",
+    "catalog",
     "claims",
     "configuration",
     "limits",
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -22,13 +22,13 @@
 import aiohttp
 
 from camphorrun.claims import CLAIMS_STREAM
+from camphorrun.clients import LogClient
 from camphorrun.configuration import (
     ConfigurationView,
     Placement,
     StreamFollower,
 )
 from camphorrun.core import LoopTimerService
-from camphorrun.platform import LogClient
 from tools.bench_claims import _start_batch
 from tools.bench_configuration import account_value
 from tools.capacity_requests import (
--- a/tools/capacity_system.py
+++ b/tools/capacity_system.py
@@ -21,6 +21,7 @@
 import aiohttp
 import numpy
 
+from camphorrun.clients import LogClient
 from camphorrun.configuration import (
     ConfigurationChange,
     Document,
@@ -29,7 +30,6 @@
     encode_record,
 )
 from camphorrun.core import new_identifier
-from camphorrun.platform import LogClient
 from tools.chaos_system import OPERATOR, SECRET, Process, free_port
 
 APPEND_BATCH = 500
--- a/tools/chaos.py
+++ b/tools/chaos.py
@@ -28,6 +28,7 @@
 import msgspec
 
 from camphorrun.claims import claim_key
+from camphorrun.clients import LogClient
 from camphorrun.configuration import (
     Account,
     ConfigurationChange,
@@ -42,7 +43,6 @@
 )
 from camphorrun.core import new_identifier
 from camphorrun.messages import KeyRing, SharedKey
-from camphorrun.platform import LogClient
 from camphorrun.standins import run_operation, streamed_text
 
 from .chaos_faults import Injector
