Free stage results when the answer begins and refuse what stages would delay

Cause: results were held until a stream had ended, so space for results bound the first stage and requests were held until their callers left.

--- a/camphorrun/admission/__init__.py
+++ b/camphorrun/admission/__init__.py
@@ -11,6 +11,7 @@
 )
 from .group import AdmissionGroup, AdmissionTicket, GroupRequest
 from .shares import LevelDemand, water_level
+from .starts import ReturnDetector, judge_start
 
 __all__ = [
     "AdmissionController",
@@ -23,6 +24,8 @@
     "LevelDemand",
     "Predictive",
     "Refused",
+    "ReturnDetector",
+    "judge_start",
     "policy_by_name",
     "water_level",
 ]
--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -386,6 +386,7 @@
     ) -> None:
         """Pass on events as they arrive, each one whole."""
         buffer = EventBuffer()
+        begun = False
         while True:
             left_s = max(MIN_USEFUL_SECONDS, ctx.end_at - self._timers.now())
             if self._may_move(ctx):
@@ -393,6 +394,9 @@
             data = await bounded(self._timers, conn.read(), left_s)
             if not data:
                 break
+            if not begun:
+                begun = True
+                ctx.on_begun()
             events = buffer.feed(data)
             if events:
                 await self._pass_on(ctx, head, events, responder)
--- a/camphorrun/gateway/context.py
+++ b/camphorrun/gateway/context.py
@@ -1,11 +1,22 @@
 """One request of a caller while the gateway serves it."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ..catalog import Route
+from ..catalog import Route, RouteKind
 from ..platform import CallerRequest
 from .stage_runner import StageResults
 
+# Callers leave a stream after a gap of this long, or of that many times its objective
+# or its longest accepted pause, whichever is longest (the platform's page on requests).
+LEAST_PATIENCE_SECONDS = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_GAPS = 8.0
+
+
+def _nothing() -> None:
+    """Do nothing."""
+
 
 @dataclass(slots=True)
 class RequestContext:
@@ -13,6 +24,10 @@
 
     Attributes
     ----------
+    returned : bool
+        Whether the caller comes back after an earlier refusal or failure.
+    on_begun : callable
+        Called when a replica begins its answer and so needs no stage result any more.
     sent : bool
         Whether the request may have reached a replica that may have run it.
     runs : int
@@ -30,7 +45,9 @@
     objective_at: float
     deadline_at: float
     timeout_at: float
+    returned: bool = False
     results: StageResults | None = None
+    on_begun: Callable[[], None] = _nothing
     sent: bool = False
     runs: int = 0
     last_event: str = ""
@@ -41,6 +58,18 @@
         """Identifier of the caller's attempt."""
         return self.caller.attempt_id
 
+    @property
+    def first_event_at(self) -> float:
+        """When a stream must have begun: its caller leaves after that."""
+        if self.route.kind is not RouteKind.STREAM:
+            return self.end_at
+        patience_s = max(
+            LEAST_PATIENCE_SECONDS,
+            PATIENCE_OBJECTIVES * self.route.objective_s,
+            PATIENCE_GAPS * self.route.gap_objective_s,
+        )
+        return min(self.end_at, self.received_at + patience_s)
+
     @property
     def end_at(self) -> float:
         """When the request must have its final answer."""
--- a/camphorrun/gateway/front.py
+++ b/camphorrun/gateway/front.py
@@ -1,7 +1,10 @@
 """Serves callers: finds the route, refuses what can't be served, runs the rest."""
 
+from functools import partial
+
 import xxhash
 
+from ..admission import ReturnDetector, judge_start
 from ..catalog import Account, Deployment, Route
 from ..core import EventLog, TimerService
 from ..http1 import ServerRequest, ServerResponder
@@ -46,6 +49,7 @@
         self._timers = timers
         self._metrics = metrics
         self._events = events
+        self._returns = ReturnDetector()
         self.in_flight = 0
 
     async def handle(self, req: ServerRequest, responder: ServerResponder) -> None:
@@ -141,6 +145,7 @@
             priority = account.priority
         received_at = caller.raw.first_byte_at
         deadline_s = caller.deadline_s or DEFAULT_DEADLINE_SECONDS
+        returned = self._returns.is_return(route.name, deadline_s)
         point = xxhash.xxh32_intdigest(caller.attempt_id) / 2**32
         return RequestContext(
             caller,
@@ -152,6 +157,7 @@
             received_at + route.objective_s,
             received_at + deadline_s,
             received_at + route.timeout_s,
+            returned,
         )
 
     # Service
@@ -163,6 +169,7 @@
         self._check_time(ctx)
         for remake in range(MAX_INPUT_REMAKES + 1):
             await self._run_stages(ctx)
+            ctx.on_begun = partial(self._stages.release_all, ctx.route, ctx.results)
             try:
                 await self._attempts.answer(ctx, responder)
                 return
@@ -177,16 +184,35 @@
                 self._stages.release_all(ctx.route, ctx.results)
 
     def _check_time(self, ctx: RequestContext) -> None:
-        """Refuse a request whose stages can't be made before its deadline."""
-        predicted_s = self._stages.predicted_s(ctx.route, ctx.caller.pieces)
-        left_s = ctx.end_at - self._timers.now()
-        if predicted_s + FIRST_EVENT_SECONDS > left_s:
-            raise RefusedError(
-                "stages would end after the deadline",
-                code="deadline_unreachable",
-                status=503,
-                retry_after_s=STAGE_RETRY_SECONDS,
-            )
+        """Refuse at once what its stages would delay too much.
+
+        A request that comes back after a refusal is late already and is refused only
+        if its deadline can't be met.
+        """
+        forecast = self._stages.forecast(ctx.route, ctx.caller.pieces)
+        verdict = judge_start(
+            forecast.total_s + FIRST_EVENT_SECONDS,
+            forecast.wait_s,
+            objective_left_s=ctx.objective_at - self._timers.now(),
+            left_s=ctx.end_at - self._timers.now(),
+            returned=ctx.returned,
+        )
+        if verdict is None:
+            return
+        self._events.request(
+            "not_admitted",
+            ctx.request_id,
+            code=verdict.code,
+            predicted_s=round(forecast.total_s, 3),
+            wait_s=round(forecast.wait_s, 3),
+            returned=ctx.returned,
+        )
+        raise RefusedError(
+            "stages would take too long",
+            code=verdict.code,
+            status=503,
+            retry_after_s=verdict.retry_after_s,
+        )
 
     async def _run_stages(self, ctx: RequestContext) -> None:
         try:
@@ -195,7 +221,7 @@
                 ctx.route,
                 priority=ctx.priority,
                 objective_at=ctx.objective_at,
-                deadline_at=ctx.end_at,
+                deadline_at=ctx.first_event_at,
                 final_s=FIRST_EVENT_SECONDS,
             )
         except StageError as exc:
--- a/camphorrun/gateway/messages.py
+++ b/camphorrun/gateway/messages.py
@@ -49,12 +49,12 @@
 class PieceReply(msgspec.Struct):
     """Results in the order of the pieces, or the code of a fault.
 
-    ``backlog_s`` is the time that the service needs for what waits now.
+    ``wait_s`` is the wait that pieces of this kind have to expect now.
     """
 
     handles: list[str]
     fault: str = ""
-    backlog_s: float = 0.0
+    wait_s: float = 0.0
     version: int = SCHEMA_VERSION
 
 
--- a/camphorrun/gateway/stage_owner.py
+++ b/camphorrun/gateway/stage_owner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 from collections import deque
 
 from ..catalog import StageCapacity
@@ -32,7 +33,11 @@
 MAX_PAUSE_SECONDS = 3.0
 # Pause after a replica reported that it has no space, or that it is full.
 FULL_PAUSE_SECONDS = 0.1
-RETRY_DISPATCH_SECONDS = 0.05
+RETRY_DISPATCH_SECONDS = 0.02
+# A replica waits this long for space rather than spend the fixed time of a call on less
+# than this share of the pieces that a call could take.
+MAX_FILL_WAIT_SECONDS = 0.08
+LEAST_FILL = 0.6
 RELEASE_DELAY_SECONDS = 0.01
 RELEASE_TIMEOUT_SECONDS = 1.0
 MAX_TRIES = 3
@@ -57,12 +62,21 @@
 class _Worker:
     """One replica as the owner of its service uses it."""
 
-    __slots__ = ("busy", "failures", "handle", "ledger", "paused_until", "ratio")
+    __slots__ = (
+        "busy",
+        "failures",
+        "handle",
+        "idle_since",
+        "ledger",
+        "paused_until",
+        "ratio",
+    )
 
     def __init__(self, handle: ReplicaHandle, capacity: StageCapacity):
         self.handle = handle
         self.ledger = SpaceLedger(capacity.result_bytes, capacity.result_life_s)
         self.busy = 0
+        self.idle_since = float("-inf")
         self.failures = 0
         self.paused_until = float("-inf")
         self.ratio = 1.0
@@ -132,9 +146,9 @@
             if not job.fut.done() or job.fut.cancelled() or job.fut.exception():
                 self.release(list(job.results.values()))
 
-    def backlog_s(self) -> float:
-        """Return the time that the service needs for what waits now."""
-        return self._queue.backlog_s(len(self._current_workers()))
+    def expected_wait_s(self, result_bytes: int) -> float:
+        """Return the wait to expect for pieces with results of a size."""
+        return self._queue.expected_wait_s(result_bytes, self._timers.now())
 
     def release(self, handles: list[str]) -> None:
         """Free results at their makers, a little later and in one call each."""
@@ -176,12 +190,20 @@
             if not self._is_worth(worker, workers, now):
                 continue
             space = worker.ledger.free_bytes(now)
-            batch = self._queue.next_batch(space, len(workers), now)
+            least = self._least_pieces(worker, now)
+            batch = self._queue.next_batch(space, len(workers), now, least)
             if batch:
                 self._start(worker, batch)
         if len(self._queue):
             self._schedule_dispatch()
 
+    def _least_pieces(self, worker: _Worker, now: float) -> int:
+        """Return how many pieces make a call worth its fixed time."""
+        if now - worker.idle_since >= MAX_FILL_WAIT_SECONDS:
+            return 1
+        possible = min(len(self._queue), self._capacity.batch)
+        return max(1, math.ceil(possible * LEAST_FILL))
+
     def _is_worth(self, worker: _Worker, workers: list[_Worker], now: float) -> bool:
         """Return whether work at a slow replica ends before the others get to it."""
         if worker.ratio < SLOW_RATIO:
@@ -220,6 +242,7 @@
             self._on_results(worker, batch, results, made, started_at)
         finally:
             worker.busy -= 1
+            worker.idle_since = self._timers.now()
             worker.ledger.settle(call, made, self._timers.now())
         self._dispatch()
 
@@ -276,6 +299,18 @@
     ) -> None:
         elapsed_s = self._timers.now() - started_at
         ratio = elapsed_s / self._capacity.call_time_s(len(batch))
+        self._events.belief(
+            "stage_call",
+            service=self._service,
+            replica=worker.handle.replica.identifier,
+            pieces=len(batch),
+            requests=sorted({group.request_id for group, _ in batch}),
+            made=sum(bool(result.handle) for result in results),
+            seconds=round(elapsed_s, 4),
+            ratio=round(worker.ratio, 2),
+            waiting=len(self._queue),
+            free_bytes=worker.ledger.free_bytes(self._timers.now()),
+        )
         worker.ratio += RATIO_WEIGHT * (ratio - worker.ratio)
         worker.failures = 0
         self._metrics.stage_seconds.labels(self._service).observe(elapsed_s)
@@ -366,15 +401,18 @@
     def _send_releases(self) -> None:
         pending, self._to_release = self._to_release, {}
         for address, handles in pending.items():
-            for worker in self._workers.values():
-                if worker.handle.replica.address == address:
-                    for result in handles:
-                        worker.ledger.release(result)
             handle = self._replicas.at_address(address)
             if handle is not None:
                 task = asyncio.ensure_future(self._release_at(handle, handles))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
+
+    def _on_released(self, address: str, handles: list[str]) -> None:
+        """Use the space only now: a call that overtakes the release finds none."""
+        for worker in self._workers.values():
+            if worker.handle.replica.address == address:
+                for result in handles:
+                    worker.ledger.release(result)
         if len(self._queue):
             self._dispatch()
 
@@ -391,6 +429,7 @@
 
         try:
             await bounded(self._timers, exchange(), RELEASE_TIMEOUT_SECONDS)
+            self._on_released(handle.replica.address, handles)
         except (HttpError, TimeoutError):
             # The replica drops unused results by itself after a while.
             conn.abort()
--- a/camphorrun/gateway/stage_runner.py
+++ b/camphorrun/gateway/stage_runner.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import msgspec
 
@@ -29,8 +30,8 @@
 MAX_OWNERS = 2
 MAX_REMAKES = 2
 RELEASE_TIMEOUT_SECONDS = 1.0
-# Part of the share of the retry budget that stages may use.
-BUDGET_SHARE = 0.5
+# A forecast loses this much of its wait a second, because queues drain meanwhile.
+FORECAST_DECAY = 0.7
 
 
 class StageResults:
@@ -58,6 +59,22 @@
         return tuple(h for index in stages for h in self.by_stage.get(index, ()))
 
 
+@dataclass(frozen=True, slots=True)
+class StageForecast:
+    """Predicted seconds of all stages, and the part of them that is waiting."""
+
+    total_s: float
+    wait_s: float
+
+
+def _longest(after: list[tuple[int, ...]], needs_s: list[float]) -> float:
+    """Return the need of the longest chain of stages."""
+    return max(
+        (needs_s[i] + downstream_s(after, needs_s, i) for i in range(len(after))),
+        default=0.0,
+    )
+
+
 class StageRunner:
     """Makes stage results for this gateway's requests, and pieces for all gateways."""
 
@@ -81,7 +98,7 @@
         self._events = events
         self._owners: dict[str, StageOwner] = {}
         self._orders: dict[str, list[str]] = {}
-        self._forecasts: dict[str, tuple[float, float]] = {}
+        self._forecasts: dict[tuple[str, int], tuple[float, float]] = {}
         self._tasks: set[asyncio.Task] = set()
         state.subscribe(deployment=self._refresh, members=self._refresh)
 
@@ -157,30 +174,35 @@
             self._release(route.stages[index].service, handles)
         results.held = {}
 
-    def predicted_s(self, route: Route, counts: tuple[int, ...]) -> float:
-        """Return the predicted time of all stages of a request, waits included."""
+    def forecast(self, route: Route, counts: tuple[int, ...]) -> "StageForecast":
+        """Return the predicted time of all stages of a request."""
         after = [stage.after for stage in route.stages]
-        need_s = [
-            self._need_s(route, index) if counts[index : index + 1] != (0,) else 0.0
+        waits_s = [self._wait_s(route, index) for index in range(len(after))]
+        needs_s = [
+            0.0 if counts[index : index + 1] == (0,) else self._need_s(route, index)
             for index in range(len(after))
         ]
-        return max(
-            (need_s[i] + downstream_s(after, need_s, i) for i in range(len(after))),
-            default=0.0,
-        )
+        return StageForecast(_longest(after, needs_s), _longest(after, waits_s))
+
+    def _wait_s(self, route: Route, index: int) -> float:
+        """Return the predicted wait of one stage for a replica."""
+        stage = route.stages[index]
+        key = stage.service, stage.result_bytes
+        wait_s, seen_at = self._forecasts.get(key, (0.0, 0.0))
+        return max(0.0, wait_s - (self._timers.now() - seen_at) * FORECAST_DECAY)
 
     def _need_s(self, route: Route, index: int) -> float:
         """Return the predicted time of one stage: its wait and its call."""
-        service = route.stages[index].service
         deployment = self._state.deployment
+        service = route.stages[index].service
         known = deployment.services.get(service) if deployment else None
         if known is None or known.stage is None:
             return 0.0
-        backlog_s, seen_at = self._forecasts.get(service, (0.0, 0.0))
-        age_s = self._timers.now() - seen_at
-        return max(0.0, backlog_s - age_s) + known.stage.call_time_s(
-            max(1, known.stage.batch // 2)
-        )
+        capacity = known.stage
+        wait_s = self._wait_s(route, index)
+        # Calls are full while pieces wait.
+        pieces = capacity.batch if wait_s > capacity.call_s else capacity.batch // 2
+        return wait_s + capacity.call_time_s(max(1, pieces))
 
     async def _make(
         self,
@@ -211,7 +233,8 @@
             downstream,
         )
         reply = await self._ask_owner(order, deadline_at)
-        self._forecasts[stage.service] = reply.backlog_s, self._timers.now()
+        key = stage.service, stage.result_bytes
+        self._forecasts[key] = reply.wait_s, self._timers.now()
         self._events.request(
             "stage",
             caller.attempt_id,
@@ -220,7 +243,7 @@
             pieces=count,
             fault=reply.fault,
             seconds=round(self._timers.now() - now, 4),
-            backlog_s=round(reply.backlog_s, 3),
+            wait_s=round(reply.wait_s, 3),
         )
         if reply.fault:
             raise StageError(f"stage {index} at {stage.service}", code=reply.fault)
@@ -273,8 +296,8 @@
         try:
             handles = await owner.make(group)
         except StageError as exc:
-            return PieceReply([], exc.code, owner.backlog_s())
-        return PieceReply(handles, "", owner.backlog_s())
+            return PieceReply([], exc.code, owner.expected_wait_s(order.result_bytes))
+        return PieceReply(handles, "", owner.expected_wait_s(order.result_bytes))
 
     def release(self, order: ReleaseOrder) -> None:
         """Free results that were made through this gateway."""
--- a/camphorrun/pipeline/batches.py
+++ b/camphorrun/pipeline/batches.py
@@ -71,6 +71,8 @@
     def __init__(self, capacity: StageCapacity):
         self.capacity = capacity
         self._groups: list[PieceGroup] = []
+        # Last wait by size of results: large ones also wait for space.
+        self._last_waits: dict[int, tuple[float, float]] = {}
 
     def __len__(self) -> int:
         return sum(len(group.waiting) for group in self._groups)
@@ -86,7 +88,7 @@
             self._groups.remove(group)
 
     def next_batch(
-        self, free_bytes: int, replicas: int, now: float
+        self, free_bytes: int, replicas: int, now: float, least: int = 1
     ) -> list[tuple[PieceGroup, int]]:
         """Take the pieces of the next call.
 
@@ -98,19 +100,45 @@
             Replicas that share the backlog.
         now : float
             Present time.
+        least : int
+            Pieces below which no call is worth its fixed time yet.
         """
         chosen: list[tuple[PieceGroup, int]] = []
         for group in self._ordered(replicas, now):
-            while group.waiting and len(chosen) < self.capacity.batch:
-                if group.result_bytes > free_bytes:
-                    break
-                free_bytes -= group.result_bytes
-                chosen.append((group, group.waiting.popleft()))
+            fitting = len(group.waiting)
+            if group.result_bytes > 0:
+                fitting = min(fitting, free_bytes // group.result_bytes)
+            fitting = min(fitting, self.capacity.batch - len(chosen))
+            free_bytes -= fitting * group.result_bytes
+            chosen.extend((group, group.waiting[i]) for i in range(fitting))
             if len(chosen) >= self.capacity.batch:
                 break
-        self._groups = [group for group in self._groups if group.waiting]
+        if len(chosen) < least:
+            return []
+        self._take(chosen, now)
         return chosen
 
+    def _take(self, chosen: list[tuple[PieceGroup, int]], now: float) -> None:
+        for group, _ in chosen:
+            group.waiting.popleft()
+            self._last_waits[group.result_bytes] = now - group.arrived_at, now
+        self._groups = [group for group in self._groups if group.waiting]
+
+    def expected_wait_s(self, result_bytes: int, now: float) -> float:
+        """Return the wait to expect for pieces with results of a size.
+
+        The last wait that ended, or the longest present one of a request that is not
+        late, whichever is more.
+        """
+        call_s = self.capacity.call_time_s(self.capacity.batch)
+        waits = [
+            now - group.arrived_at
+            for group in self._groups
+            if group.result_bytes == result_bytes and group.latest_start(call_s) >= now
+        ]
+        last_s, seen_at = self._last_waits.get(result_bytes, (0.0, now))
+        return max(max(waits, default=0.0), last_s - (now - seen_at))
+
     def expire(self, now: float) -> list[PieceGroup]:
         """Remove and return the groups that can't be made before their deadline."""
         least_s = self.capacity.call_time_s(1)
