--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -129,26 +129,38 @@
         if ctx.end_at - now < MIN_USEFUL_SECONDS:
             raise self._refusal(ctx, reason or "deadline")
         handles = self._replicas.usable(ctx.service)
-        prompt = ctx.caller.prompt
-        # The last part belongs to the request alone; the one before it is shared.
-        prefix = prompt[-2].identifier if len(prompt) > 1 else ctx.request_id
-        request = StageRequest(
-            ctx.service,
-            prefix=prefix,
-            remaining_s=ctx.end_at - now,
-            exclude=frozenset(ctx.tried),
-        )
+        request = self._stage_request(ctx, ctx.end_at - now)
         router = self._engine if ctx.route.uses_engine else self._plain
         choice = router.choose(endpoints(handles), request, now)
         if isinstance(choice, NoEndpoint) and ctx.tried:
             # All others are gone; a replica that rejected may take it by now.
             ctx.tried.clear()
-            request = StageRequest(ctx.service, prefix=prefix)
+            request = self._stage_request(ctx, ctx.end_at - now)
             choice = router.choose(endpoints(handles), request, now)
         if isinstance(choice, NoEndpoint):
             raise self._refusal(ctx, choice.reason)
         return self._chosen(ctx, choice)
 
+    def _stage_request(self, ctx: RequestContext, left_s: float) -> StageRequest:
+        prompt = ctx.caller.prompt
+        # The last part belongs to the request alone; those before it are shared.
+        shared = prompt[:-1]
+        sizes: dict[str, int] = {}
+        if ctx.results is not None:
+            for result, size in ctx.results.final_sizes(ctx.route):
+                maker = self._replicas.at_address(result.partition("/")[0])
+                if maker is not None:
+                    zone = maker.replica.availability_zone
+                    sizes[zone] = sizes.get(zone, 0) + size
+        return StageRequest(
+            ctx.service,
+            prefix=shared[-1].identifier if shared else ctx.request_id,
+            prefix_tokens=sum(part.tokens for part in shared),
+            input_bytes=tuple(sizes.items()),
+            remaining_s=left_s,
+            exclude=frozenset(ctx.tried),
+        )
+
     def _chosen(self, ctx: RequestContext, choice: RouteChoice) -> ReplicaHandle:
         handle = self._replicas.get(choice.endpoint.host)
         self._events.request(
--- a/camphorrun/gateway/stage_runner.py
+++ b/camphorrun/gateway/stage_runner.py
@@ -58,6 +58,14 @@
         stages = final_stages(self.after)
         return tuple(h for index in stages for h in self.by_stage.get(index, ()))
 
+    def final_sizes(self, route: Route) -> list[tuple[str, int]]:
+        """Return the results that the request itself needs, with their bytes."""
+        return [
+            (result, route.stages[index].result_bytes)
+            for index in final_stages(self.after)
+            for result in self.by_stage.get(index, ())
+        ]
+
 
 @dataclass(frozen=True, slots=True)
 class StageForecast:
--- a/camphorrun/routing/__init__.py
+++ b/camphorrun/routing/__init__.py
@@ -1,6 +1,6 @@
 """Endpoint selection, load estimates, outlier ejection and baselines."""
 
-from .affinity import AffinityPolicy, rendezvous_order
+from .affinity import AffinityPolicy
 from .endpoints import EjectionState, EndpointState, StageRequest
 from .estimates import StageEstimator, load_share, service_capacity
 from .outliers import OutlierDetector
@@ -33,6 +33,5 @@
     "load_share",
     "owner_orders",
     "policy_by_name",
-    "rendezvous_order",
     "service_capacity",
 ]
--- a/camphorrun/routing/affinity.py
+++ b/camphorrun/routing/affinity.py
@@ -1,52 +1,91 @@
-"""Prefix affinity without an exchange between entries.
+"""Placement of prompts by shared prefix, place of inputs and load.
 
-Load pattern: many entries send prompts that share long parts, and a part that another
-endpoint holds has to be read again. Rendezvous hashing lets all entries choose the same
-endpoint for a prefix from the membership alone; the bound on load moves the excess of a
-hot prefix to the next endpoints of the same order.
+Load pattern: many entries send prompts that share long parts, and a part that the chosen
+endpoint does not hold has to be read again; other requests bring inputs of megabytes,
+which are dear to move between availability zones. Rendezvous hashing lets all entries
+prefer the same endpoint for a prefix without an exchange; what was sent from here is
+known besides. All three costs are compared in prompt tokens.
 """
 
-import math
-from dataclasses import dataclass
+from collections import OrderedDict
+from dataclasses import dataclass, field
 
 import xxhash
 
-from .endpoints import EndpointState
+from .endpoints import EndpointState, StageRequest
 from .policies import RoutingContext, select_endpoint
 
-# An endpoint gets no more than this multiple of the mean load of its service.
-LOAD_FACTOR = 1.25
-# Slack in calls above the multiple, so that a nearly idle service keeps its affinity.
-LOAD_SLACK = 2
+# Prompt tokens that are read in the time and at the price of moving a megabyte to
+# another availability zone (ratio of the deployments' prices for both).
+TOKENS_PER_MEGABYTE = 300.0
+# Prompt tokens that a call above the mean load of the service weighs.
+TOKENS_PER_CALL = 250.0
+# Calls above the mean that cost nothing, so that a quiet service keeps its affinity.
+FREE_CALLS = 1.0
+MEGABYTE = 1_000_000
+HELD_PREFIXES = 4096
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class AffinityPolicy:
-    """Rendezvous order by prefix, bounded by load.
+    """Least cost of reading, moving and waiting.
 
-    ``load_factor`` and ``load_slack`` bound the calls in flight at one endpoint in
-    relation to the mean.
+    ``sent`` remembers to which endpoints prompts with a prefix were sent from here.
     """
 
-    load_factor: float = LOAD_FACTOR
-    load_slack: int = LOAD_SLACK
+    sent: OrderedDict[str, dict[str, None]] = field(default_factory=OrderedDict)
 
+    def note(self, prefix: str, host: str) -> None:
+        """Remember that an endpoint now reads a prefix."""
+        self.sent.setdefault(prefix, {})[host] = None
+        self.sent.move_to_end(prefix)
+        if len(self.sent) > HELD_PREFIXES:
+            self.sent.popitem(last=False)
 
-def rendezvous_order(prefix: str, states: list[EndpointState]) -> list[EndpointState]:
-    """Return endpoints in the order in which every entry prefers them for a prefix."""
-    return sorted(
-        states,
-        key=lambda state: xxhash.xxh64_intdigest(f"{prefix}|{state.host}"),
-        reverse=True,
+
+def rendezvous_weight(prefix: str, host: str) -> int:
+    """Return the weight by which every entry orders endpoints for a prefix."""
+    return xxhash.xxh64_intdigest(f"{prefix}|{host}")
+
+
+def placement_cost(
+    request: StageRequest, state: EndpointState, *, holds: bool, mean_calls: float
+) -> float:
+    """Return the cost of an endpoint in prompt tokens.
+
+    Examples
+    --------
+    >>> state = EndpointState("h", "a", "s")
+    >>> request = StageRequest("s", prefix_tokens=100, input_bytes=(("b", 2_000_000),))
+    >>> placement_cost(request, state, holds=False, mean_calls=0.0)
+    700.0
+    """
+    remote = sum(
+        size for zone, size in request.input_bytes if zone != state.availability_zone
+    )
+    excess = max(0.0, state.in_flight - mean_calls - FREE_CALLS)
+    return (
+        remote / MEGABYTE * TOKENS_PER_MEGABYTE
+        + (0 if holds else request.prefix_tokens)
+        + excess * TOKENS_PER_CALL
     )
 
 
 @select_endpoint.register
 def _(policy: AffinityPolicy, context: RoutingContext) -> EndpointState:
-    states = list(context.usable)
-    mean = sum(state.in_flight for state in states) / len(states)
-    bound = math.ceil(mean * policy.load_factor) + policy.load_slack
-    for state in rendezvous_order(context.request.prefix, states):
-        if state.in_flight < bound:
-            return state
-    return min(states, key=lambda state: state.in_flight)
+    request = context.request
+    states = context.usable
+    mean_calls = sum(state.in_flight for state in states) / len(states)
+    weights = {s.host: rendezvous_weight(request.prefix, s.host) for s in states}
+    first = max(states, key=lambda state: weights[state.host])
+    holders = {first.host, *policy.sent.get(request.prefix, ())}
+
+    def rank(state: EndpointState) -> tuple[float, int]:
+        cost = placement_cost(
+            request, state, holds=state.host in holders, mean_calls=mean_calls
+        )
+        return cost, -weights[state.host]
+
+    chosen = min(states, key=rank)
+    policy.note(request.prefix, chosen.host)
+    return chosen
--- a/camphorrun/routing/endpoints.py
+++ b/camphorrun/routing/endpoints.py
@@ -29,7 +29,12 @@
 
 @dataclass(frozen=True, slots=True)
 class StageRequest:
-    """What the router needs to know about an attempt."""
+    """What the router needs to know about an attempt.
+
+    ``prefix`` names the longest part of a prompt that other requests share,
+    ``prefix_tokens`` the tokens up to its end, and ``input_bytes`` the bytes of inputs
+    that lie in each availability zone.
+    """
 
     service: str
     model: str = ""
@@ -39,6 +44,8 @@
     prefix: str = ""
     remaining_s: float = math.inf
     exclude: frozenset[str] = frozenset()
+    prefix_tokens: int = 0
+    input_bytes: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass(slots=True)
