--- /dev/null
+++ b/camphorrun/admission/tests/test_starts.py
@@ -0,0 +1,48 @@
+"""Tests of refusals before any stage is spent."""
+
+from .. import ReturnDetector, judge_start
+
+
+def judge(predicted_s: float, wait_s: float, **fields):
+    defaults = {"objective_left_s": 2.0, "left_s": 8.0, "returned": False}
+    return judge_start(predicted_s, wait_s, **{**defaults, **fields})
+
+
+class TestJudgeStart:
+    """Bursts that stages can't take."""
+
+    def test_request_that_would_be_late_is_refused_at_once(self):
+        """Guards against requests that are held until their callers leave."""
+        refused = judge(3.0, 1.5)
+        assert refused.code == "overloaded"
+        assert refused.retry_after_s == 1.5
+
+    def test_nothing_is_refused_while_nothing_waits(self):
+        """Guards against refusals while replicas are free."""
+        assert judge(3.0, 0.05) is None
+
+    def test_returning_request_is_started_although_it_is_late(self):
+        """Guards against a caller that is refused twice."""
+        assert judge(3.0, 1.5, objective_left_s=-1.0, returned=True) is None
+
+    def test_unreachable_deadline_is_refused_even_for_a_returning_request(self):
+        """Guards against work that ends after the deadline."""
+        refused = judge(3.0, 1.5, left_s=2.0, returned=True)
+        assert refused.code == "deadline_unreachable"
+
+
+class TestReturnDetector:
+    """Repeats have less time than first tries."""
+
+    def test_small_differences_are_no_repeat(self):
+        """Guards against newcomers that pass the admission as repeats."""
+        detector = ReturnDetector()
+        detector.is_return("r", 8.0)
+        assert not detector.is_return("r", 7.9)
+        assert detector.is_return("r", 6.0)
+
+    def test_routes_are_apart(self):
+        """Guards against a short deadline of one route judged by another one."""
+        detector = ReturnDetector()
+        detector.is_return("slow", 8.0)
+        assert not detector.is_return("fast", 1.5)
--- a/camphorrun/catalog/records.py
+++ b/camphorrun/catalog/records.py
@@ -59,7 +59,7 @@
         self.known = False
 
     def get(self, key: str) -> Record | None:
-        """Return the newest record of a key, None if there is none or it was removed."""
+        """Return the newest record of a key; None if it was removed or never was."""
         record = self._records.get(key)
         return record if record is not None and record.value else None
 
--- /dev/null
+++ b/camphorrun/catalog/tests/test_records.py
@@ -0,0 +1,76 @@
+"""Tests of the view of the store's newest records."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from .. import Record, RecordPage, RecordView
+
+
+def page(*records: Record, end: int, listing: bool = False) -> RecordPage:
+    return RecordPage(records, end, is_listing=listing)
+
+
+class TestRecordView:
+    """Records only move forward."""
+
+    def test_older_record_changes_nothing(self):
+        """Guards against a stale reply that takes a configuration back."""
+        view = RecordView()
+        view.apply(page(Record("k", 5, b"new"), end=6))
+        assert view.apply(page(Record("k", 2, b"old"), end=3)) == []
+        assert view.get("k").value == b"new"
+        assert view.end == 6
+
+    def test_removal(self):
+        """Guards against a replica that is used after it was removed."""
+        view = RecordView()
+        view.apply(page(Record("k", 1, b"x"), end=2))
+        assert view.apply(page(Record("k", 2, b""), end=3)) == ["k"]
+        assert view.get("k") is None
+
+    def test_listing_removes_keys_that_it_lacks(self):
+        """Guards against entries that were removed while the history was dropped."""
+        view = RecordView()
+        view.apply(page(Record("a", 1, b"x"), Record("b", 2, b"x"), end=3))
+        changed = view.apply(page(Record("b", 2, b"x"), end=9, listing=True))
+        assert changed == ["a"]
+
+    def test_listing_keeps_newer_records(self):
+        """Guards against a slow listing that removes what came after it."""
+        view = RecordView()
+        view.apply(page(Record("a", 12, b"x"), end=13))
+        assert view.apply(page(end=9, listing=True)) == []
+        assert view.get("a") is not None
+
+    def test_peer_that_cannot_know_removals_sends_a_listing(self):
+        """Guards against a replica that stays known because a peer started late."""
+        late = RecordView()
+        late.apply(page(Record("b", 2, b"x"), end=9, listing=True))
+        old = RecordView()
+        old.apply(page(Record("a", 1, b"x"), Record("b", 2, b"x"), end=3))
+        old.apply(late.since(old.end, 10))
+        assert old.get("a") is None
+
+    def test_page_for_a_peer_is_bounded(self):
+        """Guards against answers to peers that grow with the history."""
+        view = RecordView()
+        records = [Record(str(i), i, b"x") for i in range(10)]
+        view.apply(page(*records, end=10))
+        first = view.since(0, 4)
+        assert [r.offset for r in first.records] == [0, 1, 2, 3]
+        assert (first.end, first.complete) == (4, False)
+
+    @given(st.permutations(range(8)), st.integers(1, 8))
+    def test_any_order_leads_to_the_same_view(self, order, parts):
+        """Guards against a result that depends on which reader was faster."""
+        records = [Record(str(i % 3), i, b"%d" % i if i % 4 else b"") for i in range(8)]
+        view = RecordView()
+        for start in range(0, 8, parts):
+            chosen = [records[i] for i in order[start : start + parts]]
+            view.apply(page(*chosen, end=max(r.offset for r in chosen) + 1))
+        expected = RecordView()
+        expected.apply(page(*records, end=8))
+        assert sorted(view.live(), key=lambda r: r.key) == sorted(
+            expected.live(), key=lambda r: r.key
+        )
+        assert view.end == 8
--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -50,7 +50,7 @@
 MIN_USEFUL_SECONDS = 0.02
 
 
-class _Failed(Exception):
+class AttemptFailedError(Exception):
     """An attempt ended without an answer for the caller."""
 
     def __init__(self, reason: str, *, not_run: bool, inputs_gone: bool = False):
@@ -114,7 +114,7 @@
             try:
                 await self._attempt(ctx, handle, responder)
                 return
-            except _Failed as exc:
+            except AttemptFailedError as exc:
                 reason = exc.reason
                 self._note_failure(ctx, handle, exc)
                 if exc.inputs_gone:
@@ -210,7 +210,7 @@
         return RefusedError(reason, code=reason, status=504 if late else 502)
 
     def _note_failure(
-        self, ctx: RequestContext, handle: ReplicaHandle, exc: _Failed
+        self, ctx: RequestContext, handle: ReplicaHandle, exc: AttemptFailedError
     ) -> None:
         ctx.tried.add(handle.replica.identifier)
         self._metrics.attempts.labels(ctx.service, exc.reason).inc()
@@ -237,7 +237,7 @@
             conn = await self._connect(ctx, handle)
             await self._exchange(ctx, handle, conn, responder)
             ok = True
-        except _Failed as exc:
+        except AttemptFailedError as exc:
             # A replica that is full is busy, not broken.
             ok = None if exc.reason == "rejected" else False
             raise
@@ -267,9 +267,9 @@
                 left_s,
             )
         except HttpError as exc:
-            raise _Failed(exc.code, not_run=True) from exc
+            raise AttemptFailedError(exc.code, not_run=True) from exc
         except TimeoutError as exc:
-            raise _Failed("connect_timeout", not_run=True) from exc
+            raise AttemptFailedError("connect_timeout", not_run=True) from exc
 
     async def _exchange(
         self,
@@ -281,7 +281,6 @@
         now = self._timers.now()
         data = encode_request(
             ctx.caller,
-            address_host=handle.replica.address,
             replica=handle.replica.identifier,
             account=ctx.account,
             deadline_s=ctx.end_at - now,
@@ -301,18 +300,18 @@
                 ctx.runs -= 1
                 raise _rejection(facts)
             if not facts.own or (200 <= head.status < 300 and not facts.stamped):
-                raise _Failed("foreign_answer", not_run=False)
+                raise AttemptFailedError("foreign_answer", not_run=False)
             if ctx.route.kind is RouteKind.STREAM and head.status == 200:
                 await self._relay_events(ctx, head, conn, responder)
             else:
                 await self._relay_whole(ctx, head, conn, responder)
         except HttpError as exc:
             conn.abort()
-            raise _Failed(exc.code, not_run=False) from exc
+            raise AttemptFailedError(exc.code, not_run=False) from exc
         except TimeoutError as exc:
             conn.abort()
-            raise _Failed("timeout", not_run=False) from exc
-        except _Failed as exc:
+            raise AttemptFailedError("timeout", not_run=False) from exc
+        except AttemptFailedError as exc:
             if exc.reason == "foreign_answer":
                 conn.abort()
             raise
@@ -360,7 +359,7 @@
         """Pass on an answer with one body."""
         if responder.started:
             # A resumed stream that is answered by anything but events.
-            raise _Failed("resume_failed", not_run=False)
+            raise AttemptFailedError("resume_failed", not_run=False)
         left_s = max(MIN_USEFUL_SECONDS, ctx.end_at - self._timers.now())
         async with asyncio.timeout(left_s):
             parts: list[bytes] = []
@@ -375,7 +374,7 @@
         if failed and self._may_move(ctx) and size <= BUFFERED_ANSWER_BYTES:
             budget = self._budget_of(ctx.service)
             if budget.try_withdraw(self._timers.now()):
-                raise _Failed("replica_error", not_run=False)
+                raise AttemptFailedError("replica_error", not_run=False)
         body = b"".join(parts)
         if size <= BUFFERED_ANSWER_BYTES:
             responder.start(head.status, relay_headers(head), len(body), head.reason)
@@ -431,9 +430,9 @@
         await responder.write(b"".join(events))
 
 
-def _rejection(facts: ReplyFacts) -> _Failed:
+def _rejection(facts: ReplyFacts) -> AttemptFailedError:
     if facts.inputs_gone:
-        return _Failed("inputs_gone", not_run=True, inputs_gone=True)
+        return AttemptFailedError("inputs_gone", not_run=True, inputs_gone=True)
     if facts.misdirected:
-        return _Failed("misdirected", not_run=True)
-    return _Failed("rejected", not_run=True)
+        return AttemptFailedError("misdirected", not_run=True)
+    return AttemptFailedError("rejected", not_run=True)
--- a/camphorrun/gateway/events.py
+++ b/camphorrun/gateway/events.py
@@ -5,7 +5,7 @@
 
 
 class EventBuffer:
-    """Holds back the bytes of an event until it is whole.
+    r"""Holds back the bytes of an event until it is whole.
 
     A replica may stop in the middle of an event; the part must not reach the caller,
     because the stream may go on at another replica.
@@ -13,8 +13,8 @@
     Examples
     --------
     >>> buffer = EventBuffer()
-    >>> buffer.feed(b"id: 1\\ndata: a\\n\\nid: 2")
-    [b'id: 1\\ndata: a\\n\\n']
+    >>> buffer.feed(b"id: 1\ndata: a\n\nid: 2")
+    [b'id: 1\ndata: a\n\n']
     >>> buffer.rest
     b'id: 2'
     """
--- a/camphorrun/gateway/front.py
+++ b/camphorrun/gateway/front.py
@@ -28,6 +28,8 @@
 FIRST_EVENT_SECONDS = 0.25
 DEFAULT_DEADLINE_SECONDS = 30.0
 MAX_INPUT_REMAKES = 2
+STAGE_FAILED = "stage_failed"
+_STAGE_CODES = {"late": "stage_late", "input_gone": "stage_input_gone"}
 
 
 class Front:
@@ -227,7 +229,7 @@
         except StageError as exc:
             raise RefusedError(
                 str(exc),
-                code=f"stage_{exc.code}",
+                code=_STAGE_CODES.get(exc.code, STAGE_FAILED),
                 status=502 if ctx.sent else 503,
                 retry_after_s=STAGE_RETRY_SECONDS,
             ) from exc
--- a/camphorrun/gateway/stage_runner.py
+++ b/camphorrun/gateway/stage_runner.py
@@ -124,10 +124,7 @@
     ) -> StageResults:
         """Return the results that a request needs.
 
-        Parameters
-        ----------
-        final_s : float
-            Predicted need of the request itself after its stages.
+        ``final_s`` is the predicted need of the request itself after its stages.
 
         Raises
         ------
--- /dev/null
+++ b/camphorrun/gateway/tests/test_requests.py
@@ -0,0 +1,274 @@
+"""Tests of requests from caller to replica and back."""
+
+import asyncio
+
+import pytest
+
+from ...http1 import HttpError
+from .world import configuration, events, play, route
+
+
+class TestAnswers:
+    """Whole answers, unchanged."""
+
+    def test_answer_is_the_replicas(self):
+        """Guards against a changed body or a lost stamp."""
+
+        async def scenario(world):
+            answer = await world.ask("/safe/x?y=1", method="GET")
+            assert answer.status == 200
+            assert answer.body == b"answer /safe/x?y=1"
+            assert answer.headers["x-replica-stamp"] == world.replicas[0].identifier
+            run = world.replicas[0].runs[0]
+            assert run.headers.get("x-tenant") == "acc"
+            assert "api-key" not in run.headers
+            assert run.headers.get("x-expect-replica") == world.replicas[0].identifier
+
+        play(scenario)
+
+    def test_connection_serves_many_requests(self):
+        """Guards against kept connections that break after an answer."""
+
+        async def scenario(world):
+            conn = await world.connect()
+            for number in range(5):
+                answer = await world.ask(f"/safe/{number}", conn=conn)
+                assert answer.body == b"answer /safe/%d" % number
+            conn.abort()
+
+        play(scenario)
+
+    def test_large_answer_cut_by_the_replica_is_not_complete(self):
+        """Guards against a part of an answer that looks whole."""
+
+        async def scenario(world):
+            world.replicas[0].script.answer = "truncated"
+            answer = await world.ask("/unsafe/x")
+            assert answer.status == 502
+            assert "x-replica-stamp" not in answer.headers
+
+        play(scenario)
+
+
+class TestUnsafe:
+    """Requests that run once at most."""
+
+    @pytest.mark.parametrize("fault", ["reset", "truncated", "foreign"])
+    def test_unknown_outcome_is_said_and_never_repeated(self, fault):
+        """Guards against a second charge, and against a false promise."""
+
+        async def scenario(world):
+            for replica in world.replicas:
+                replica.script.answer = fault
+            answer = await world.ask("/unsafe/x")
+            assert answer.status == 502
+            assert sum(len(replica.runs) for replica in world.replicas) == 1
+
+        play(scenario, plain=3)
+
+    def test_request_that_was_not_run_goes_to_another_replica(self):
+        """Guards against a refusal while another replica is free."""
+
+        async def scenario(world):
+            world.replicas[0].script.answer = "full"
+            world.replicas[1].script.answer = "misdirected"
+            for _ in range(4):
+                assert (await world.ask("/unsafe/x")).status == 200
+            assert len(world.replicas[2].runs) == 4
+
+        play(scenario, plain=3)
+
+    def test_refusal_where_nothing_ran(self):
+        """Guards against a promise that does not say when to come back."""
+
+        async def scenario(world):
+            world.replicas[0].script.answer = "full"
+            answer = await world.ask("/unsafe/x")
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0
+
+        play(scenario)
+
+    def test_silent_replica_ends_with_the_route_timeout(self):
+        """Guards against a promise about a request that may still run."""
+
+        async def scenario(world):
+            world.store.put(
+                "keyed.op",
+                "config",
+                configuration(
+                    2,
+                    Routes=[route("u", "/unsafe/", "unsafe", "plain", TimeoutMs=300)],
+                ),
+            )
+            daemon = world.daemons[0]
+            await world.until(lambda: daemon.state.deployment.version == 2)
+            world.replicas[0].script.answer = "mute"
+            answer = await world.ask("/unsafe/x")
+            assert answer.status == 504
+            await world.until(lambda: world.replicas[0].cancelled == 1)
+
+        play(scenario)
+
+
+class TestSafe:
+    """Requests that may be repeated."""
+
+    @pytest.mark.parametrize("fault", ["reset", "truncated", "foreign", "error"])
+    def test_failed_attempt_is_repeated_elsewhere(self, fault):
+        """Guards against a failure that another replica could answer."""
+
+        async def scenario(world):
+            world.replicas[0].script.answer = fault
+            for _ in range(4):
+                assert (await world.ask("/safe/x")).status == 200
+
+        play(scenario, plain=2)
+
+    def test_attempts_are_bounded(self):
+        """Guards against more replicas than the route allows."""
+
+        async def scenario(world):
+            for replica in world.replicas:
+                replica.script.answer = "reset"
+            assert (await world.ask("/safe/x")).status == 502
+            assert sum(len(replica.runs) for replica in world.replicas) == 2
+
+        play(scenario, plain=4)
+
+    def test_silent_replica_is_left_for_another_one(self):
+        """Guards against an idempotent request that waits for a dead replica."""
+
+        async def scenario(world):
+            world.replicas[0].script.answer = "mute"
+            for _ in range(3):
+                assert (await world.ask("/safe/x")).status == 200
+
+        play(scenario, plain=2)
+
+
+class TestRefusals:
+    """Requests that the configuration does not allow."""
+
+    def test_unknown_route_and_key(self):
+        """Guards against requests on routes that are not there."""
+
+        async def scenario(world):
+            assert (await world.ask("/none/x")).status == 404
+            assert (await world.ask("/safe/x", "Api-Key: other")).status == 401
+            assert world.replicas[0].runs == []
+
+        play(scenario)
+
+    def test_nothing_known_is_never_404_or_401(self):
+        """Guards against a final refusal by a gateway that knows nothing yet."""
+
+        async def scenario(world):
+            world.store.fault = "busy"
+            world.add_gateway("late")
+            await world.until(lambda: world.daemons[1].lifecycle.accepts_work)
+            assert (await world.ask("/safe/x", gateway=1)).status == 503
+            assert await world.ready(1) == 503
+            assert await world.ready(0) == 200
+
+        play(scenario)
+
+    def test_service_without_replica(self):
+        """Guards against a request that waits although nothing can serve it."""
+
+        async def scenario(world):
+            answer = await world.ask("/safe/x")
+            assert answer.status == 503
+
+        play(scenario, plain=0)
+
+
+class TestLeaving:
+    """Callers that leave."""
+
+    def test_replica_learns_that_the_caller_has_left(self):
+        """Guards against replicas that work for callers that have gone."""
+
+        async def scenario(world):
+            world.replicas[0].script.answer = "mute"
+            conn = await world.connect()
+            task = asyncio.ensure_future(conn.request(world.encode("/unsafe/x")))
+            await world.until(lambda: world.replicas[0].runs)
+            conn.abort()
+            await world.until(lambda: world.replicas[0].cancelled == 1, 0.5)
+            with pytest.raises(HttpError):
+                await task
+
+        play(scenario)
+
+
+class TestStreams:
+    """Streams of events."""
+
+    def test_events_arrive_in_order_and_whole(self):
+        """Guards against lost or doubled events."""
+
+        async def scenario(world):
+            answer = await world.ask("/stream/x", "X-Model: m")
+            assert answer.body == events(1, 2, 3, 4, 5)
+
+        play(scenario)
+
+    def test_events_are_passed_on_as_they_arrive(self):
+        """Guards against events that wait for the end of the stream."""
+
+        async def scenario(world):
+            world.replicas[0].script.event_gap_s = 0.1
+            conn = await world.connect()
+            await conn.request(world.encode("/stream/x", "X-Model: m"))
+            assert await conn.read() == events(1)
+            conn.abort()
+
+        play(scenario)
+
+    def test_cut_stream_is_not_complete_and_not_repeated(self):
+        """Guards against a stream that ends early and looks whole."""
+
+        async def scenario(world):
+            for replica in world.replicas:
+                replica.script.cut_after = 2
+            conn = await world.connect()
+            await conn.request(world.encode("/stream/x", "X-Model: m"))
+            with pytest.raises(HttpError):
+                await conn.read_all(10_000)
+            conn.abort()
+            assert sum(len(replica.runs) for replica in world.replicas) == 1
+
+        play(scenario, plain=2)
+
+    def test_resumable_stream_goes_on_at_the_next_event(self):
+        """Guards against missing or doubled events after a replica was lost."""
+
+        async def scenario(world):
+            for replica in world.replicas:
+                replica.script.cut_after = 3
+            answer = await world.ask("/resume/x", "X-Model: m")
+            assert answer.body == events(1, 2, 3, 4, 5)
+            runs = [run for replica in world.replicas for run in replica.runs]
+            resumed = sorted(run.headers.get("last-event-id") for run in runs)
+            assert resumed == ["", "3"]
+
+        play(scenario, plain=2)
+
+    def test_caller_resumes(self):
+        """Guards against events that the caller has already."""
+
+        async def scenario(world):
+            answer = await world.ask("/resume/x", "X-Model: m", "Last-Event-Id: 3")
+            assert answer.body == events(4, 5)
+
+        play(scenario)
+
+    def test_lost_before_its_first_event(self):
+        """Guards against an empty answer that looks complete."""
+
+        async def scenario(world):
+            world.replicas[0].script.cut_after = 0
+            assert (await world.ask("/stream/x", "X-Model: m")).status == 502
+
+        play(scenario)
--- /dev/null
+++ b/camphorrun/gateway/tests/world.py
@@ -0,0 +1,219 @@
+"""A small deployment on loopback: store, replicas and gateways in one loop."""
+
+import asyncio
+import socket
+from dataclasses import dataclass, field
+
+from ...core import EventLog, LoopTimerService
+from ...http1 import ClientConnection, connect
+from ...settings import GatewayHostSettings, GatewaySettings, StoreSettings
+from ...standins.platform_replica import PlatformReplica
+from ...standins.platform_store import PlatformStore
+from .. import GatewayDaemon
+
+HOST = "a.example"
+KEY = "key-1"
+READY_SECONDS = 5.0
+
+
+def route(name: str, prefix: str, kind: str, service: str, **fields) -> dict:
+    return {
+        "Name": name,
+        "Host": HOST,
+        "PathPrefix": prefix,
+        "RouteType": kind,
+        "TimeoutMs": 3000,
+        "TargetLatencyMs": 500,
+        "Priority": 1,
+        "Service": service,
+        "MaxAttempts": 2,
+        "Stages": [],
+        "Public": False,
+        "Sticky": kind == "streaming",
+        "Resumable": False,
+        "GapTargetMs": 300,
+        **fields,
+    }
+
+
+STAGE = {
+    "Slots": 1,
+    "Queue": 2,
+    "Batch": 4,
+    "CallMs": 10.0,
+    "ItemMs": 1.0,
+    "HeadroomMb": 1.0,
+    "HandleS": 4.0,
+}
+STAGES = [
+    {"Service": "stage", "After": [], "PayloadBytes": 1000},
+    {"Service": "stage", "After": [0], "PayloadBytes": 1000},
+]
+
+
+def configuration(version: int = 1, **changes) -> dict:
+    return {
+        "Version": version,
+        "Routes": [
+            route("safe", "/safe/", "safe", "plain"),
+            route("unsafe", "/unsafe/", "unsafe", "plain", MaxAttempts=1),
+            route("stream", "/stream/", "streaming", "plain", MaxAttempts=1),
+            route("resume", "/resume/", "streaming", "plain", Resumable=True),
+            route("staged", "/staged/", "streaming", "plain", Stages=STAGES),
+        ],
+        "Services": [
+            {"Name": "plain", "MaxConns": 50},
+            {"Name": "stage", "MaxConns": 50, "Pieces": STAGE},
+        ],
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 100000,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        },
+        "Tenants": [{"Name": "acc", "ApiKeys": [KEY], "Priority": 1}],
+        **changes,
+    }
+
+
+@dataclass
+class Answer:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class World:
+    """Parts of the deployment; use as an asynchronous context manager."""
+
+    plain: int = 1
+    stage: int = 0
+    gateways: int = 1
+    timers: LoopTimerService = field(default_factory=LoopTimerService)
+
+    async def __aenter__(self) -> "World":
+        self.store = PlatformStore(self.timers)
+        await self.store.start()
+        self.replicas: list[PlatformReplica] = []
+        self.stage_replicas: list[PlatformReplica] = []
+        self.daemons: list[GatewayDaemon] = []
+        self.tasks: list[asyncio.Task] = []
+        self.ids = 0
+        self.store.put("keyed.op", "config", configuration())
+        for _ in range(self.plain):
+            self.replicas.append(await self.add_replica("plain"))
+        for _ in range(self.stage):
+            self.stage_replicas.append(await self.add_replica("stage"))
+        for number in range(self.gateways):
+            self.add_gateway(f"g{number}")
+        for daemon in self.daemons:
+            await self.until(lambda daemon=daemon: daemon.state.ready)
+        await self.until(
+            lambda: all(len(d.state.members) == self.gateways for d in self.daemons)
+        )
+        return self
+
+    async def __aexit__(self, *exc) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for replica in self.replicas + self.stage_replicas:
+            replica.close()
+        self.store.close()
+
+    async def add_replica(self, service: str, **fields) -> PlatformReplica:
+        self.ids += 1
+        replica = PlatformReplica(f"i-{service}-{self.ids}", self.timers)
+        await replica.start()
+        entry = replica.registration(service, **fields)
+        self.store.put("keyed.servers", replica.identifier, entry)
+        return replica
+
+    def add_gateway(self, name: str, seeds: tuple[str, ...] = ()) -> GatewayDaemon:
+        settings = GatewaySettings(
+            GatewayHostSettings(name, "127.0.0.1", "z1", *_free_addresses(4)),
+            StoreSettings(self.store.address, 1.0),
+            seeds,
+        )
+        events = EventLog(name, self.timers, None)
+        daemon = GatewayDaemon(settings, self.timers, events)
+        self.daemons.append(daemon)
+        self.tasks.append(asyncio.ensure_future(daemon.run()))
+        return daemon
+
+    async def until(self, condition, seconds: float = READY_SECONDS) -> None:
+        async with asyncio.timeout(seconds):
+            while not _holds(condition):
+                await asyncio.sleep(0.01)
+
+    async def connect(self, gateway: int = 0) -> ClientConnection:
+        host, _, port = self.daemons[gateway].settings.host.callers.rpartition(":")
+        return await connect(host, int(port), self.timers, 1.0)
+
+    def encode(self, path: str, *lines: str, method: str = "POST") -> bytes:
+        self.ids += 1
+        head = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {HOST}",
+            f"X-Attempt-Id: a{self.ids}",
+            "X-Deadline-Ms: 2500",
+        ]
+        if not any(line.startswith("Api-Key") for line in lines):
+            head.append(f"Api-Key: {KEY}")
+        return "\r\n".join([*head, *lines, "", ""]).encode()
+
+    async def ask(
+        self, path: str, *lines: str, gateway: int = 0, conn=None, method: str = "POST"
+    ) -> Answer:
+        own = conn is None
+        conn = conn or await self.connect(gateway)
+        try:
+            head = await conn.request(self.encode(path, *lines, method=method))
+            body = await conn.read_all(1_000_000)
+        finally:
+            if own:
+                conn.abort()
+        fields = {k.decode().lower(): v.decode() for k, v in head.headers}
+        return Answer(head.status, fields, body)
+
+    async def ready(self, gateway: int = 0) -> int:
+        host, _, port = self.daemons[gateway].settings.host.readiness.rpartition(":")
+        conn = await connect(host, int(port), self.timers, 1.0)
+        head = await conn.request(b"GET /readyz HTTP/1.1\r\n\r\n")
+        conn.abort()
+        return head.status
+
+
+def events(*numbers: int) -> bytes:
+    """Return the bytes of events as replicas send them."""
+    return b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in numbers)
+
+
+def play(scenario, **parts) -> None:
+    """Run a scenario in a new world."""
+
+    async def run():
+        async with World(**parts) as world:
+            await asyncio.wait_for(scenario(world), 20)
+
+    asyncio.run(run())
+
+
+def _holds(condition) -> bool:
+    try:
+        return bool(condition())
+    except AttributeError:
+        return False
+
+
+def _free_addresses(count: int) -> list[str]:
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    found = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return found
--- /dev/null
+++ b/camphorrun/http1/tests/test_server.py
@@ -0,0 +1,189 @@
+"""Tests of server connections, byte by byte on loopback."""
+
+import asyncio
+
+import pytest
+
+from ...core import LoopTimerService
+from .. import Headers, HttpServer, ServerLimits, ServerRequest, ServerResponder
+
+
+class Served:
+    """A server that echoes the body, and what it was asked for."""
+
+    def __init__(self, limits: ServerLimits | None = None):
+        self.requests: list[ServerRequest] = []
+        self.cancelled = 0
+        self.statuses: list[int] = []
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.server = HttpServer(
+            self.handle, LoopTimerService(), limits, self.statuses.append
+        )
+
+    async def handle(self, req: ServerRequest, responder: ServerResponder) -> None:
+        self.requests.append(req)
+        try:
+            await self.gate.wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        responder.respond(200, Headers(), req.body)
+
+    async def exchange(self, data: bytes, *, until: int = 1) -> bytes:
+        """Send bytes and return what comes until the end or ``until`` responses."""
+        port = await self.server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(data)
+        received = b""
+        try:
+            async with asyncio.timeout(2):
+                while received.count(b"HTTP/1.1 ") < until or not received:
+                    part = await reader.read(65536)
+                    if not part:
+                        break
+                    received += part
+        finally:
+            writer.close()
+            self.server.close()
+        return received
+
+
+def run(data: bytes, limits: ServerLimits | None = None, until: int = 1):
+    async def scenario():
+        served = Served(limits)
+        return served, await served.exchange(data, until=until)
+
+    return asyncio.run(scenario())
+
+
+class TestRequests:
+    """Requests that are well formed."""
+
+    def test_body_with_length(self):
+        """Guards against bodies that are cut or run together."""
+        served, received = run(b"POST /a?b=1 HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc")
+        assert received.endswith(b"abc")
+        assert served.requests[0].target == b"/a?b=1"
+
+    def test_chunked_body(self):
+        """Guards against chunk framing that reaches the replica as body."""
+        data = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        served, _ = run(data + b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
+        assert served.requests[0].body == b"abc"
+
+    def test_pipelined_requests_are_answered_in_order(self):
+        """Guards against answers that belong to another request."""
+        one = b"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n"
+        _, received = run(one + b"1" + one + b"2", until=2)
+        first, _, second = received.partition(b"\r\n\r\n")[2].partition(b"HTTP/1.1")
+        assert first == b"1"
+        assert second.endswith(b"2")
+
+    def test_expect_continue(self):
+        """Guards against callers that wait before they send a long body."""
+        data = b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n"
+        _, received = run(data)
+        assert received.startswith(b"HTTP/1.1 100")
+
+
+class TestRefusals:
+    """Bytes that are no request, or one that could be read in two ways."""
+
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+            b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+            b"Transfer-Encoding: xchunked\r\n",
+            b"Content-Length: 3\r\nContent-Length: 4\r\n",
+            b"Content-Length: +3\r\n",
+            b"Bad Name: x\r\n",
+            b"X: a\r\n folded\r\nContent-Length : 3\r\n",
+        ],
+    )
+    def test_ambiguous_framing_is_refused(self, head):
+        """Guards against a request that is smuggled inside another one."""
+        inner = b"0\r\n\r\nGET /inner HTTP/1.1\r\n\r\n"
+        served, received = run(b"POST / HTTP/1.1\r\n" + head + b"\r\n" + inner)
+        assert received.startswith(b"HTTP/1.1 400")
+        assert served.requests == []
+        assert served.statuses == [400]
+
+    def test_garbage(self):
+        """Guards against an answer other than 400 to bytes that are no HTTP."""
+        _, received = run(b"\x00\x01\x02\r\n\r\n")
+        assert received.startswith(b"HTTP/1.1 400")
+
+    def test_large_head(self):
+        """Guards against heads that fill the memory."""
+        limits = ServerLimits(header_bytes=200)
+        _, received = run(b"GET / HTTP/1.1\r\nX: " + b"a" * 300 + b"\r\n\r\n", limits)
+        assert received.startswith(b"HTTP/1.1 431")
+
+    def test_large_head_without_end(self):
+        """Guards against a head that never ends."""
+        limits = ServerLimits(header_bytes=200)
+        _, received = run(b"GET / HTTP/1.1\r\nX: " + b"a" * 300, limits)
+        assert received.startswith(b"HTTP/1.1 431")
+
+    def test_large_body(self):
+        """Guards against bodies that fill the memory."""
+        limits = ServerLimits(body_bytes=2)
+        _, received = run(b"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", limits)
+        assert received.startswith(b"HTTP/1.1 413")
+
+    def test_head_that_does_not_come(self):
+        """Guards against callers that hold connections with half a head."""
+        limits = ServerLimits(header_timeout_s=0.1)
+        _, received = run(b"GET / HTTP/1.1\r\n", limits)
+        assert received.startswith(b"HTTP/1.1 408")
+
+
+class TestLeaving:
+    """Callers that leave, and the end of the server."""
+
+    def test_handler_is_cancelled_when_the_caller_leaves(self):
+        """Guards against work for callers that have gone."""
+
+        async def scenario():
+            served = Served()
+            served.gate.clear()
+            port = await served.server.start("127.0.0.1", 0)
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET / HTTP/1.1\r\n\r\n")
+            while not served.requests:
+                await asyncio.sleep(0.01)
+            writer.close()
+            while not served.cancelled:
+                await asyncio.sleep(0.01)
+            served.server.close()
+
+        asyncio.run(asyncio.wait_for(scenario(), 2))
+
+    def test_closing_server_says_so(self):
+        """Guards against callers that send on a connection about to be closed."""
+
+        async def scenario():
+            served = Served()
+            served.server.closing = True
+            return await served.exchange(b"GET / HTTP/1.1\r\n\r\n")
+
+        assert b"Connection: close" in asyncio.run(scenario())
+
+    def test_failed_handler_closes_without_a_complete_answer(self):
+        """Guards against a broken answer that looks complete."""
+
+        async def scenario():
+            served = Served()
+
+            async def fail(req, responder):
+                responder.start(200, Headers(), None)
+                await responder.write(b"part")
+                raise RuntimeError("broken")
+
+            served.server.handler = fail
+            return await served.exchange(b"GET / HTTP/1.1\r\n\r\n", until=2)
+
+        received = asyncio.run(scenario())
+        assert b"0\r\n\r\n" not in received
--- /dev/null
+++ b/camphorrun/pipeline/tests/test_batches.py
@@ -0,0 +1,165 @@
+"""Tests of batches, replaying the loads that they answer."""
+
+from collections import deque
+
+from ...catalog import StageCapacity
+from .. import BatchQueue, PieceGroup, SpaceLedger
+
+CAPACITY = StageCapacity(1, 2, 10, 0.2, 0.02, 1000, 4.0)
+
+
+def group(name: str, pieces: int = 4, **fields) -> PieceGroup:
+    defaults = {
+        "stage": 0,
+        "key": "k",
+        "inputs": None,
+        "result_bytes": 10,
+        "priority": 1,
+        "objective_at": 2.0,
+        "deadline_at": 8.0,
+        "downstream_s": 0.0,
+        "arrived_at": 0.0,
+    }
+    return PieceGroup(name, **{**defaults, **fields}, waiting=deque(range(pieces)))
+
+
+def names(batch) -> list[str]:
+    return [piece_group.request_id for piece_group, _ in batch]
+
+
+class TestOrder:
+    """Which requests get the next call."""
+
+    def test_earliest_latest_start_first(self):
+        """Guards against a long chain that waits behind a short one."""
+        queue = BatchQueue(CAPACITY)
+        queue.add(group("short", 10))
+        queue.add(group("long", 10, downstream_s=1.0))
+        assert set(names(queue.next_batch(1000, 3, 0.0))) == {"long"}
+
+    def test_late_requests_come_last(self):
+        """Guards against a burst whose late requests make all others late too."""
+        queue = BatchQueue(CAPACITY)
+        queue.add(group("late", 10, objective_at=0.1))
+        queue.add(group("in_time", 10))
+        assert set(names(queue.next_batch(1000, 3, 0.0))) == {"in_time"}
+
+    def test_urgent_first_while_the_backlog_is_long(self):
+        """Guards against urgent requests that share the losses of a burst."""
+        queue = BatchQueue(CAPACITY)
+        for number in range(4):
+            queue.add(group(f"normal{number}", 10, objective_at=1.5))
+        queue.add(group("urgent", 10, priority=0))
+        assert set(names(queue.next_batch(1000, 1, 0.0))) == {"urgent"}
+
+    def test_priority_is_ignored_while_calls_keep_up(self):
+        """Guards against less urgent requests that are late without need."""
+        queue = BatchQueue(CAPACITY)
+        queue.add(group("normal", 5, objective_at=1.0))
+        queue.add(group("urgent", 5, priority=0))
+        assert names(queue.next_batch(1000, 3, 0.0))[0] == "normal"
+
+    def test_expired_requests_are_returned(self):
+        """Guards against requests that wait although their caller has left."""
+        queue = BatchQueue(CAPACITY)
+        waiting = group("r", deadline_at=1.0)
+        queue.add(waiting)
+        assert queue.expire(0.5) == []
+        assert queue.expire(0.9) == [waiting]
+        assert len(queue) == 0
+
+
+class TestSpace:
+    """Batches within the space of a replica."""
+
+    def test_small_results_fill_a_call_that_has_no_space_for_large_ones(self):
+        """Guards against a call with one large piece while small ones wait."""
+        queue = BatchQueue(CAPACITY)
+        queue.add(group("large", 4, result_bytes=400, downstream_s=1.0))
+        queue.add(group("small", 4))
+        assert names(queue.next_batch(900, 3, 0.0)).count("large") == 2
+        assert len(queue) == 2
+
+    def test_call_below_the_least_size_is_not_taken(self):
+        """Guards against 200 ms calls with a single piece while space comes free."""
+        queue = BatchQueue(CAPACITY)
+        queue.add(group("r", 6, result_bytes=100))
+        assert queue.next_batch(100, 3, 0.0, least=4) == []
+        assert len(queue) == 6
+        assert len(queue.next_batch(600, 3, 0.0, least=4)) == 6
+
+    def test_ledger_counts_reservations_and_results(self):
+        """Guards against calls whose pieces all come back without space."""
+        ledger = SpaceLedger(1000, 4.0)
+        ledger.reserve(1, 600)
+        assert ledger.free_bytes(0.0) == 400
+        ledger.settle(1, [("h", 500)], 0.0)
+        assert ledger.free_bytes(0.0) == 500
+        assert ledger.release("h")
+        assert ledger.free_bytes(0.0) == 1000
+
+    def test_results_expire(self):
+        """Guards against space that is never used again after a lost release."""
+        ledger = SpaceLedger(1000, 4.0)
+        ledger.settle(1, [("h", 500)], 0.0)
+        assert ledger.free_bytes(4.1) == 1000
+
+    def test_full_replica_is_left_alone(self):
+        """Guards against calls to a replica that has less space than is known here."""
+        ledger = SpaceLedger(1000, 4.0)
+        ledger.on_full(0.0, 0.1)
+        assert ledger.free_bytes(0.05) == 0
+        assert ledger.free_bytes(0.15) == 1000
+
+
+class TestExpectedWait:
+    """What the owner tells about the wait."""
+
+    def test_grows_with_the_oldest_waiting_request(self):
+        """Guards against a forecast that lags behind a growing queue."""
+        queue = BatchQueue(CAPACITY)
+        queue.add(group("r", 10))
+        assert queue.expected_wait_s(10, 0.7) == 0.7
+
+    def test_falls_after_the_last_wait(self):
+        """Guards against refusals for a backlog that has gone."""
+        queue = BatchQueue(CAPACITY)
+        queue.add(group("r", 4))
+        queue.next_batch(1000, 3, 0.5)
+        assert queue.expected_wait_s(10, 0.5) == 0.5
+        assert queue.expected_wait_s(10, 2.0) <= 0
+
+
+class TestBurst:
+    """A burst of 2.4 times the capacity, with and without the order."""
+
+    @staticmethod
+    def _served_in_time(order_by_arrival: bool) -> int:
+        """Play 4 s of one group of 5 pieces each 40 ms at one replica."""
+        queue = BatchQueue(CAPACITY)
+        waiting = [
+            group(f"r{i}", 5, arrived_at=i * 0.04, objective_at=i * 0.04 + 1.5)
+            for i in range(100)
+        ]
+        now = 0.0
+        left = {g.request_id: 5 for g in waiting}
+        in_time = 0
+        while now < 8.0:
+            while waiting and waiting[0].arrived_at <= now:
+                queue.add(waiting.pop(0))
+            if order_by_arrival:
+                pending = sorted(queue._groups, key=lambda g: g.arrived_at)
+                queue._ordered = lambda replicas, now, pending=pending: pending
+            batch = queue.next_batch(10_000, 1, now)
+            now += CAPACITY.call_time_s(len(batch)) if batch else 0.04
+            for piece_group, _ in batch:
+                left[piece_group.request_id] -= 1
+                done = left[piece_group.request_id] == 0
+                in_time += done and now <= piece_group.objective_at
+        return in_time
+
+    def test_more_in_time_than_in_order_of_arrival(self):
+        """Guards against an order that spends all calls on late requests."""
+        by_arrival = self._served_in_time(order_by_arrival=True)
+        chosen = self._served_in_time(order_by_arrival=False)
+        assert chosen > by_arrival * 1.5
--- a/camphorrun/platform/exchange.py
+++ b/camphorrun/platform/exchange.py
@@ -130,7 +130,6 @@
 def encode_request(
     caller: CallerRequest,
     *,
-    address_host: str,
     replica: str,
     account: str,
     deadline_s: float,
--- /dev/null
+++ b/camphorrun/platform/tests/test_decoding.py
@@ -0,0 +1,325 @@
+"""Tests of what the adapter decodes and encodes."""
+
+import contextlib
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ...catalog import ReplicaState, RouteKind
+from ...http1 import Headers, ResponseHead, ServerRequest
+from .. import (
+    DecodeError,
+    StageFault,
+    StageItem,
+    decode_caller_request,
+    decode_deployment,
+    decode_replica,
+    decode_stage_reply,
+    encode_request,
+    encode_stage_call,
+    event_id,
+    relay_headers,
+    reply_facts,
+)
+
+CONFIGURATION = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r1",
+            "Host": "A.example",
+            "PathPrefix": "/p/",
+            "RouteType": "streaming",
+            "TimeoutMs": 8000,
+            "TargetLatencyMs": 2000,
+            "Priority": 1,
+            "Split": [{"Service": "s1", "Weight": 90}, {"Service": "s2", "Weight": 10}],
+            "MaxAttempts": 2,
+            "Stages": [
+                {"Service": "s3", "After": [], "PayloadBytes": 1500000},
+                {"Service": "s3", "After": [0], "PayloadBytes": 6000},
+            ],
+            "Public": False,
+            "Sticky": True,
+            "Resumable": True,
+            "GapTargetMs": 400,
+            "NewField": {"x": 1},
+        }
+    ],
+    "Services": [
+        {
+            "Name": "s3",
+            "HealthPath": "/h",
+            "MaxConns": 5,
+            "Pieces": {
+                "Slots": 1,
+                "Queue": 2,
+                "Batch": 7,
+                "CallMs": 200.0,
+                "ItemMs": 24.0,
+                "HeadroomMb": 15.75,
+                "HandleS": 4.0,
+            },
+        }
+    ],
+    "Limits": {
+        "MaxHeaderBytes": 100,
+        "MaxBodyBytes": 200,
+        "HeaderTimeoutMs": 3000,
+        "IdleTimeoutMs": 15000,
+    },
+    "Tenants": [{"Name": "t", "ApiKeys": ["k1", "k2"], "Priority": 2}],
+}
+UNKNOWN_KIND = CONFIGURATION["Routes"][0] | {"RouteType": "?"}
+REGISTRATION = {
+    "Service": "s1",
+    "Address": "10.0.0.1:80",
+    "Zone": "a",
+    "Version": "v1",
+    "Slots": 4,
+    "State": "ready",
+    "ColdRemainingMs": 500,
+    "Sequence": 1,
+    "born": 1700,
+}
+
+
+def caller(fields: list[tuple[bytes, bytes]] = (), body: bytes = b"", **changes):
+    headers = [(b"Host", b"a.example"), (b"X-Attempt-Id", b"id1"), *fields]
+    values = {"method": "POST", "target": b"/p/x?q=%41"} | changes
+    return decode_caller_request(
+        ServerRequest(
+            values["method"], values["target"], Headers(headers), body, True, 0.0, 0.0
+        )
+    )
+
+
+def encoded(request, **changes) -> tuple[bytes, Headers, bytes]:
+    fields = {
+        "replica": "i-1",
+        "account": "t",
+        "deadline_s": 1.5,
+        "priority": None,
+        "inputs": None,
+        "resume_after": "",
+    } | changes
+    data = encode_request(request, **fields)
+    head, _, body = data.partition(b"\r\n\r\n")
+    line, *rows = head.split(b"\r\n")
+    pairs = [tuple(row.split(b": ", 1)) for row in rows]
+    return line, Headers(pairs), body
+
+
+class TestConfiguration:
+    """The operator's configuration in the product's terms."""
+
+    def test_routes(self):
+        """Guards against a field that is read under the wrong name."""
+        deployment = decode_deployment(msgspec.json.encode(CONFIGURATION))
+        route = deployment.route("a.example", "/p/x")
+        assert route.kind is RouteKind.STREAM
+        assert (route.timeout_s, route.objective_s) == (8, 2)
+        assert route.gap_objective_s == 0.4
+        assert route.services == (("s1", 90), ("s2", 10))
+        assert route.stages[1].after == (0,)
+        assert route.resumable and route.uses_engine
+
+    def test_stage_capacity(self):
+        """Guards against units that are off by a thousand."""
+        capacity = decode_deployment(msgspec.json.encode(CONFIGURATION)).services["s3"]
+        assert capacity.stage.result_bytes == 15_750_000
+        assert capacity.stage.call_time_s(7) == pytest.approx(0.368)
+
+    def test_accounts_by_key(self):
+        """Guards against keys of a client account that are not known."""
+        deployment = decode_deployment(msgspec.json.encode(CONFIGURATION))
+        assert deployment.accounts["k2"].name == "t"
+        assert deployment.accounts["k2"].priority == 2
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"",
+            b"{}",
+            b"[1]",
+            b'{"Version":"x"}',
+            b"\xff\xfe",
+            msgspec.json.encode({"Version": 1, "Routes": [UNKNOWN_KIND]}),
+        ],
+    )
+    def test_unreadable_configuration(self, data):
+        """Guards against a configuration that ends the process."""
+        with pytest.raises(DecodeError):
+            decode_deployment(data)
+
+
+class TestRegistration:
+    """Entries of replicas, and of other writers."""
+
+    def test_replica(self):
+        """Guards against a replica that is used at the wrong address."""
+        replica = decode_replica("i-1", msgspec.json.encode(REGISTRATION))
+        assert (replica.host, replica.port) == ("10.0.0.1", 80)
+        assert replica.state is ReplicaState.READY
+        assert replica.boot == ("i-1", 1700)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"State": "resting"},
+            {"Address": "nowhere"},
+            {"Address": 5},
+            {"Service": ""},
+            {"Slots": "4"},
+            {"Zone": None},
+            {"born": 1.5},
+        ],
+    )
+    def test_foreign_entry_names_no_replica(self, change):
+        """Guards against work that is sent to an entry of another writer."""
+        with pytest.raises(DecodeError):
+            decode_replica("i-1", msgspec.json.encode(REGISTRATION | change))
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes(self, data):
+        """Guards against bytes that end the process."""
+        with contextlib.suppress(DecodeError):
+            decode_replica("i-1", data)
+
+
+class TestRequests:
+    """What a replica gets."""
+
+    def test_method_target_body_and_id_stay(self):
+        """Guards against a request that is changed on the way."""
+        request = caller([(b"X-Other", b" v")], b"body")
+        line, headers, body = encoded(request)
+        assert line == b"POST /p/x?q=%41 HTTP/1.1"
+        assert (headers.get("x-attempt-id"), body) == ("id1", b"body")
+        assert headers.get("content-length") == "4"
+        assert headers.get("x-other") == "v"
+
+    @pytest.mark.parametrize(
+        "name",
+        [
+            b"X-Tenant",
+            b"X-Hold",
+            b"X-Pin-Ms",
+            b"X-Kv-Backup",
+            b"Kv-From",
+            b"Kv-Fetch",
+            b"Api-Key",
+            b"X-Expect-Replica",
+            b"x-request-priority",
+            b"X-INPUTS",
+            b"Connection",
+            b"Transfer-Encoding",
+        ],
+    )
+    def test_fields_of_the_system_are_never_the_callers(self, name):
+        """Guards against callers that set what the system alone may set."""
+        request = caller([(name, b"forged")])
+        _, headers, _ = encoded(request, account="")
+        assert "forged" not in [value.decode() for _, value in headers]
+
+    def test_fields_named_in_connection_stay_behind(self):
+        """Guards against fields of one connection that reach a replica."""
+        request = caller([(b"Connection", b"X-Secret"), (b"X-Secret", b"1")])
+        assert "x-secret" not in encoded(request)[1]
+
+    def test_account_deadline_and_inputs(self):
+        """Guards against a replica that works longer than the caller waits."""
+        _, headers, _ = encoded(caller(), inputs=("h1", "h2"), resume_after="3")
+        assert headers.get_all("x-tenant") == ["t"]
+        assert headers.get("x-deadline-ms") == "1500"
+        assert headers.get("x-inputs") == "h1,h2"
+        assert headers.get("last-event-id") == "3"
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            [(b"X-Deadline-Ms", b"soon")],
+            [(b"X-Deadline-Ms", b"-5")],
+            [(b"X-Pieces", b"1,x")],
+            [(b"X-Pieces", b"-1")],
+            [(b"X-Prefix-Hash", b"abc")],
+            [(b"X-Attempt-Id", b"id2")],
+        ],
+    )
+    def test_malformed_fields(self, fields):
+        """Guards against requests that are guessed at."""
+        with pytest.raises(DecodeError) as caught:
+            caller(fields)
+        assert caught.value.code == "bad_request"
+
+
+class TestReplies:
+    """What a replica's answer says."""
+
+    @staticmethod
+    def facts(status: int, *fields: tuple[bytes, bytes]):
+        return reply_facts(ResponseHead(status, b"", Headers(fields)), caller())
+
+    def test_not_run_only_by_the_replicas_own_word(self):
+        """Guards against a 503 that is taken for a promise."""
+        assert not self.facts(503).not_run
+        assert self.facts(503, (b"X-Not-Executed", b"1")).not_run
+        assert self.facts(421).misdirected
+
+    def test_foreign_answer(self):
+        """Guards against an answer that belongs to another request."""
+        assert not self.facts(200, (b"X-Attempt-Id", b"other")).own
+        assert self.facts(200, (b"X-Attempt-Id", b"id1")).own
+
+    def test_relayed_fields(self):
+        """Guards against a lost stamp and against framing of the other side."""
+        head = ResponseHead(
+            200,
+            b"",
+            Headers(
+                [
+                    (b"X-Replica-Stamp", b"s"),
+                    (b"Content-Length", b"3"),
+                    (b"Keep-Alive", b"timeout=4"),
+                ]
+            ),
+        )
+        assert relay_headers(head).fields == [(b"X-Replica-Stamp", b"s")]
+
+    def test_event_id(self):
+        """Guards against a stream that resumes at the wrong event."""
+        assert event_id(b"x-weight-versions: 1\nid: 12\ndata: id: 9\n\n") == "12"
+        assert event_id(b"data: x\n\n") == ""
+
+
+class TestStageCalls:
+    """Calls of stage replicas."""
+
+    def test_first_stage_has_a_key_and_later_ones_inputs(self):
+        """Guards against a piece that is made from nothing."""
+        items = [
+            StageItem("a", 0, 2, 0.9, "key", None),
+            StageItem("b", 1, 0, 0.9, "key", ("h",)),
+        ]
+        data = encode_stage_call("10.0.0.1:80", "i-1", items)
+        sent = msgspec.json.decode(data.partition(b"\r\n\r\n")[2])["Items"]
+        assert (sent[0]["Id"], sent[0]["Piece"], sent[0]["LeftMs"]) == ("a", 2, 900)
+        assert sent[0]["Key"] == "key"
+        assert "Inputs" not in sent[0]
+        assert sent[1]["Inputs"] == ["h"]
+        assert "Key" not in sent[1]
+
+    def test_reply(self):
+        """Guards against a result that is given to another piece."""
+        body = b'{"Items":[{"Handle":"h"},{"Reason":"gone"},{"Reason":"new"}]}'
+        results = decode_stage_reply(body, 3)
+        assert results[0].handle == "h"
+        assert results[1].fault is StageFault.INPUT_GONE
+        assert results[2].fault is StageFault.FAILED
+
+    def test_reply_with_another_number_of_items(self):
+        """Guards against results that are matched by guess."""
+        with pytest.raises(DecodeError):
+            decode_stage_reply(b'{"Items":[{"Handle":"h"}]}', 2)
--- a/camphorrun/routing/affinity.py
+++ b/camphorrun/routing/affinity.py
@@ -1,10 +1,10 @@
 """Placement of prompts by shared prefix, place of inputs and load.
 
-Load pattern: many entries send prompts that share long parts, and a part that the chosen
-endpoint does not hold has to be read again; other requests bring inputs of megabytes,
-which are dear to move between availability zones. Rendezvous hashing lets all entries
-prefer the same endpoint for a prefix without an exchange; what was sent from here is
-known besides. All three costs are compared in prompt tokens.
+Load pattern: many entries send prompts that share long parts, and a part that the
+chosen endpoint does not hold has to be read again; other requests bring inputs of
+megabytes, which are dear to move between availability zones. Rendezvous hashing lets
+all entries prefer the same endpoint for a prefix without an exchange; what was sent
+from here is known besides. All three costs are compared in prompt tokens.
 """
 
 from collections import OrderedDict
--- /dev/null
+++ b/camphorrun/standins/platform_replica.py
@@ -0,0 +1,177 @@
+"""Stand-in of a replica on the users' platform, with faults that tests switch on."""
+
+import asyncio
+import itertools
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ..core import TimerService
+from ..http1 import Headers, HttpServer, ServerRequest, ServerResponder
+
+
+@dataclass(slots=True)
+class ReplicaRun:
+    """One request that the replica ran."""
+
+    attempt_id: str
+    target: bytes
+    headers: Headers
+    body: bytes
+
+
+@dataclass(slots=True)
+class ReplicaScript:
+    """How the replica behaves.
+
+    ``answer`` is ``ok``, ``full`` (503, not run), ``error`` (500), ``reset`` (runs and
+    closes without an answer), ``mute`` (runs and stays silent), ``truncated``,
+    ``foreign`` (an answer to another request) or ``misdirected`` (421).
+    """
+
+    answer: str = "ok"
+    events: int = 5
+    cut_after: int = -1
+    event_gap_s: float = 0.0
+    work_s: float = 0.0
+    stage_fault: str = ""
+    lost_handles: set[str] = field(default_factory=set)
+
+
+class PlatformReplica:
+    """Runs requests, streams and pieces of stages; keeps what it was asked for."""
+
+    def __init__(self, identifier: str, timers: TimerService):
+        self.identifier = identifier
+        self.script = ReplicaScript()
+        self.runs: list[ReplicaRun] = []
+        self.stage_calls: list[list[dict]] = []
+        self.released: list[str] = []
+        self.cancelled = 0
+        self.address = ""
+        self._timers = timers
+        self._handles = itertools.count()
+        self._server = HttpServer(self._handle, timers)
+
+    async def start(self) -> str:
+        """Listen on loopback and return ``ip:port``."""
+        port = await self._server.start("127.0.0.1", 0)
+        self.address = f"127.0.0.1:{port}"
+        return self.address
+
+    def close(self) -> None:
+        """Stop at once."""
+        self._server.close()
+
+    def registration(self, service: str, zone: str = "z1", **fields) -> dict:
+        """Return the entry that the replica writes to the store."""
+        return {
+            "Service": service,
+            "Address": self.address,
+            "Zone": zone,
+            "Version": "v1",
+            "Slots": 4,
+            "State": "ready",
+            "ColdRemainingMs": 0,
+            "Sequence": 1,
+            **fields,
+        }
+
+    async def _handle(self, req: ServerRequest, responder: ServerResponder) -> None:
+        if req.target == b"/stage-run":
+            await self._run_stage(req, responder)
+        elif req.target == b"/stage-free":
+            self.released.extend(msgspec.json.decode(req.body)["Handles"])
+            responder.respond(200, Headers())
+        else:
+            await self._run(req, responder)
+
+    # Requests
+
+    async def _run(self, req: ServerRequest, responder: ServerResponder) -> None:
+        script = self.script
+        attempt_id = req.headers.get("x-attempt-id")
+        if script.answer in ("full", "misdirected"):
+            status = 503 if script.answer == "full" else 421
+            not_run = Headers([(b"X-Not-Executed", b"1")])
+            responder.respond(status, not_run)
+            return
+        inputs = req.headers.get("x-inputs").split(",")
+        if script.lost_handles.intersection(inputs):
+            script.lost_handles.clear()
+            responder.respond(409, Headers([(b"X-Not-Executed", b"1")]))
+            return
+        run = ReplicaRun(attempt_id, req.target, req.headers, req.body)
+        self.runs.append(run)
+        try:
+            await self._timers.sleep(script.work_s)
+            if script.answer == "mute":
+                await asyncio.Event().wait()
+            await self._answer(req, responder, attempt_id)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+    async def _answer(
+        self, req: ServerRequest, responder: ServerResponder, attempt_id: str
+    ) -> None:
+        script = self.script
+        if script.answer == "foreign":
+            attempt_id = "another"
+        headers = Headers(
+            [
+                (b"X-Attempt-Id", attempt_id.encode()),
+                (b"X-Replica-Stamp", self.identifier.encode()),
+            ]
+        )
+        if script.answer == "reset":
+            responder.abort()
+        elif script.answer == "error":
+            responder.respond(500, headers, b"failed")
+        elif script.answer == "truncated":
+            responder.start(200, headers, 100)
+            await responder.write(b"short")
+            responder.abort()
+        elif "x-model" in req.headers:
+            await self._stream(req, responder, headers)
+        else:
+            responder.respond(200, headers, b"answer " + req.target)
+
+    async def _stream(
+        self, req: ServerRequest, responder: ServerResponder, headers: Headers
+    ) -> None:
+        script = self.script
+        first = int(req.headers.get("last-event-id") or 0) + 1
+        responder.start(200, headers, None)
+        for number in range(first, script.events + 1):
+            if number - first == script.cut_after:
+                # The end of a stream that stops in the middle of an event.
+                await responder.write(b"id: %d\ndata: " % number)
+                await self._timers.sleep(0.02)
+                responder.abort()
+                return
+            await responder.write(b"id: %d\ndata: e%d\n\n" % (number, number))
+            await self._timers.sleep(script.event_gap_s)
+        responder.finish()
+
+    # Stages
+
+    async def _run_stage(self, req: ServerRequest, responder: ServerResponder) -> None:
+        items = msgspec.json.decode(req.body)["Items"]
+        if self.script.answer == "full":
+            responder.respond(503, Headers([(b"X-Not-Executed", b"1")]))
+            return
+        self.stage_calls.append(items)
+        await self._timers.sleep(self.script.work_s)
+        if self.script.answer == "reset":
+            responder.abort()
+            return
+        results = [self._result() for _ in items]
+        body = msgspec.json.encode({"Items": results})
+        responder.respond(200, Headers(), body)
+
+    def _result(self) -> dict:
+        if self.script.stage_fault:
+            reason, self.script.stage_fault = self.script.stage_fault, ""
+            return {"Reason": reason}
+        return {"Handle": f"{self.address}/{next(self._handles):x}"}
--- /dev/null
+++ b/camphorrun/standins/platform_store.py
@@ -0,0 +1,140 @@
+"""Stand-in of the users' platform: its store, in memory, over HTTP."""
+
+import asyncio
+import base64
+import struct
+from urllib.parse import parse_qs
+
+import msgspec
+
+from ..core import TimerService
+from ..http1 import Headers, HttpServer, ServerRequest, ServerResponder
+
+PARTITIONS = 24
+POLL_SECONDS = 0.01
+
+
+class PlatformStore:
+    """Keyed topics and one group, with faults that tests switch on.
+
+    Attributes
+    ----------
+    fault : str
+        Empty, ``busy`` (503), ``reset`` (the connection is closed) or ``silent``.
+    turned_away : set of str
+        Members whose join is refused; None refuses nobody.
+    calls : dict of str to int
+        Calls by path.
+    """
+
+    def __init__(self, timers: TimerService):
+        self._timers = timers
+        self._server = HttpServer(self._handle, timers)
+        self._logs: dict[str, list[tuple[str, bytes]]] = {}
+        self._first: dict[str, int] = {}
+        self._members: dict[str, float] = {}
+        self._generation = 0
+        self.fault = ""
+        self.calls: dict[str, int] = {}
+        self.address = ""
+
+    async def start(self) -> str:
+        """Listen on loopback and return ``ip:port``."""
+        port = await self._server.start("127.0.0.1", 0)
+        self.address = f"127.0.0.1:{port}"
+        return self.address
+
+    def close(self) -> None:
+        """Stop."""
+        self._server.close()
+
+    def put(self, topic: str, key: str, value: object) -> int:
+        """Append a record and return its offset; None removes the key."""
+        data = b"" if value is None else _encode(value)
+        log = self._logs.setdefault(topic, [])
+        log.append((key, data))
+        return len(log) - 1
+
+    def drop_history(self, topic: str) -> None:
+        """Delete all records but the newest of each key."""
+        self._first[topic] = len(self._logs.get(topic, ()))
+
+    async def _handle(self, req: ServerRequest, responder: ServerResponder) -> None:
+        path, _, query = req.target.decode().partition("?")
+        self.calls[path] = self.calls.get(path, 0) + 1
+        if self.fault == "silent":
+            await asyncio.Event().wait()
+        if self.fault == "reset":
+            responder.abort()
+            return
+        if self.fault == "busy":
+            responder.respond(503, Headers())
+            return
+        args = {name: values[0] for name, values in parse_qs(query).items()}
+        status, body = await self._answer(path, args, req.body)
+        responder.respond(status, Headers(), body)
+
+    async def _answer(self, path: str, args: dict, body: bytes) -> tuple[int, bytes]:
+        if path == "/log-read":
+            return await self._read(args)
+        if path == "/log-newest":
+            return 200, self._newest(args["Topic"])
+        if path == "/log-join":
+            return 200, self._join(msgspec.json.decode(body))
+        if path == "/log-leave":
+            self._members.pop(msgspec.json.decode(body)["Member"], None)
+            self._generation += 1
+            return 200, b"{}"
+        if path == "/log-owners":
+            return 200, self._owners()
+        return 404, b""
+
+    async def _read(self, args: dict) -> tuple[int, bytes]:
+        topic, offset = args["Topic"], int(args["From"])
+        log = self._logs.setdefault(topic, [])
+        wait_s = int(args.get("WaitMs", 0)) / 1000
+        end_at = self._timers.now() + wait_s
+        while offset >= len(log) and self._timers.now() < end_at:
+            await self._timers.sleep(POLL_SECONDS)
+        first = self._first.get(topic, 0)
+        if offset < first:
+            return 410, _encode({"First": first})
+        records = b"".join(_record(key, value) for key, value in log[offset:])
+        return 200, struct.pack(">QQ", len(log), first) + records
+
+    def _newest(self, topic: str) -> bytes:
+        log = self._logs.get(topic, [])
+        newest = {key: (value, offset) for offset, (key, value) in enumerate(log)}
+        items = [
+            {"Key": key, "Value": base64.b64encode(value).decode(), "Offset": offset}
+            for key, (value, offset) in newest.items()
+            if value
+        ]
+        return _encode({"Items": items, "HasMore": False, "End": len(log)})
+
+    def _join(self, body: dict) -> bytes:
+        now = self._timers.now()
+        alive = {name for name, until in self._members.items() if until > now}
+        if body["Member"] not in alive or len(alive) != len(self._members):
+            self._generation += 1
+        self._members = {name: self._members[name] for name in alive}
+        self._members[body["Member"]] = now + body["TtlMs"] / 1000
+        return _encode({"Generation": self._generation, "TtlMs": body["TtlMs"]})
+
+    def _owners(self) -> bytes:
+        members = sorted(self._members)
+        rows = [
+            ["topic", part, members[part % len(members)], 0]
+            for part in range(PARTITIONS)
+            if members
+        ]
+        return _encode({"parts": rows})
+
+
+def _encode(value: object) -> bytes:
+    return value if isinstance(value, bytes) else msgspec.json.encode(value)
+
+
+def _record(key: str, value: bytes) -> bytes:
+    content = bytes([len(key)]) + key.encode() + value
+    return struct.pack(">I", len(content)) + content
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -19,7 +19,7 @@
 PAGES = (
     "README.md",
     "docs/settings.md",
-    "docs/operations.md",
+    "docs/OPERATIONS.md",
     "docs/binary.md",
     "docs/metrics.md",
     "docs/glossary.md",
@@ -100,6 +100,7 @@
     "_error",
     "_give_up",
     "Unknown",
+    "AttemptFailedError",
 }
 
 
@@ -190,7 +191,7 @@
 
     def test_every_code_is_on_the_page(self):
         """Guards against refusals that operators cannot look up."""
-        documented = set(rows(page("docs/operations.md")))
+        documented = set(rows(page("docs/OPERATIONS.md")))
         assert all_codes() - documented == set()
         assert documented - all_codes() == set()
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -7,7 +7,7 @@
 from camphorrun.cli import main
 from camphorrun.configuration import decode_document
 
-ROLES = ("entry", "agent", "ctl")
+ROLES = ("entry", "agent", "ctl", "gateway")
 DOCUMENTS = ("template", "account", "service", "drain")
 
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -225,10 +225,10 @@
     ),
     Mutation(
         "a 503 counts as executed without the endpoint's word",
-        "camphorrun/platform/endpoint_client.py",
+        "camphorrun/clients/endpoint_client.py",
         "resp.status == 429 or stated",
         "resp.status in (429, 503)",
-        "camphorrun/platform/tests",
+        "camphorrun/clients/tests",
     ),
 )
 
