--- a/camphorrun/catalog/deployment.py
+++ b/camphorrun/catalog/deployment.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 
 
 class RouteKind(Enum):
@@ -131,7 +132,18 @@
     idle_timeout_s: float
 
 
-@dataclass(frozen=True, slots=True)
+# Route priorities that fit between two priorities of client accounts.
+RANKS_OF_ACCOUNT = 16
+
+
+def _rank(route: Route, account: Account | None) -> int:
+    first = route.priority
+    if account is not None and account.priority is not None:
+        first = account.priority
+    return first * RANKS_OF_ACCOUNT + min(RANKS_OF_ACCOUNT - 1, route.priority)
+
+
+@dataclass(frozen=True)
 class Deployment:
     """One version of the configuration.
 
@@ -165,6 +177,20 @@
                 return route
         return None
 
+    def rank(self, route: Route, account: Account | None) -> int:
+        """Return the rank of a request, 0 for the most urgent ones.
+
+        The priority of the client account goes before that of the route, which still
+        orders the requests of accounts with the same priority.
+        """
+        return max(0, _rank(route, account) - self._lowest_rank)
+
+    @cached_property
+    def _lowest_rank(self) -> int:
+        holders = list(self.accounts.values()) or [None]
+        ranks = (_rank(route, account) for route in self.routes for account in holders)
+        return min(ranks, default=0)
+
     def stage_services(self) -> list[str]:
         """Return the services that run stages, sorted."""
         return sorted({s.service for route in self.routes for s in route.stages})
--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -284,7 +284,7 @@
             replica=handle.replica.identifier,
             account=ctx.account,
             deadline_s=ctx.end_at - now,
-            priority=ctx.priority if ctx.route.uses_engine else None,
+            priority=ctx.rank if ctx.route.uses_engine else None,
             inputs=None if ctx.results is None else ctx.results.final(),
             resume_after=ctx.last_event or ctx.caller.resume_after,
         )
--- a/camphorrun/gateway/context.py
+++ b/camphorrun/gateway/context.py
@@ -5,7 +5,7 @@
 
 from ..catalog import Route, RouteKind
 from ..platform import CallerRequest
-from .stage_runner import StageResults
+from .stage_runner import StageForecast, StageResults
 
 # Callers leave a stream after a gap of this long, or of that many times its objective
 # or its longest accepted pause, whichever is longest (the platform's page on requests).
@@ -24,6 +24,8 @@
 
     Attributes
     ----------
+    rank : int
+        Urgency, 0 for the most urgent requests of the deployment.
     returned : bool
         Whether the caller comes back after an earlier refusal or failure.
     on_begun : callable
@@ -40,12 +42,13 @@
     route: Route
     service: str
     account: str
-    priority: int
+    rank: int
     received_at: float
     objective_at: float
     deadline_at: float
     timeout_at: float
     returned: bool = False
+    forecast: StageForecast | None = None
     results: StageResults | None = None
     on_begun: Callable[[], None] = _nothing
     sent: bool = False
--- a/camphorrun/gateway/front.py
+++ b/camphorrun/gateway/front.py
@@ -18,7 +18,7 @@
 from .attempts import Attempts, InputsGoneError
 from .context import RequestContext
 from .errors import RefusedError, StageError
-from .stage_runner import StageRunner
+from .stage_runner import StageForecast, StageRunner
 from .state import GatewayState
 
 # Answer to callers while nothing is known yet.
@@ -118,7 +118,7 @@
         if route is None:
             raise RefusedError("no such route", code="unknown_route", status=404)
         account = self._account(deployment, route, caller)
-        ctx = self._context(caller, route, account)
+        ctx = self._context(caller, route, account, deployment.rank(route, account))
         self._events.request(
             "accepted",
             ctx.request_id,
@@ -140,11 +140,8 @@
         return account
 
     def _context(
-        self, caller: CallerRequest, route: Route, account: Account | None
+        self, caller: CallerRequest, route: Route, account: Account | None, rank: int
     ) -> RequestContext:
-        priority = route.priority
-        if account is not None and account.priority is not None:
-            priority = account.priority
         received_at = caller.raw.first_byte_at
         deadline_s = caller.deadline_s or DEFAULT_DEADLINE_SECONDS
         returned = self._returns.is_return(route.name, deadline_s)
@@ -154,7 +151,7 @@
             route,
             route.service_for(point),
             account.name if account is not None else "",
-            priority,
+            rank,
             received_at,
             received_at + route.objective_s,
             received_at + deadline_s,
@@ -168,7 +165,8 @@
         if not ctx.route.stages:
             await self._attempts.answer(ctx, responder)
             return
-        self._check_time(ctx)
+        ctx.forecast = await self._stages.forecast(ctx.caller, ctx.route, ctx.rank)
+        self._check_time(ctx, ctx.forecast)
         for remake in range(MAX_INPUT_REMAKES + 1):
             await self._run_stages(ctx)
             ctx.on_begun = partial(self._stages.release_all, ctx.route, ctx.results)
@@ -185,30 +183,33 @@
             finally:
                 self._stages.release_all(ctx.route, ctx.results)
 
-    def _check_time(self, ctx: RequestContext) -> None:
+    def _check_time(self, ctx: RequestContext, forecast: StageForecast) -> None:
         """Refuse at once what its stages would delay too much.
 
         A request that comes back after a refusal is late already and is refused only
         if its deadline can't be met.
         """
-        forecast = self._stages.forecast(ctx.route, ctx.caller.pieces)
         verdict = judge_start(
             forecast.total_s + FIRST_EVENT_SECONDS,
             forecast.wait_s,
             objective_left_s=ctx.objective_at - self._timers.now(),
             left_s=ctx.end_at - self._timers.now(),
+            rank=ctx.rank,
             returned=ctx.returned,
         )
-        if verdict is None:
-            return
         self._events.request(
-            "not_admitted",
+            "forecast",
             ctx.request_id,
-            code=verdict.code,
+            code=verdict.code if verdict else "admitted",
             predicted_s=round(forecast.total_s, 3),
             wait_s=round(forecast.wait_s, 3),
+            needs_s=[round(need_s, 3) for need_s in forecast.needs_s],
+            priority=ctx.rank,
             returned=ctx.returned,
         )
+        if verdict is None:
+            return
+        self._stages.withdraw(forecast)
         raise RefusedError(
             "stages would take too long",
             code=verdict.code,
@@ -221,10 +222,11 @@
             ctx.results = await self._stages.run(
                 ctx.caller,
                 ctx.route,
-                priority=ctx.priority,
+                priority=ctx.rank,
                 objective_at=ctx.objective_at,
                 deadline_at=ctx.first_event_at,
                 final_s=FIRST_EVENT_SECONDS,
+                needs_s=ctx.forecast.needs_s,
             )
         except StageError as exc:
             raise RefusedError(
--- a/camphorrun/pipeline/__init__.py
+++ b/camphorrun/pipeline/__init__.py
@@ -1,6 +1,7 @@
 """Request plans, their execution stage by stage, and outcomes."""
 
 from .batches import BatchQueue, PieceGroup, SpaceLedger
+from .demand import StageDemand
 from .executor import PartHandler, PipelineExecutor, StageCall, StageDispatcher
 from .outcomes import (
     AttemptTrace,
@@ -34,6 +35,7 @@
     "PlannedStage",
     "RequestPlan",
     "StageCall",
+    "StageDemand",
     "StageDispatcher",
     "StageTrace",
     "prompt_prefix",
