--- a/camphorrun/admission/starts.py
+++ b/camphorrun/admission/starts.py
@@ -14,13 +14,6 @@
 # Below this wait the stages are not overloaded, whatever the objective is.
 LEAST_WAIT_SECONDS = 0.1
 MIN_RETRY_AFTER_SECONDS = 0.3
-# Each rank of priority may spend less of its slack on waiting, so that urgent requests
-# still find room when a burst has filled the queues.
-import os
-
-WAIT_SHARE = float(os.environ.get("WS", "0.5"))
-WAIT_SHARE_STEP = 0.1
-LEAST_WAIT_SHARE = 0.1
 # A deadline below this share of the usual one is that of a repeat.
 RETURN_SHARE = 0.97
 
@@ -31,7 +24,6 @@
     *,
     objective_left_s: float,
     left_s: float,
-    rank: int,
     returned: bool,
 ) -> Refused | None:
     """Return why a request is not started, or None if it is.
@@ -44,17 +36,14 @@
         Part of it that is waiting.
     objective_left_s, left_s : float
         Time until the objective and until the deadline.
-    rank : int
-        Urgency, 0 is the highest; less urgent requests leave room for urgent ones.
     returned : bool
         Whether the caller comes back after a refusal.
 
     Examples
     --------
-    >>> left = {"objective_left_s": 2, "left_s": 8, "rank": 0, "returned": False}
-    >>> judge_start(1.0, 0.5, **left) is None
+    >>> judge_start(1.0, 0.5, objective_left_s=2, left_s=8, returned=False) is None
     True
-    >>> judge_start(3.0, 1.5, **left).code
+    >>> judge_start(3.0, 1.5, objective_left_s=2, left_s=8, returned=False).code
     'overloaded'
     """
     retry_after_s = max(MIN_RETRY_AFTER_SECONDS, wait_s)
@@ -62,17 +51,11 @@
         return Refused(DEADLINE_UNREACHABLE, retry_after_s)
     if returned or wait_s < LEAST_WAIT_SECONDS:
         return None
-    slack_s = objective_left_s * (1.0 + ACCEPTED_OVERRUN) - (predicted_s - wait_s)
-    if wait_s > slack_s * _wait_share(rank):
+    if predicted_s > objective_left_s * (1.0 + ACCEPTED_OVERRUN):
         return Refused(OVERLOADED, retry_after_s)
     return None
 
 
-def _wait_share(rank: int) -> float:
-    """Return the part of its slack that a request may spend on waiting."""
-    return max(LEAST_WAIT_SHARE, WAIT_SHARE - WAIT_SHARE_STEP * max(0, rank))
-
-
 class ReturnDetector:
     """Recognises repeats: their deadline is what is left of that of the first try.
 
--- a/camphorrun/admission/tests/test_starts.py
+++ b/camphorrun/admission/tests/test_starts.py
@@ -4,12 +4,7 @@
 
 
 def judge(predicted_s: float, wait_s: float, **fields):
-    defaults = {
-        "objective_left_s": 2.0,
-        "left_s": 8.0,
-        "rank": 0,
-        "returned": False,
-    }
+    defaults = {"objective_left_s": 2.0, "left_s": 8.0, "returned": False}
     return judge_start(predicted_s, wait_s, **{**defaults, **fields})
 
 
--- a/camphorrun/gateway/context.py
+++ b/camphorrun/gateway/context.py
@@ -5,7 +5,7 @@
 
 from ..catalog import Route, RouteKind
 from ..platform import CallerRequest
-from .stage_runner import StageForecast, StageResults
+from .stage_runner import StageResults
 
 # Callers leave a stream after a gap of this long, or of that many times its objective
 # or its longest accepted pause, whichever is longest (the platform's page on requests).
@@ -48,7 +48,6 @@
     deadline_at: float
     timeout_at: float
     returned: bool = False
-    forecast: StageForecast | None = None
     results: StageResults | None = None
     on_begun: Callable[[], None] = _nothing
     sent: bool = False
--- a/camphorrun/gateway/daemon.py
+++ b/camphorrun/gateway/daemon.py
@@ -148,7 +148,6 @@
         service = PeerService(
             self._peers,
             self._stages.make_pieces,
-            self._stages.plan,
             self._stages.release,
             self.metrics.render,
             self.metrics,
--- a/camphorrun/gateway/front.py
+++ b/camphorrun/gateway/front.py
@@ -18,7 +18,7 @@
 from .attempts import Attempts, InputsGoneError
 from .context import RequestContext
 from .errors import RefusedError, StageError
-from .stage_runner import StageForecast, StageRunner
+from .stage_runner import StageRunner
 from .state import GatewayState
 
 # Answer to callers while nothing is known yet.
@@ -165,8 +165,7 @@
         if not ctx.route.stages:
             await self._attempts.answer(ctx, responder)
             return
-        ctx.forecast = await self._stages.forecast(ctx.caller, ctx.route, ctx.rank)
-        self._check_time(ctx, ctx.forecast)
+        self._check_time(ctx)
         for remake in range(MAX_INPUT_REMAKES + 1):
             await self._run_stages(ctx)
             ctx.on_begun = partial(self._stages.release_all, ctx.route, ctx.results)
@@ -183,33 +182,31 @@
             finally:
                 self._stages.release_all(ctx.route, ctx.results)
 
-    def _check_time(self, ctx: RequestContext, forecast: StageForecast) -> None:
+    def _check_time(self, ctx: RequestContext) -> None:
         """Refuse at once what its stages would delay too much.
 
         A request that comes back after a refusal is late already and is refused only
         if its deadline can't be met.
         """
+        forecast = self._stages.forecast(ctx.route, ctx.caller.pieces)
         verdict = judge_start(
             forecast.total_s + FIRST_EVENT_SECONDS,
             forecast.wait_s,
             objective_left_s=ctx.objective_at - self._timers.now(),
             left_s=ctx.end_at - self._timers.now(),
-            rank=ctx.rank,
             returned=ctx.returned,
         )
         self._events.request(
             "forecast",
             ctx.request_id,
             code=verdict.code if verdict else "admitted",
+            rank=ctx.rank,
             predicted_s=round(forecast.total_s, 3),
             wait_s=round(forecast.wait_s, 3),
-            needs_s=[round(need_s, 3) for need_s in forecast.needs_s],
-            priority=ctx.rank,
             returned=ctx.returned,
         )
         if verdict is None:
             return
-        self._stages.withdraw(forecast)
         raise RefusedError(
             "stages would take too long",
             code=verdict.code,
@@ -226,7 +223,6 @@
                 objective_at=ctx.objective_at,
                 deadline_at=ctx.first_event_at,
                 final_s=FIRST_EVENT_SECONDS,
-                needs_s=ctx.forecast.needs_s,
             )
         except StageError as exc:
             raise RefusedError(
--- a/camphorrun/gateway/messages.py
+++ b/camphorrun/gateway/messages.py
@@ -47,37 +47,14 @@
 
 
 class PieceReply(msgspec.Struct):
-    """Results in the order of the pieces, or the code of a fault."""
+    """Results in the order of the pieces, or the code of a fault.
+
+    ``wait_s`` is the wait that pieces of this kind have to expect now.
+    """
 
     handles: list[str]
     fault: str = ""
-    version: int = SCHEMA_VERSION
-
-
-class PlannedPieces(msgspec.Struct):
-    """Pieces that a request will need of one stage."""
-
-    stage: int
-    pieces: int
-    result_bytes: int
-    arrives_in_s: float
-
-
-class PlanOrder(msgspec.Struct):
-    """Announces a request to the owner of a stage service, or takes that back."""
-
-    service: str
-    request_id: str
-    stages: list[PlannedPieces]
-    rank: int = 0
-    cancelled: bool = False
-    version: int = SCHEMA_VERSION
-
-
-class PlanReply(msgspec.Struct):
-    """For each stage the time from now at which the work before it will be cleared."""
-
-    clear_s: list[float]
+    wait_s: float = 0.0
     version: int = SCHEMA_VERSION
 
 
--- a/camphorrun/gateway/peers.py
+++ b/camphorrun/gateway/peers.py
@@ -14,8 +14,6 @@
 from .messages import (
     PieceOrder,
     PieceReply,
-    PlanOrder,
-    PlanReply,
     RecordMessage,
     ReleaseOrder,
     SyncMessage,
@@ -247,14 +245,12 @@
         self,
         peers: Peers,
         make_pieces: Callable,
-        plan: Callable[[PlanOrder], PlanReply],
         release: Callable[[ReleaseOrder], None],
         render_metrics: Callable[[], bytes],
         metrics: Metrics,
     ):
         self._peers = peers
         self._make_pieces = make_pieces
-        self._plan = plan
         self._release = release
         self._render_metrics = render_metrics
         self._metrics = metrics
@@ -286,8 +282,6 @@
             order = msgspec.msgpack.decode(body, type=PieceOrder)
             reply: PieceReply = await self._make_pieces(order)
             return encode(reply)
-        if path == "/plan":
-            return encode(self._plan(msgspec.msgpack.decode(body, type=PlanOrder)))
         if path == "/release":
             self._release(msgspec.msgpack.decode(body, type=ReleaseOrder))
             return b""
--- a/camphorrun/gateway/stage_owner.py
+++ b/camphorrun/gateway/stage_owner.py
@@ -9,7 +9,7 @@
 from ..core import EventLog, TimerService, bounded
 from ..http1 import HttpError
 from ..metrics import Metrics
-from ..pipeline import BatchQueue, PieceGroup, SpaceLedger, StageDemand
+from ..pipeline import BatchQueue, PieceGroup, SpaceLedger
 from ..platform import (
     DecodeError,
     StageFault,
@@ -21,7 +21,6 @@
 )
 from ..retries import RetryBudget
 from .errors import StageError
-from .messages import PlanOrder
 from .replicas import ReplicaHandle, ReplicaPool
 
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -112,7 +111,6 @@
         self._service = service
         self._capacity = capacity
         self._queue = BatchQueue(capacity)
-        self._demand = StageDemand(capacity)
         self._replicas = replicas
         self._budget = budget
         self._timers = timers
@@ -134,7 +132,6 @@
             If a piece can't be made.
         """
         pieces = list(group.waiting)
-        self._demand.withdraw((group.request_id, group.stage))
         job = _Job(group, asyncio.get_running_loop().create_future())
         self._jobs[group] = job
         self._budget.deposit(self._timers.now())
@@ -149,43 +146,9 @@
             if not job.fut.done() or job.fut.cancelled() or job.fut.exception():
                 self.release(list(job.results.values()))
 
-    def plan(self, order: PlanOrder) -> list[float]:
-        """Announce a request; return when the work before its stages is cleared."""
-        now = self._timers.now()
-        if order.cancelled:
-            for planned in order.stages:
-                self._demand.withdraw((order.request_id, planned.stage))
-            return []
-        replicas = self._working_replicas(now)
-        cleared = []
-        for planned in order.stages:
-            arrives_at = now + planned.arrives_in_s
-            clear_s = self._demand.clear_s(
-                self._queue.ahead(planned.result_bytes, order.rank, now),
-                replicas,
-                arrives_at=arrives_at,
-                now=now,
-                rank=order.rank,
-            )
-            # Large results also wait for space, which the throughput does not show.
-            wait_s = self._queue.expected_wait_s(planned.result_bytes, now)
-            cleared.append(max(clear_s, wait_s))
-        for planned in order.stages:
-            self._demand.announce(
-                (order.request_id, planned.stage),
-                planned.pieces,
-                arrives_at=now + planned.arrives_in_s,
-                rank=order.rank,
-            )
-        return cleared
-
-    def _working_replicas(self, now: float) -> float:
-        """Return the replicas that work, slow ones by their share."""
-        return sum(
-            1.0 / max(1.0, worker.ratio)
-            for worker in self._current_workers()
-            if worker.paused_until <= now
-        )
+    def expected_wait_s(self, result_bytes: int) -> float:
+        """Return the wait to expect for pieces with results of a size."""
+        return self._queue.expected_wait_s(result_bytes, self._timers.now())
 
     def release(self, handles: list[str]) -> None:
         """Free results at their makers, a little later and in one call each."""
@@ -215,7 +178,6 @@
 
     def _dispatch(self) -> None:
         now = self._timers.now()
-        self._demand.note_queue(len(self._queue), now)
         for group in self._queue.expire(now):
             self._fail(group, "late")
         workers = self._current_workers()
@@ -351,7 +313,6 @@
         )
         worker.ratio += RATIO_WEIGHT * (ratio - worker.ratio)
         worker.failures = 0
-        self._demand.note_made(len(batch), self._timers.now())
         self._metrics.stage_seconds.labels(self._service).observe(elapsed_s)
         for (group, piece), result in zip(batch, results, strict=True):
             if result.handle:
--- a/camphorrun/gateway/stage_runner.py
+++ b/camphorrun/gateway/stage_runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -20,14 +20,7 @@
 from ..retries import RetryBudget
 from ..routing import owner_orders
 from .errors import PeerError, StageError
-from .messages import (
-    PieceOrder,
-    PieceReply,
-    PlannedPieces,
-    PlanOrder,
-    PlanReply,
-    ReleaseOrder,
-)
+from .messages import PieceOrder, PieceReply, ReleaseOrder
 from .peers import Peers, member_address
 from .replicas import ReplicaPool
 from .stage_owner import StageOwner
@@ -37,9 +30,8 @@
 MAX_OWNERS = 2
 MAX_REMAKES = 2
 RELEASE_TIMEOUT_SECONDS = 1.0
-PLAN_TIMEOUT_SECONDS = 0.15
-# Usual share of the pieces that a call could take.
-USUAL_FILL = 0.6
+# A forecast loses this much of its wait a second, because queues drain meanwhile.
+FORECAST_DECAY = 0.7
 
 
 class StageResults:
@@ -77,37 +69,18 @@
 
 @dataclass(frozen=True, slots=True)
 class StageForecast:
-    """Predicted seconds of all stages, and the part of them that is waiting.
-
-    ``needs_s`` has the predicted time of each stage, its wait included, and ``orders``
-    the announcements that were made.
-    """
+    """Predicted seconds of all stages, and the part of them that is waiting."""
 
     total_s: float
     wait_s: float
-    needs_s: tuple[float, ...]
-    orders: tuple[PlanOrder, ...]
-
-
-def _completions(
-    after: list[tuple[int, ...]], calls_s: list[float], clear_s: list[float]
-) -> list[float]:
-    """Return when each stage ends if it starts once its service is cleared."""
-    ends: dict[int, float] = {}
-
-    def end_of(index: int) -> float:
-        if index not in ends:
-            arrives_s = max((end_of(needed) for needed in after[index]), default=0.0)
-            wait_s = max(0.0, clear_s[index] - arrives_s) if calls_s[index] else 0.0
-            ends[index] = arrives_s + wait_s + calls_s[index]
-        return ends[index]
 
-    return [end_of(index) for index in range(len(after))]
 
-
-def _count(caller: CallerRequest, index: int) -> int:
-    """Return the pieces of a stage; a request that does not say needs one."""
-    return caller.pieces[index] if index < len(caller.pieces) else 1
+def _longest(after: list[tuple[int, ...]], needs_s: list[float]) -> float:
+    """Return the need of the longest chain of stages."""
+    return max(
+        (needs_s[i] + downstream_s(after, needs_s, i) for i in range(len(after))),
+        default=0.0,
+    )
 
 
 class StageRunner:
@@ -133,6 +106,7 @@
         self._events = events
         self._owners: dict[str, StageOwner] = {}
         self._orders: dict[str, list[str]] = {}
+        self._forecasts: dict[tuple[str, int], tuple[float, float]] = {}
         self._tasks: set[asyncio.Task] = set()
         state.subscribe(deployment=self._refresh, members=self._refresh)
 
@@ -147,12 +121,10 @@
         objective_at: float,
         deadline_at: float,
         final_s: float,
-        needs_s: tuple[float, ...],
     ) -> StageResults:
         """Return the results that a request needs.
 
-        ``final_s`` is the predicted need of the request itself after its stages, and
-        ``needs_s`` that of each stage.
+        ``final_s`` is the predicted need of the request itself after its stages.
 
         Raises
         ------
@@ -160,12 +132,13 @@
             If a stage has no result; the request has not run.
         """
         results = StageResults(route, caller.pieces)
+        need_s = [self._need_s(route, index) for index in range(len(route.stages))]
 
         async def run_one(index: int, _: list) -> list[str]:
             if index in results.by_stage:
                 return results.by_stage[index]
-            count = _count(caller, index)
-            after_s = downstream_s(results.after, needs_s, index) + final_s
+            count = caller.pieces[index] if index < len(caller.pieces) else 1
+            after_s = downstream_s(results.after, need_s, index) + final_s
             handles = []
             if count:
                 handles = await self._make(
@@ -206,74 +179,35 @@
             self._release(route.stages[index].service, handles)
         results.held = {}
 
-    async def forecast(
-        self, caller: CallerRequest, route: Route, rank: int
-    ) -> StageForecast:
-        """Announce a request to the owners of its stages; return the predicted time."""
+    def forecast(self, route: Route, counts: tuple[int, ...]) -> "StageForecast":
+        """Return the predicted time of all stages of a request."""
         after = [stage.after for stage in route.stages]
-        calls_s = [self._call_s(route, i, caller) for i in range(len(after))]
-        arrivals_s = _completions(after, calls_s, [0.0] * len(after))
-        orders: dict[str, PlanOrder] = {}
-        for index, stage in enumerate(route.stages):
-            pieces = _count(caller, index)
-            if pieces:
-                order = orders.setdefault(
-                    stage.service, PlanOrder(stage.service, caller.attempt_id, [], rank)
-                )
-                arrives_s = arrivals_s[index] - calls_s[index]
-                order.stages.append(
-                    PlannedPieces(index, pieces, stage.result_bytes, arrives_s)
-                )
-        replies = await asyncio.gather(*(self._announce(o) for o in orders.values()))
-        clear_s = [0.0] * len(after)
-        for order, reply in zip(orders.values(), replies, strict=True):
-            for planned, seconds in zip(order.stages, reply.clear_s, strict=False):
-                clear_s[planned.stage] = seconds
-        total_s = max(_completions(after, calls_s, clear_s), default=0.0)
-        ideal_s = max(arrivals_s, default=0.0)
-        needs_s = tuple(
-            call_s + max(0.0, clear_s[i] - arrivals_s[i] + call_s)
-            for i, call_s in enumerate(calls_s)
-        )
-        return StageForecast(
-            total_s, total_s - ideal_s, needs_s, tuple(orders.values())
-        )
+        waits_s = [self._wait_s(route, index) for index in range(len(after))]
+        needs_s = [
+            0.0 if counts[index : index + 1] == (0,) else self._need_s(route, index)
+            for index in range(len(after))
+        ]
+        return StageForecast(_longest(after, needs_s), _longest(after, waits_s))
 
-    def withdraw(self, forecast: StageForecast) -> None:
-        """Take the announcement of a request back."""
-        for order in forecast.orders:
-            order.cancelled = True
-            self._start(self._announce(order))
+    def _wait_s(self, route: Route, index: int) -> float:
+        """Return the predicted wait of one stage for a replica."""
+        stage = route.stages[index]
+        key = stage.service, stage.result_bytes
+        wait_s, seen_at = self._forecasts.get(key, (0.0, 0.0))
+        return max(0.0, wait_s - (self._timers.now() - seen_at) * FORECAST_DECAY)
 
-    async def _announce(self, order: PlanOrder) -> PlanReply:
-        owners = self._orders.get(order.service, ())
-        if not owners or owners[0] == self._state.member:
-            return self.plan(order)
-        link = self._peers.link(member_address(owners[0]))
-        if link.suspect:
-            return PlanReply([])
-        try:
-            data = await link.call("/plan", order, PLAN_TIMEOUT_SECONDS)
-            return msgspec.msgpack.decode(data, type=PlanReply)
-        except (PeerError, msgspec.DecodeError) as exc:
-            self._events.request(
-                "forecast_failed",
-                order.request_id,
-                owner=owners[0],
-                service=order.service,
-                error=str(exc),
-            )
-            return PlanReply([])
-
-    def _call_s(self, route: Route, index: int, caller: CallerRequest) -> float:
-        """Return the usual time of a call of a stage, 0 for one that is left out."""
+    def _need_s(self, route: Route, index: int) -> float:
+        """Return the predicted time of one stage: its wait and its call."""
         deployment = self._state.deployment
         service = route.stages[index].service
         known = deployment.services.get(service) if deployment else None
-        if known is None or known.stage is None or not _count(caller, index):
+        if known is None or known.stage is None:
             return 0.0
-        batch = known.stage.batch
-        return known.stage.call_time_s(max(1, int(batch * USUAL_FILL)))
+        capacity = known.stage
+        wait_s = self._wait_s(route, index)
+        # Calls are full while pieces wait.
+        pieces = capacity.batch if wait_s > capacity.call_s else capacity.batch // 2
+        return wait_s + capacity.call_time_s(max(1, pieces))
 
     async def _make(
         self,
@@ -304,6 +238,8 @@
             downstream,
         )
         reply = await self._ask_owner(order, deadline_at)
+        key = stage.service, stage.result_bytes
+        self._forecasts[key] = reply.wait_s, self._timers.now()
         self._events.request(
             "stage",
             caller.attempt_id,
@@ -312,6 +248,7 @@
             pieces=count,
             fault=reply.fault,
             seconds=round(self._timers.now() - now, 4),
+            wait_s=round(reply.wait_s, 3),
         )
         if reply.fault:
             raise StageError(f"stage {index} at {stage.service}", code=reply.fault)
@@ -364,13 +301,8 @@
         try:
             handles = await owner.make(group)
         except StageError as exc:
-            return PieceReply([], exc.code)
-        return PieceReply(handles)
-
-    def plan(self, order: PlanOrder) -> PlanReply:
-        """Announce a request that will need pieces of this gateway."""
-        owner = self._owner(order.service)
-        return PlanReply([] if owner is None else owner.plan(order))
+            return PieceReply([], exc.code, owner.expected_wait_s(order.result_bytes))
+        return PieceReply(handles, "", owner.expected_wait_s(order.result_bytes))
 
     def release(self, order: ReleaseOrder) -> None:
         """Free results that were made through this gateway."""
@@ -428,10 +360,7 @@
         if not owners or owners[0] == self._state.member:
             self.release(order)
             return
-        self._start(self._release_remote(owners[0], order))
-
-    def _start(self, coroutine: Coroutine) -> None:
-        task = asyncio.ensure_future(coroutine)
+        task = asyncio.ensure_future(self._release_remote(owners[0], order))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/camphorrun/pipeline/__init__.py
+++ b/camphorrun/pipeline/__init__.py
@@ -1,7 +1,6 @@
 """Request plans, their execution stage by stage, and outcomes."""
 
 from .batches import BatchQueue, PieceGroup, SpaceLedger
-from .demand import StageDemand
 from .executor import PartHandler, PipelineExecutor, StageCall, StageDispatcher
 from .outcomes import (
     AttemptTrace,
@@ -35,7 +34,6 @@
     "PlannedStage",
     "RequestPlan",
     "StageCall",
-    "StageDemand",
     "StageDispatcher",
     "StageTrace",
     "prompt_prefix",
--- a/camphorrun/pipeline/batches.py
+++ b/camphorrun/pipeline/batches.py
@@ -124,21 +124,6 @@
             self._last_waits[group.result_bytes] = now - group.arrived_at, now
         self._groups = [group for group in self._groups if group.waiting]
 
-    def ahead(self, result_bytes: int, rank: int, now: float) -> int:
-        """Return the pieces that go before those of a new request.
-
-        Late and less urgent requests come after it, and larger results wait for space
-        that small ones do not need.
-        """
-        call_s = self.capacity.call_time_s(self.capacity.batch)
-        return sum(
-            len(group.waiting)
-            for group in self._groups
-            if group.result_bytes <= result_bytes
-            and group.priority <= rank
-            and group.latest_start(call_s) >= now
-        )
-
     def expected_wait_s(self, result_bytes: int, now: float) -> float:
         """Return the wait to expect for pieces with results of a size.
 
