Give up late requests behind a backlog, and order returning ones first

Cause: under a burst, late requests waited until their deadline, were refused then, and their results expired meanwhile and were made again. Also large results are made in the zone of the engine that holds the prefix.

--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -46,6 +46,8 @@
 STREAM_HEAD_SECONDS = 2.5
 STREAM_GAP_SECONDS = 2.0
 MAX_REJECTIONS = 4
+# Shared tokens from which on a prefix decides where a request runs.
+LONG_PREFIX_TOKENS = 1000
 REFUSED_RETRY_SECONDS = 0.3
 MIN_USEFUL_SECONDS = 0.02
 
@@ -141,6 +143,20 @@
             raise self._refusal(ctx, choice.reason)
         return self._chosen(ctx, choice)
 
+    def preferred_zone(self, ctx: RequestContext) -> str:
+        """Return the zone of the engine that holds a request's prefix.
+
+        Empty if the prefix is too short to decide where the request runs.
+        """
+        request = self._stage_request(ctx, ctx.end_at - self._timers.now())
+        if not ctx.route.uses_engine or request.prefix_tokens < LONG_PREFIX_TOKENS:
+            return ""
+        handles = self._replicas.usable(ctx.service)
+        choice = self._engine.choose(endpoints(handles), request, self._timers.now())
+        if isinstance(choice, NoEndpoint):
+            return ""
+        return choice.endpoint.availability_zone
+
     def _stage_request(self, ctx: RequestContext, left_s: float) -> StageRequest:
         prompt = ctx.caller.prompt
         # The last part belongs to the request alone; those before it are shared.
--- a/camphorrun/gateway/front.py
+++ b/camphorrun/gateway/front.py
@@ -28,6 +28,8 @@
 FIRST_EVENT_SECONDS = 0.25
 DEFAULT_DEADLINE_SECONDS = 30.0
 MAX_INPUT_REMAKES = 2
+# A request that comes back after a refusal is ordered before newcomers of its rank.
+RETURN_OBJECTIVE_SHARE = 0.7
 STAGE_FAILED = "stage_failed"
 _STAGE_CODES = {"late": "stage_late", "input_gone": "stage_input_gone"}
 
@@ -145,6 +147,7 @@
         received_at = caller.raw.first_byte_at
         deadline_s = caller.deadline_s or DEFAULT_DEADLINE_SECONDS
         returned = self._returns.is_return(route.name, deadline_s)
+        objective_s = route.objective_s * (RETURN_OBJECTIVE_SHARE if returned else 1.0)
         point = xxhash.xxh32_intdigest(caller.attempt_id) / 2**32
         return RequestContext(
             caller,
@@ -153,7 +156,7 @@
             account.name if account is not None else "",
             rank,
             received_at,
-            received_at + route.objective_s,
+            received_at + objective_s,
             received_at + deadline_s,
             received_at + route.timeout_s,
             returned,
@@ -223,6 +226,7 @@
                 objective_at=ctx.objective_at,
                 deadline_at=ctx.first_event_at,
                 final_s=FIRST_EVENT_SECONDS,
+                zone=self._attempts.preferred_zone(ctx),
             )
         except StageError as exc:
             raise RefusedError(
--- a/camphorrun/gateway/messages.py
+++ b/camphorrun/gateway/messages.py
@@ -43,6 +43,7 @@
     objective_left_s: float
     deadline_left_s: float
     downstream_s: float
+    zone: str = ""
     version: int = SCHEMA_VERSION
 
 
--- a/camphorrun/gateway/stage_owner.py
+++ b/camphorrun/gateway/stage_owner.py
@@ -178,9 +178,9 @@
 
     def _dispatch(self) -> None:
         now = self._timers.now()
-        for group in self._queue.expire(now):
-            self._fail(group, "late")
         workers = self._current_workers()
+        for group in self._queue.expire(len(workers), now):
+            self._fail(group, "late")
         free = [w for w in workers if w.busy < self._capacity.calls]
         free = [w for w in free if w.paused_until <= now]
         free.sort(key=lambda worker: worker.ratio)
@@ -191,12 +191,29 @@
                 continue
             space = worker.ledger.free_bytes(now)
             least = self._least_pieces(worker, now)
-            batch = self._queue.next_batch(space, len(workers), now, least)
+            batch = self._queue.next_batch(
+                space,
+                len(workers),
+                now,
+                least=least,
+                zone=self._zone_of(worker, workers),
+            )
             if batch:
                 self._start(worker, batch)
         if len(self._queue):
             self._schedule_dispatch()
 
+    def _zone_of(self, worker: _Worker, workers: list[_Worker]) -> str:
+        """Return the zone of a replica, empty if not all zones have a working one."""
+        now = self._timers.now()
+        zones = {w.handle.replica.availability_zone for w in workers}
+        working = {
+            w.handle.replica.availability_zone
+            for w in workers
+            if w.paused_until <= now and w.ratio < SLOW_RATIO
+        }
+        return worker.handle.replica.availability_zone if working == zones else ""
+
     def _least_pieces(self, worker: _Worker, now: float) -> int:
         """Return how many pieces make a call worth its fixed time."""
         if now - worker.idle_since >= MAX_FILL_WAIT_SECONDS:
--- a/camphorrun/gateway/stage_runner.py
+++ b/camphorrun/gateway/stage_runner.py
@@ -30,6 +30,8 @@
 MAX_OWNERS = 2
 MAX_REMAKES = 2
 RELEASE_TIMEOUT_SECONDS = 1.0
+# Results of a stage from this size on are made where they will be needed.
+LARGE_RESULT_BYTES = 500_000
 # A forecast loses this much of its wait a second, because queues drain meanwhile.
 FORECAST_DECAY = 0.7
 
@@ -121,6 +123,7 @@
         objective_at: float,
         deadline_at: float,
         final_s: float,
+        zone: str = "",
     ) -> StageResults:
         """Return the results that a request needs.
 
@@ -151,6 +154,7 @@
                     objective_at=objective_at,
                     deadline_at=deadline_at,
                     downstream=after_s,
+                    zone=zone,
                 )
             results.by_stage[index] = handles
             results.held[index] = handles
@@ -221,6 +225,7 @@
         objective_at: float,
         deadline_at: float,
         downstream: float,
+        zone: str,
     ) -> list[str]:
         stage = route.stages[index]
         now = self._timers.now()
@@ -236,6 +241,7 @@
             objective_at - now,
             deadline_at - now,
             downstream,
+            zone if count * stage.result_bytes >= LARGE_RESULT_BYTES else "",
         )
         reply = await self._ask_owner(order, deadline_at)
         key = stage.service, stage.result_bytes
@@ -296,6 +302,7 @@
             now + order.deadline_left_s,
             order.downstream_s,
             now,
+            order.zone,
             deque(order.pieces),
         )
         try:
--- a/camphorrun/gateway/store_sync.py
+++ b/camphorrun/gateway/store_sync.py
@@ -15,8 +15,9 @@
 GROUP = "gateways"
 # Partitions of this topic are dealt to the members; nothing is written to it.
 MEMBER_TOPIC = "gateways"
-# A changed configuration ends the read at once, so the wait only bounds idle reads.
-CONFIGURATION_WAIT_SECONDS = 10.0
+# A changed configuration ends the read at once; the wait bounds for how long a dead
+# connection to the store goes unnoticed.
+CONFIGURATION_WAIT_SECONDS = 3.0
 # Replicas write about every second, so waiting would end with each of their reports;
 # a fixed interval costs fewer calls and stays within the bound for draining replicas.
 REPLICA_POLL_SECONDS = 0.5
--- a/camphorrun/pipeline/batches.py
+++ b/camphorrun/pipeline/batches.py
@@ -17,6 +17,10 @@
 
 # Backlog, in calls of each replica, above which priority goes before urgency.
 LONG_BACKLOG_CALLS = 1.0
+# With more slack than this, pieces wait for a replica in the zone of their use.
+ZONE_SLACK_SECONDS = 0.25
+# A late request that has waited for so long behind a backlog is given up.
+MAX_LATE_WAIT_SECONDS = 1.0
 
 
 @dataclass(slots=True, eq=False)
@@ -29,6 +33,8 @@
         When the whole request should be and must be answered, on the timer service.
     downstream_s : float
         Predicted need of what follows this stage.
+    zone : str
+        Availability zone in which large results will be needed, empty if any will do.
     waiting : deque of int
         Numbers of the pieces that no call has taken yet.
     """
@@ -43,6 +49,7 @@
     deadline_at: float
     downstream_s: float
     arrived_at: float
+    zone: str = ""
     waiting: deque[int] = field(default_factory=deque)
 
     def latest_start(self, call_s: float) -> float:
@@ -62,7 +69,9 @@
     --------
     >>> capacity = StageCapacity(1, 2, 4, 0.2, 0.01, 1000, 4.0)
     >>> queue = BatchQueue(capacity)
-    >>> group = PieceGroup("r", 0, "k", None, 10, 1, 2.0, 8.0, 0.5, 0.0, deque([0, 1]))
+    >>> group = PieceGroup(
+    ...     "r", 0, "k", None, 10, 1, 2.0, 8.0, 0.5, 0.0, waiting=deque([0, 1])
+    ... )
     >>> queue.add(group)
     >>> [piece for _, piece in queue.next_batch(25, 1, now=0.0)]
     [0, 1]
@@ -88,7 +97,13 @@
             self._groups.remove(group)
 
     def next_batch(
-        self, free_bytes: int, replicas: int, now: float, least: int = 1
+        self,
+        free_bytes: int,
+        replicas: int,
+        now: float,
+        *,
+        least: int = 1,
+        zone: str = "",
     ) -> list[tuple[PieceGroup, int]]:
         """Take the pieces of the next call.
 
@@ -102,9 +117,11 @@
             Present time.
         least : int
             Pieces below which no call is worth its fixed time yet.
+        zone : str
+            Availability zone of the replica.
         """
         chosen: list[tuple[PieceGroup, int]] = []
-        for group in self._ordered(replicas, now):
+        for group in self._ordered(replicas, now, zone):
             fitting = len(group.waiting)
             if group.result_bytes > 0:
                 fitting = min(fitting, free_bytes // group.result_bytes)
@@ -139,10 +156,26 @@
         last_s, seen_at = self._last_waits.get(result_bytes, (0.0, now))
         return max(max(waits, default=0.0), last_s - (now - seen_at))
 
-    def expire(self, now: float) -> list[PieceGroup]:
-        """Remove and return the groups that can't be made before their deadline."""
+    def expire(self, replicas: int, now: float) -> list[PieceGroup]:
+        """Remove and return the groups that are given up.
+
+        They can't be made before their deadline, or they are late and have waited for
+        long behind a backlog that leaves them no call: their callers learn it now and
+        not when they leave.
+        """
         least_s = self.capacity.call_time_s(1)
-        expired = [g for g in self._groups if g.deadline_at - least_s < now]
+        call_s = self.capacity.call_time_s(self.capacity.batch)
+        is_long = self._is_long(replicas)
+
+        def is_given_up(group: PieceGroup) -> bool:
+            if group.deadline_at - least_s < now:
+                return True
+            is_late = group.latest_start(call_s) < now
+            return (
+                is_long and is_late and now - group.arrived_at > MAX_LATE_WAIT_SECONDS
+            )
+
+        expired = [group for group in self._groups if is_given_up(group)]
         for group in expired:
             self._groups.remove(group)
         return expired
@@ -154,15 +187,30 @@
         calls = len(self) / self.capacity.batch
         return calls * self.capacity.call_time_s(self.capacity.batch) / replicas
 
-    def _ordered(self, replicas: int, now: float) -> list[PieceGroup]:
+    def _is_long(self, replicas: int) -> bool:
         call_s = self.capacity.call_time_s(self.capacity.batch)
-        is_long = self.backlog_s(replicas) > LONG_BACKLOG_CALLS * call_s
+        return self.backlog_s(replicas) > LONG_BACKLOG_CALLS * call_s
 
-        def rank(group: PieceGroup) -> tuple[bool, int, float]:
+    def _ordered(self, replicas: int, now: float, zone: str) -> list[PieceGroup]:
+        call_s = self.capacity.call_time_s(self.capacity.batch)
+        is_long = self._is_long(replicas)
+
+        def is_elsewhere(group: PieceGroup) -> bool:
+            return bool(zone and group.zone) and group.zone != zone
+
+        def rank(group: PieceGroup) -> tuple[bool, int, bool, float]:
             start_at = group.latest_start(call_s)
-            return start_at < now, group.priority if is_long else 0, start_at
+            urgency = group.priority if is_long else 0
+            return start_at < now, urgency, is_elsewhere(group), start_at
+
+        def may_wait(group: PieceGroup) -> bool:
+            slack_s = group.latest_start(call_s) - now
+            return is_elsewhere(group) and slack_s > ZONE_SLACK_SECONDS
 
-        return sorted(self._groups, key=rank)
+        groups = self._groups
+        if not is_long:
+            groups = [group for group in groups if not may_wait(group)]
+        return sorted(groups, key=rank)
 
 
 class SpaceLedger:
--- a/camphorrun/pipeline/tests/test_batches.py
+++ b/camphorrun/pipeline/tests/test_batches.py
@@ -64,8 +64,8 @@
         queue = BatchQueue(CAPACITY)
         waiting = group("r", deadline_at=1.0)
         queue.add(waiting)
-        assert queue.expire(0.5) == []
-        assert queue.expire(0.9) == [waiting]
+        assert queue.expire(1, 0.5) == []
+        assert queue.expire(1, 0.9) == [waiting]
         assert len(queue) == 0
 
 
