Count one repeat once, judge engines by their first event, pause rejecting replicas

A piece whose later stages do not fit before the deadline is given up. Ruled out for the ejections: failures, of which there were none.

--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -49,17 +49,28 @@
 # Shared tokens from which on a prefix decides where a request runs.
 LONG_PREFIX_TOKENS = 1000
 REFUSED_RETRY_SECONDS = 0.3
+# A replica that rejected a request gets the next one after this time, or if no other
+# replica is left.
+REJECTION_PAUSE_SECONDS = 0.25
 MIN_USEFUL_SECONDS = 0.02
 
 
 class AttemptFailedError(Exception):
     """An attempt ended without an answer for the caller."""
 
-    def __init__(self, reason: str, *, not_run: bool, inputs_gone: bool = False):
+    def __init__(
+        self,
+        reason: str,
+        *,
+        not_run: bool,
+        inputs_gone: bool = False,
+        is_repeat_paid: bool = False,
+    ):
         super().__init__(reason)
         self.reason = reason
         self.not_run = not_run
         self.inputs_gone = inputs_gone
+        self.is_repeat_paid = is_repeat_paid
 
 
 class InputsGoneError(Exception):
@@ -122,7 +133,8 @@
                 if exc.inputs_gone:
                     raise InputsGoneError(reason) from exc
                 rejections += exc.not_run
-            if not self._may_repeat(ctx, budget, rejections, reason):
+                is_paid = exc.is_repeat_paid
+            if not is_paid and not self._may_repeat(ctx, budget, rejections, reason):
                 self._give_up(ctx, responder, reason)
                 return
 
@@ -131,13 +143,15 @@
         if ctx.end_at - now < MIN_USEFUL_SECONDS:
             raise self._refusal(ctx, reason or "deadline")
         handles = self._replicas.usable(ctx.service)
-        request = self._stage_request(ctx, ctx.end_at - now)
+        paused = {
+            h.replica.identifier for h in handles if now < h.rejected_until
+        } | ctx.tried
+        request = self._stage_request(ctx, ctx.end_at - now, paused)
         router = self._engine if ctx.route.uses_engine else self._plain
         choice = router.choose(endpoints(handles), request, now)
-        if isinstance(choice, NoEndpoint) and ctx.tried:
+        if isinstance(choice, NoEndpoint) and paused:
             # All others are gone; a replica that rejected may take it by now.
-            ctx.tried.clear()
-            request = self._stage_request(ctx, ctx.end_at - now)
+            request = self._stage_request(ctx, ctx.end_at - now, set())
             choice = router.choose(endpoints(handles), request, now)
         if isinstance(choice, NoEndpoint):
             raise self._refusal(ctx, choice.reason)
@@ -148,7 +162,8 @@
 
         Empty if the prefix is too short to decide where the request runs.
         """
-        request = self._stage_request(ctx, ctx.end_at - self._timers.now())
+        left_s = ctx.end_at - self._timers.now()
+        request = self._stage_request(ctx, left_s, set())
         if not ctx.route.uses_engine or request.prefix_tokens < LONG_PREFIX_TOKENS:
             return ""
         handles = self._replicas.usable(ctx.service)
@@ -157,7 +172,9 @@
             return ""
         return choice.endpoint.availability_zone
 
-    def _stage_request(self, ctx: RequestContext, left_s: float) -> StageRequest:
+    def _stage_request(
+        self, ctx: RequestContext, left_s: float, exclude: set[str]
+    ) -> StageRequest:
         prompt = ctx.caller.prompt
         # The last part belongs to the request alone; those before it are shared.
         shared = prompt[:-1]
@@ -174,7 +191,7 @@
             prefix_tokens=sum(part.tokens for part in shared),
             input_bytes=tuple(sizes.items()),
             remaining_s=left_s,
-            exclude=frozenset(ctx.tried),
+            exclude=frozenset(exclude),
         )
 
     def _chosen(self, ctx: RequestContext, choice: RouteChoice) -> ReplicaHandle:
@@ -229,6 +246,8 @@
         self, ctx: RequestContext, handle: ReplicaHandle, exc: AttemptFailedError
     ) -> None:
         ctx.tried.add(handle.replica.identifier)
+        if exc.not_run:
+            handle.rejected_until = self._timers.now() + REJECTION_PAUSE_SECONDS
         self._metrics.attempts.labels(ctx.service, exc.reason).inc()
         self._events.request(
             "attempt_failed",
@@ -246,6 +265,7 @@
         self, ctx: RequestContext, handle: ReplicaHandle, responder: ServerResponder
     ) -> None:
         started_at = self._timers.now()
+        ctx.begun_at = 0.0
         handle.endpoint.on_dispatch()
         ok = None
         conn = None
@@ -264,7 +284,8 @@
         finally:
             if conn is not None:
                 handle.pool.release(conn)
-            elapsed_s = self._timers.now() - started_at
+            # The length of a stream says nothing about the speed of its replica.
+            elapsed_s = (ctx.begun_at or self._timers.now()) - started_at
             if ok is None:
                 handle.endpoint.on_cancel()
             else:
@@ -389,8 +410,12 @@
         failed = head.status >= 500
         if failed and self._may_move(ctx) and size <= BUFFERED_ANSWER_BYTES:
             budget = self._budget_of(ctx.service)
+            # The replica's answer is dropped only if there will be another attempt.
             if budget.try_withdraw(self._timers.now()):
-                raise AttemptFailedError("replica_error", not_run=False)
+                self._metrics.retries.labels("replica_error").inc()
+                raise AttemptFailedError(
+                    "replica_error", not_run=False, is_repeat_paid=True
+                )
         body = b"".join(parts)
         if size <= BUFFERED_ANSWER_BYTES:
             responder.start(head.status, relay_headers(head), len(body), head.reason)
@@ -423,6 +448,7 @@
                 break
             if not begun:
                 begun = True
+                ctx.begun_at = self._timers.now()
                 ctx.on_begun()
             events = buffer.feed(data)
             if events:
--- a/camphorrun/gateway/context.py
+++ b/camphorrun/gateway/context.py
@@ -30,6 +30,8 @@
         Whether the caller comes back after an earlier refusal or failure.
     on_begun : callable
         Called when a replica begins its answer and so needs no stage result any more.
+    begun_at : float
+        When the present attempt began its stream; 0 before that.
     sent : bool
         Whether the request may have reached a replica that may have run it.
     runs : int
@@ -50,6 +52,7 @@
     returned: bool = False
     results: StageResults | None = None
     on_begun: Callable[[], None] = _nothing
+    begun_at: float = 0.0
     sent: bool = False
     runs: int = 0
     last_event: str = ""
--- a/camphorrun/gateway/replicas.py
+++ b/camphorrun/gateway/replicas.py
@@ -28,12 +28,16 @@
         Load and health as this gateway sees them.
     pool : ConnectionPool
         Connections to it.
+    rejected_until : float
+        End of the pause after it rejected a request: idle for that reason, it would
+        otherwise attract all others.
     """
 
-    __slots__ = ("endpoint", "pool", "replica")
+    __slots__ = ("endpoint", "pool", "rejected_until", "replica")
 
     def __init__(self, replica: Replica, timers: TimerService, connections: int):
         self.replica = replica
+        self.rejected_until = float("-inf")
         self.endpoint = EndpointState(
             replica.identifier, replica.availability_zone, replica.service
         )
--- a/camphorrun/gateway/tests/test_requests.py
+++ b/camphorrun/gateway/tests/test_requests.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ...http1 import HttpError
+from ...retries import RetryBudget
 from .world import configuration, events, play, route
 
 
@@ -78,6 +79,18 @@
 
         play(scenario, plain=3)
 
+    def test_rejecting_replica_does_not_attract_the_next_requests(self):
+        """Guards against a replica that is idle because it rejects everything."""
+
+        async def scenario(world):
+            world.daemons[0]._budgets["plain"] = RetryBudget(0.0, 0.0)
+            world.daemons[0]._budgets["plain"]._balance = 1.5
+            world.replicas[0].script.answer = "full"
+            for _ in range(10):
+                assert (await world.ask("/unsafe/x")).status == 200
+
+        play(scenario, plain=2)
+
     def test_refusal_where_nothing_ran(self):
         """Guards against a promise that does not say when to come back."""
 
@@ -125,6 +138,31 @@
 
         play(scenario, plain=2)
 
+    def test_one_repeat_costs_one_of_the_budget(self):
+        """Guards against a replica's failure that uses the budget twice."""
+
+        async def scenario(world):
+            world.daemons[0]._budgets["plain"] = RetryBudget(0.0, 0.0)
+            world.daemons[0]._budgets["plain"]._balance = 1.5
+            for replica in world.replicas:
+                replica.script.answer = "error"
+            answer = await world.ask("/safe/x")
+            assert sum(len(replica.runs) for replica in world.replicas) == 2
+            assert (answer.status, answer.body) == (500, b"failed")
+
+        play(scenario, plain=2)
+
+    def test_failure_is_the_replicas_when_the_budget_is_empty(self):
+        """Guards against a replica's answer that is replaced by one of our own."""
+
+        async def scenario(world):
+            world.daemons[0]._budgets["plain"] = RetryBudget(0.0, 0.0)
+            world.replicas[0].script.answer = "error"
+            answer = await world.ask("/safe/x")
+            assert (answer.status, answer.body) == (500, b"failed")
+
+        play(scenario)
+
     def test_attempts_are_bounded(self):
         """Guards against more replicas than the route allows."""
 
@@ -205,6 +243,18 @@
 class TestStreams:
     """Streams of events."""
 
+    def test_long_streams_make_no_replica_slow(self):
+        """Guards against engines ejected for the length of their answers."""
+
+        async def scenario(world):
+            world.replicas[0].script.event_gap_s = 0.1
+            await world.ask("/stream/x", "X-Model: m")
+            pool = world.daemons[0]._replicas
+            state = pool.get(world.replicas[0].identifier).endpoint
+            assert 0 < state.latency_s < 0.1
+
+        play(scenario)
+
     def test_events_arrive_in_order_and_whole(self):
         """Guards against lost or doubled events."""
 
--- a/camphorrun/pipeline/batches.py
+++ b/camphorrun/pipeline/batches.py
@@ -21,6 +21,8 @@
 ZONE_SLACK_SECONDS = 0.25
 # A late request that has waited for so long behind a backlog is given up.
 MAX_LATE_WAIT_SECONDS = 1.0
+# Share of the predicted need of what follows that a request needs in any case.
+CERTAIN_DOWNSTREAM = 0.7
 
 
 @dataclass(slots=True, eq=False)
@@ -168,7 +170,8 @@
         is_long = self._is_long(replicas)
 
         def is_given_up(group: PieceGroup) -> bool:
-            if group.deadline_at - least_s < now:
+            needed_s = least_s + group.downstream_s * CERTAIN_DOWNSTREAM
+            if group.deadline_at - needed_s < now:
                 return True
             is_late = group.latest_start(call_s) < now
             return (
--- a/camphorrun/pipeline/tests/test_batches.py
+++ b/camphorrun/pipeline/tests/test_batches.py
@@ -68,6 +68,24 @@
         assert queue.expire(1, 0.9) == [waiting]
         assert len(queue) == 0
 
+    def test_request_whose_later_stages_do_not_fit_is_given_up(self):
+        """Guards against calls for a request that ends after its deadline."""
+        queue = BatchQueue(CAPACITY)
+        waiting = group("r", deadline_at=2.0, downstream_s=1.5)
+        queue.add(waiting)
+        assert queue.expire(1, 0.5) == []
+        assert queue.expire(1, 0.9) == [waiting]
+
+    def test_late_request_behind_a_backlog_is_given_up(self):
+        """Guards against requests that are held until their callers leave."""
+        queue = BatchQueue(CAPACITY)
+        late = group("late", 4, objective_at=0.1)
+        queue.add(late)
+        assert queue.expire(1, 1.5) == []
+        for number in range(4):
+            queue.add(group(f"r{number}", 10, objective_at=9.0, deadline_at=20.0))
+        assert queue.expire(1, 1.5) == [late]
+
 
 class TestSpace:
     """Batches within the space of a replica."""
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -261,6 +261,13 @@
         "if rejections >= MAX_REJECTIONS:",
         f"{GATEWAY}/test_requests.py",
     ),
+    Mutation(
+        "gateway: a replica that rejected gets no next request at once",
+        "camphorrun/gateway/attempts.py",
+        "            handle.rejected_until = self._timers.now() + REJECTION_PAUSE_SECONDS\n",
+        "            pass\n",
+        f"{GATEWAY}/test_requests.py",
+    ),
     Mutation(
         "gateway: only whole events reach the caller",
         "camphorrun/gateway/events.py",
