--- a/camphorrun/gateway/tests/test_requests.py
+++ b/camphorrun/gateway/tests/test_requests.py
@@ -85,6 +85,10 @@
         async def scenario(world):
             world.daemons[0]._budgets["plain"] = RetryBudget(0.0, 0.0)
             world.daemons[0]._budgets["plain"]._balance = 1.5
+            world.replicas[0].script.work_s = 0.005
+            world.replicas[1].script.work_s = 0.02
+            await asyncio.gather(*(world.ask("/unsafe/x") for _ in range(12)))
+            # The faster one now rejects, and is idle all the time.
             world.replicas[0].script.answer = "full"
             for _ in range(10):
                 assert (await world.ask("/unsafe/x")).status == 200
