--- a/camphorrun/gateway/daemon.py
+++ b/camphorrun/gateway/daemon.py
@@ -26,6 +26,9 @@
 
 # After the start of a drain the balancer still sends connections for about this long.
 REDIRECT_SECONDS = 3.0
+# Requests that come later are refused: they might not end before the process does.
+ACCEPT_SECONDS = 2.5
+FLUSH_SECONDS = 0.1
 # Before this part of the time to the kill, requests are still waited for.
 STOP_MARGIN_SECONDS = 0.6
 IDLE_CLOSE_SECONDS = 0.25
@@ -218,7 +221,11 @@
             redirected = self.timers.now() - started_at >= REDIRECT_SECONDS
             if redirected and not self._callers.active and not self._peer_work():
                 break
+            if self.timers.now() - started_at >= ACCEPT_SECONDS:
+                self._front.refuse_new()
             await self.timers.sleep(DRAIN_POLL_SECONDS)
+        self._front.end()
+        await self.timers.sleep(FLUSH_SECONDS)
         leaving.cancel()
         self.lifecycle.stopped()
 
--- a/camphorrun/gateway/front.py
+++ b/camphorrun/gateway/front.py
@@ -1,5 +1,6 @@
 """Serves callers: finds the route, refuses what can't be served, runs the rest."""
 
+import asyncio
 from functools import partial
 
 import xxhash
@@ -24,6 +25,9 @@
 # Answer to callers while nothing is known yet.
 NOT_READY_RETRY_SECONDS = 0.5
 STAGE_RETRY_SECONDS = 0.5
+DRAINING = "draining"
+# A caller that comes back meets another gateway, so it need not wait.
+DRAIN_RETRY_SECONDS = 0.05
 # Assumed time from the call of a model replica to its first event.
 FIRST_EVENT_SECONDS = 0.25
 DEFAULT_DEADLINE_SECONDS = 30.0
@@ -54,18 +58,21 @@
         self._metrics = metrics
         self._events = events
         self._returns = ReturnDetector()
-        self.in_flight = 0
+        self._running: dict[asyncio.Task, RequestContext | None] = {}
+        self._refuses_new = False
+        self._is_over = False
 
     async def handle(self, req: ServerRequest, responder: ServerResponder) -> None:
         """Answer one request."""
-        self.in_flight += 1
+        task = asyncio.current_task()
+        self._running[task] = None
         attempt_id = ""
         route_name = ""
         code = "left"
         try:
             caller = decode_caller_request(req)
             attempt_id = caller.attempt_id
-            ctx = self._accept(caller)
+            ctx = self._running[task] = self._accept(caller)
             route_name = ctx.route.name
             await self._serve(ctx, responder)
             code = "ok" if responder.ended else "broken"
@@ -75,10 +82,27 @@
         except RefusedError as exc:
             code = exc.code
             self._refuse(responder, attempt_id, exc.status, exc.code, exc.retry_after_s)
+        except asyncio.CancelledError:
+            if not self._is_over or responder.ended:
+                raise
+            code = DRAINING
+            sent = self._running[task] is not None and self._running[task].sent
+            status, retry_after_s = (502, 0.0) if sent else (503, DRAIN_RETRY_SECONDS)
+            self._refuse(responder, attempt_id, status, code, retry_after_s)
         finally:
-            self.in_flight -= 1
+            del self._running[task]
             self._note_end(req, attempt_id, route_name, code)
 
+    def refuse_new(self) -> None:
+        """Refuse further requests, because they might not end before the process."""
+        self._refuses_new = True
+
+    def end(self) -> None:
+        """Answer the requests that are still running: the process is about to end."""
+        self._is_over = True
+        for task in list(self._running):
+            task.cancel()
+
     def _note_end(
         self, req: ServerRequest, attempt_id: str, route: str, code: str
     ) -> None:
@@ -108,6 +132,13 @@
 
     def _accept(self, caller: CallerRequest) -> RequestContext:
         """Return the context of a request that may be served."""
+        if self._refuses_new:
+            raise RefusedError(
+                "this gateway is about to stop",
+                code=DRAINING,
+                status=503,
+                retry_after_s=DRAIN_RETRY_SECONDS,
+            )
         deployment = self._state.deployment
         if deployment is None or not self._state.ready:
             raise RefusedError(
--- a/camphorrun/gateway/tests/test_state.py
+++ b/camphorrun/gateway/tests/test_state.py
@@ -171,6 +171,44 @@
 
         play(scenario)
 
+    def test_request_late_in_the_drain_is_refused(self):
+        """Guards against a request that is taken and then cut by the end."""
+
+        async def scenario(world):
+            world.daemons[0].drain("test")
+            await asyncio.sleep(2.7)
+            answer = await world.ask("/safe/x")
+            assert (answer.status, answer.headers["x-reason"]) == (503, "draining")
+            assert float(answer.headers["retry-after"]) > 0
+
+        play(scenario)
+
+    def test_request_in_its_stages_gets_an_answer_at_the_end(self):
+        """Guards against a connection that closes without any answer."""
+
+        async def scenario(world):
+            world.stage_replicas[0].script.work_s = 10.0
+            staged = ("X-Model: m", "X-Pieces: 1,1", "X-Piece-Key: k")
+            request = asyncio.ensure_future(world.ask("/staged/x", *staged))
+            await world.until(lambda: world.stage_replicas[0].stage_calls)
+            world.daemons[0].drain("test")
+            answer = await request
+            assert (answer.status, answer.headers["x-reason"]) == (503, "draining")
+
+        play(scenario, stage=1, stop_s=2.0)
+
+    def test_sent_request_gets_no_promise_at_the_end(self):
+        """Guards against a refusal of a request that may have run."""
+
+        async def scenario(world):
+            world.replicas[0].script.answer = "mute"
+            request = asyncio.ensure_future(world.ask("/unsafe/x"))
+            await world.until(lambda: world.replicas[0].runs)
+            world.daemons[0].drain("test")
+            assert (await request).status == 502
+
+        play(scenario, stop_s=2.0)
+
     def test_new_connections_are_served_during_the_drain(self):
         """Guards against refusals while the balancer still sends connections."""
 
--- a/camphorrun/gateway/tests/world.py
+++ b/camphorrun/gateway/tests/world.py
@@ -6,7 +6,12 @@
 
 from ...core import EventLog, LoopTimerService
 from ...http1 import ClientConnection, connect
-from ...settings import GatewayHostSettings, GatewaySettings, StoreSettings
+from ...settings import (
+    BoundSettings,
+    GatewayHostSettings,
+    GatewaySettings,
+    StoreSettings,
+)
 from ...standins.platform_replica import PlatformReplica
 from ...standins.platform_store import PlatformStore
 from .. import GatewayDaemon
@@ -92,6 +97,7 @@
     plain: int = 1
     stage: int = 0
     gateways: int = 1
+    stop_s: float = 8.0
     timers: LoopTimerService = field(default_factory=LoopTimerService)
 
     async def __aenter__(self) -> "World":
@@ -137,6 +143,7 @@
             GatewayHostSettings(name, "127.0.0.1", "z1", *_free_addresses(4)),
             StoreSettings(self.store.address, 1.0),
             seeds,
+            BoundSettings(stop_s=self.stop_s),
         )
         events = EventLog(name, self.timers, None)
         daemon = GatewayDaemon(settings, self.timers, events)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -264,10 +264,24 @@
     Mutation(
         "gateway: a replica that rejected gets no next request at once",
         "camphorrun/gateway/attempts.py",
-        "            handle.rejected_until = self._timers.now() + REJECTION_PAUSE_SECONDS\n",
-        "            pass\n",
+        "            handle.rejected_until = ",
+        "            _ = ",
         f"{GATEWAY}/test_requests.py",
     ),
+    Mutation(
+        "gateway: requests late in a drain are refused",
+        "camphorrun/gateway/daemon.py",
+        "                self._front.refuse_new()\n",
+        "                pass\n",
+        f"{GATEWAY}/test_state.py",
+    ),
+    Mutation(
+        "gateway: the end of a drain answers what still runs",
+        "camphorrun/gateway/daemon.py",
+        "        self._front.end()\n",
+        "",
+        f"{GATEWAY}/test_state.py",
+    ),
     Mutation(
         "gateway: only whole events reach the caller",
         "camphorrun/gateway/events.py",
