--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -1,6 +1,5 @@
 """Sends a request to replicas until it has an answer or none can be had."""
 
-import asyncio
 from random import Random
 
 from ..catalog import RouteKind
@@ -15,8 +14,6 @@
 from ..platform import (
     ReplyFacts,
     encode_request,
-    event_id,
-    relay_headers,
     reply_facts,
 )
 from ..retries import RetryBudget
@@ -27,24 +24,20 @@
     Router,
     StageRequest,
 )
+from .answers import BUFFERED_ANSWER_BYTES, AnswerRelay
 from .context import RequestContext
-from .errors import RefusedError
-from .events import EventBuffer
+from .errors import AttemptFailedError, InputsGoneError, RefusedError
 from .replicas import ReplicaHandle, ReplicaPool, endpoints
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 # Unsafe requests use no connection that was idle for longer: a replica that closes it
 # at that moment leaves the outcome unknown.
 UNSAFE_IDLE_SECONDS = 1.0
-# Answers up to this size are read to their end before the caller gets the first byte,
-# so that a repeatable request can still be sent to another replica.
-BUFFERED_ANSWER_BYTES = 256 * 1024
 # A repeatable request without answer goes to another replica after this multiple of
 # its objective, but not before the least time.
 PATIENCE_FACTOR = 2.0
 LEAST_PATIENCE_SECONDS = 0.3
 STREAM_HEAD_SECONDS = 2.5
-STREAM_GAP_SECONDS = 2.0
 MAX_REJECTIONS = 4
 # Shared tokens from which on a prefix decides where a request runs.
 LONG_PREFIX_TOKENS = 1000
@@ -55,28 +48,6 @@
 MIN_USEFUL_SECONDS = 0.02
 
 
-class AttemptFailedError(Exception):
-    """An attempt ended without an answer for the caller."""
-
-    def __init__(
-        self,
-        reason: str,
-        *,
-        not_run: bool,
-        inputs_gone: bool = False,
-        is_repeat_paid: bool = False,
-    ):
-        super().__init__(reason)
-        self.reason = reason
-        self.not_run = not_run
-        self.inputs_gone = inputs_gone
-        self.is_repeat_paid = is_repeat_paid
-
-
-class InputsGoneError(Exception):
-    """The replica lacks a stage result that the request needs."""
-
-
 class Attempts:
     """Runs the attempts of requests.
 
@@ -101,6 +72,7 @@
     ):
         self._replicas = replicas
         self._budget_of = budget_of
+        self._relay = AnswerRelay(budget_of, timers, metrics)
         self._timers = timers
         self._metrics = metrics
         self._events = events
@@ -128,7 +100,7 @@
                 await self._attempt(ctx, handle, responder)
                 return
             except AttemptFailedError as exc:
-                reason = exc.reason
+                reason = exc.code
                 self._note_failure(ctx, handle, exc)
                 if exc.inputs_gone:
                     raise InputsGoneError(reason) from exc
@@ -248,12 +220,12 @@
         ctx.tried.add(handle.replica.identifier)
         if exc.not_run:
             handle.rejected_until = self._timers.now() + REJECTION_PAUSE_SECONDS
-        self._metrics.attempts.labels(ctx.service, exc.reason).inc()
+        self._metrics.attempts.labels(ctx.service, exc.code).inc()
         self._events.request(
             "attempt_failed",
             ctx.request_id,
             replica=handle.replica.identifier,
-            reason=exc.reason,
+            reason=exc.code,
             not_run=exc.not_run,
             runs=ctx.runs,
             last_event=ctx.last_event,
@@ -275,7 +247,7 @@
             ok = True
         except AttemptFailedError as exc:
             # A replica that is full is busy, not broken.
-            ok = None if exc.reason == "rejected" else False
+            ok = None if exc.code == "rejected" else False
             raise
         except BaseException:
             if conn is not None:
@@ -338,10 +310,9 @@
                 raise _rejection(facts)
             if not facts.own or (200 <= head.status < 300 and not facts.stamped):
                 raise AttemptFailedError("foreign_answer", not_run=False)
-            if ctx.route.kind is RouteKind.STREAM and head.status == 200:
-                await self._relay_events(ctx, head, conn, responder)
-            else:
-                await self._relay_whole(ctx, head, conn, responder)
+            await self._relay.relay(
+                ctx, head, conn, responder, may_move=self._may_move(ctx)
+            )
         except HttpError as exc:
             conn.abort()
             raise AttemptFailedError(exc.code, not_run=False) from exc
@@ -349,23 +320,17 @@
             conn.abort()
             raise AttemptFailedError("timeout", not_run=False) from exc
         except AttemptFailedError as exc:
-            if exc.reason == "foreign_answer":
+            if exc.code == "foreign_answer":
                 conn.abort()
             raise
 
     async def _head(
         self, ctx: RequestContext, conn: ClientConnection, data: bytes
     ) -> ResponseHead:
-        left_s = ctx.end_at - self._timers.now()
-        return (
-            await bounded(
-                self._timers, conn.request(data), max(MIN_USEFUL_SECONDS, left_s)
-            )
-            if not self._may_move(ctx)
-            else await bounded(
-                self._timers, conn.request(data), min(left_s, self._patience_s(ctx))
-            )
-        )
+        left_s = max(MIN_USEFUL_SECONDS, ctx.end_at - self._timers.now())
+        if self._may_move(ctx):
+            left_s = min(left_s, self._patience_s(ctx))
+        return await bounded(self._timers, conn.request(data), left_s)
 
     def _may_move(self, ctx: RequestContext) -> bool:
         """Return whether a replica that stays silent is given up for another one."""
@@ -386,91 +351,6 @@
         except (HttpError, TimeoutError):
             conn.abort()
 
-    async def _relay_whole(
-        self,
-        ctx: RequestContext,
-        head: ResponseHead,
-        conn: ClientConnection,
-        responder: ServerResponder,
-    ) -> None:
-        """Pass on an answer with one body."""
-        if responder.started:
-            # A resumed stream that is answered by anything but events.
-            raise AttemptFailedError("resume_failed", not_run=False)
-        left_s = max(MIN_USEFUL_SECONDS, ctx.end_at - self._timers.now())
-        async with asyncio.timeout(left_s):
-            parts: list[bytes] = []
-            size = 0
-            while size <= BUFFERED_ANSWER_BYTES:
-                data = await conn.read()
-                if not data:
-                    break
-                parts.append(data)
-                size += len(data)
-        failed = head.status >= 500
-        if failed and self._may_move(ctx) and size <= BUFFERED_ANSWER_BYTES:
-            budget = self._budget_of(ctx.service)
-            # The replica's answer is dropped only if there will be another attempt.
-            if budget.try_withdraw(self._timers.now()):
-                self._metrics.retries.labels("replica_error").inc()
-                raise AttemptFailedError(
-                    "replica_error", not_run=False, is_repeat_paid=True
-                )
-        body = b"".join(parts)
-        if size <= BUFFERED_ANSWER_BYTES:
-            responder.start(head.status, relay_headers(head), len(body), head.reason)
-            await responder.write(body)
-            responder.finish()
-            return
-        responder.start(head.status, relay_headers(head), None, head.reason)
-        await responder.write(body)
-        async with asyncio.timeout(left_s):
-            while data := await conn.read():
-                await responder.write(data)
-        responder.finish()
-
-    async def _relay_events(
-        self,
-        ctx: RequestContext,
-        head: ResponseHead,
-        conn: ClientConnection,
-        responder: ServerResponder,
-    ) -> None:
-        """Pass on events as they arrive, each one whole."""
-        buffer = EventBuffer()
-        begun = False
-        while True:
-            left_s = max(MIN_USEFUL_SECONDS, ctx.end_at - self._timers.now())
-            if self._may_move(ctx):
-                left_s = min(left_s, STREAM_GAP_SECONDS)
-            data = await bounded(self._timers, conn.read(), left_s)
-            if not data:
-                break
-            if not begun:
-                begun = True
-                ctx.begun_at = self._timers.now()
-                ctx.on_begun()
-            events = buffer.feed(data)
-            if events:
-                await self._pass_on(ctx, head, events, responder)
-        if not responder.started:
-            responder.start(head.status, relay_headers(head), None, head.reason)
-        await responder.write(buffer.rest)
-        responder.finish()
-
-    async def _pass_on(
-        self,
-        ctx: RequestContext,
-        head: ResponseHead,
-        events: list[bytes],
-        responder: ServerResponder,
-    ) -> None:
-        if not responder.started:
-            responder.start(head.status, relay_headers(head), None, head.reason)
-        for event in events:
-            ctx.last_event = event_id(event) or ctx.last_event
-        await responder.write(b"".join(events))
-
 
 def _rejection(facts: ReplyFacts) -> AttemptFailedError:
     if facts.inputs_gone:
--- a/camphorrun/gateway/daemon.py
+++ b/camphorrun/gateway/daemon.py
@@ -35,7 +35,6 @@
 DRAIN_POLL_SECONDS = 0.05
 # Share of the common retry budget that gateways use, because their windows differ.
 BUDGET_SHARE = 0.5
-HOUSEKEEPING_SECONDS = 1.0
 
 
 class GatewayDaemon:
--- a/camphorrun/gateway/errors.py
+++ b/camphorrun/gateway/errors.py
@@ -37,3 +37,38 @@
     """Another daemon gave no usable answer."""
 
     default_code = "peer_unavailable"
+
+
+class AttemptFailedError(CamphorrunError):
+    """An attempt ended without an answer for the caller; the code says why.
+
+    Attributes
+    ----------
+    not_run : bool
+        The replica states that it did not run the request, or nothing was sent.
+    inputs_gone : bool
+        A stage result that the request needs no longer exists.
+    is_repeat_paid : bool
+        The retry budget was charged for the next attempt already.
+    """
+
+    default_code = "attempt_failed"
+
+    def __init__(
+        self,
+        code: str,
+        *,
+        not_run: bool,
+        inputs_gone: bool = False,
+        is_repeat_paid: bool = False,
+    ):
+        super().__init__(f"attempt failed: {code}", code=code)
+        self.not_run = not_run
+        self.inputs_gone = inputs_gone
+        self.is_repeat_paid = is_repeat_paid
+
+
+class InputsGoneError(CamphorrunError):
+    """The replica lacks a stage result that the request needs."""
+
+    default_code = "inputs_gone"
--- a/camphorrun/gateway/front.py
+++ b/camphorrun/gateway/front.py
@@ -16,9 +16,9 @@
     decode_caller_request,
     refusal_headers,
 )
-from .attempts import Attempts, InputsGoneError
+from .attempts import Attempts
 from .context import RequestContext
-from .errors import RefusedError, StageError
+from .errors import InputsGoneError, RefusedError, StageError
 from .stage_runner import StageRunner
 from .state import GatewayState
 
--- a/camphorrun/gateway/replicas.py
+++ b/camphorrun/gateway/replicas.py
@@ -6,7 +6,7 @@
 from ..core import EventLog, TimerService
 from ..http1 import ConnectionPool
 from ..metrics import Metrics
-from ..routing import EjectionState, EndpointState, OutlierDetector
+from ..routing import EndpointState, OutlierDetector
 from .state import GatewayState
 
 OUTLIER_SECONDS = 0.25
@@ -136,11 +136,6 @@
     return [handle.endpoint for handle in handles]
 
 
-def is_active(handle: ReplicaHandle) -> bool:
-    """Return whether a replica takes work and is not ejected."""
-    return handle.takes_work and handle.endpoint.ejection is EjectionState.ACTIVE
-
-
 def _new_detector() -> OutlierDetector:
     return OutlierDetector(
         first_ejection_s=FIRST_EJECTION_SECONDS, maximum_ejection_s=MAX_EJECTION_SECONDS
--- a/camphorrun/http1/server.py
+++ b/camphorrun/http1/server.py
@@ -159,6 +159,7 @@
         self._fields: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._head_size = 0
+        self._head_done = False
         self._body_size = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -198,12 +199,9 @@
             if self._head_size > self.server.limits.header_bytes:
                 self._refuse(431)
 
-    _head_done = False
-
     def on_message_begin(self) -> None:
         """Start a new request."""
         self._reset_message()
-        self._head_done = False
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
--- a/camphorrun/platform/__init__.py
+++ b/camphorrun/platform/__init__.py
@@ -1,6 +1,6 @@
 """Adapter to the users' platform: its names, formats and calls; it decides nothing.
 
-Public: ``StoreClient``, ``StoreError``, ``Membership``, ``CONFIGURATION_KEY``,
+Public: ``StoreClient``, ``StoreError``, ``CONFIGURATION_KEY``,
 ``CONFIGURATION_TOPIC``, ``REPLICA_TOPIC``, ``decode_deployment``, ``decode_replica``,
 ``DecodeError``, ``CallerRequest``, ``decode_caller_request``, ``encode_request``,
 ``ReplyFacts``, ``reply_facts``, ``relay_headers``, ``refusal_headers``, ``event_id``,
@@ -33,7 +33,6 @@
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
     REPLICA_TOPIC,
-    Membership,
     StoreClient,
 )
 
@@ -43,7 +42,6 @@
     "REPLICA_TOPIC",
     "CallerRequest",
     "DecodeError",
-    "Membership",
     "ReplyFacts",
     "StageFault",
     "StageItem",
--- a/camphorrun/platform/store.py
+++ b/camphorrun/platform/store.py
@@ -6,7 +6,6 @@
 
 import base64
 import struct
-from dataclasses import dataclass
 from urllib.parse import urlencode
 
 import msgspec
@@ -28,14 +27,6 @@
 _POSITIONS = struct.Struct(">QQ")
 
 
-@dataclass(frozen=True, slots=True)
-class Membership:
-    """Members of a group and the generation that was current."""
-
-    generation: int
-    members: tuple[str, ...]
-
-
 class _Item(msgspec.Struct, rename="pascal"):
     key: str
     value: str
--- a/camphorrun/settings/gateway.py
+++ b/camphorrun/settings/gateway.py
@@ -50,15 +50,12 @@
     retry_ratio, retry_extra, retry_window_s
         Repeats that all daemons together may send to a service in a window: the ratio
         of its requests, and this number besides.
-    address_reuse_s : float
-        Time after which the address of an ended replica may belong to another one.
     """
 
     stop_s: float = 8.0
     retry_ratio: float = 0.2
     retry_extra: float = 56.0
     retry_window_s: float = 10.0
-    address_reuse_s: float = 2.0
 
 
 @dataclass(frozen=True, slots=True)
