--- a/camphorrun/gateway/daemon.py
+++ b/camphorrun/gateway/daemon.py
@@ -144,7 +144,8 @@
         self._supervisor.add("replicas", self._sync.follow_replicas)
         self._supervisor.add("membership", self._sync.keep_membership)
         self._supervisor.add("peer-records", self._peers.exchange_records)
-        self.state.subscribe(deployment=self._apply_limits)
+        # The share of the common budget changes with the number of members.
+        self.state.subscribe(deployment=self._apply_limits, members=self._budgets.clear)
 
     async def _listen(self) -> None:
         service = PeerService(
--- a/camphorrun/gateway/tests/test_state.py
+++ b/camphorrun/gateway/tests/test_state.py
@@ -94,6 +94,23 @@
         play(scenario)
 
 
+class TestBudget:
+    """The share of the common retry budget."""
+
+    def test_share_follows_the_members(self):
+        """Guards against gateways that keep the share of a smaller group."""
+
+        async def scenario(world):
+            daemon = world.daemons[0]
+            alone = daemon._budget_of("plain")
+            world.add_gateway("second")
+            await world.until(lambda: len(daemon.state.members) == 2)
+            shared = daemon._budget_of("plain")
+            assert shared._minimum_per_s == alone._minimum_per_s / 2
+
+        play(scenario)
+
+
 class TestReplicas:
     """Registrations of replicas."""
 
