--- a/camphorrun/gateway/front.py
+++ b/camphorrun/gateway/front.py
@@ -75,7 +75,7 @@
             ctx = self._running[task] = self._accept(caller)
             route_name = ctx.route.name
             await self._serve(ctx, responder)
-            code = "ok" if responder.ended else "broken"
+            code = "broken" if responder.aborted else "ok"
         except DecodeError as exc:
             code = exc.code
             self._refuse(responder, attempt_id, 400, exc.code, 0.0)
--- a/camphorrun/gateway/tests/test_requests.py
+++ b/camphorrun/gateway/tests/test_requests.py
@@ -292,6 +292,10 @@
                 await conn.read_all(10_000)
             conn.abort()
             assert sum(len(replica.runs) for replica in world.replicas) == 1
+            await asyncio.sleep(0.05)
+            rendered = world.daemons[0].metrics.render().decode()
+            assert 'code="broken"' in rendered
+            assert 'code="ok"' not in rendered
 
         play(scenario, plain=2)
 
--- a/camphorrun/http1/server.py
+++ b/camphorrun/http1/server.py
@@ -67,13 +67,14 @@
 class ServerResponder:
     """Writes the response to one request."""
 
-    __slots__ = ("_chunked", "_conn", "_ended", "_keep_alive", "started")
+    __slots__ = ("_chunked", "_conn", "_ended", "_keep_alive", "aborted", "started")
 
     def __init__(self, conn: "ServerConnection", keep_alive: bool):
         self._conn = conn
         self._keep_alive = keep_alive
         self._chunked = False
         self._ended = False
+        self.aborted = False
         self.started = False
 
     def start(
@@ -128,6 +129,7 @@
     def abort(self) -> None:
         """Close the connection, so that the response can't look complete."""
         self._ended = True
+        self.aborted = True
         self._conn.abort()
 
     @property
