Hand a stage queue over to its new owner, and tell repeats from first tries

An owner that is replaced, or that drains, answers with the results that it has and names its successor; the asker orders the rest there. Ownership follows the address of a host, so a restarted process owns what the one before it owned. A new owner reads the free space of its replicas; reports are whole megabytes rounded down and so only an upper bound. A changed capacity of a service is in force in running owners.

Repeats pass the admission, so a backlog refused almost nobody before stages were spent.

--- a/camphorrun/admission/starts.py
+++ b/camphorrun/admission/starts.py
@@ -14,8 +14,9 @@
 # Below this wait the stages are not overloaded, whatever the objective is.
 LEAST_WAIT_SECONDS = 0.1
 MIN_RETRY_AFTER_SECONDS = 0.3
-# A deadline below this share of the usual one is that of a repeat.
-RETURN_SHARE = 0.97
+# A deadline below this share of the longest one is that of a repeat; callers of the
+# users' platform send first tries with 0.87 to 1.0 of it.
+RETURN_SHARE = 0.86
 
 
 def judge_start(
@@ -66,13 +67,13 @@
     (False, True)
     """
 
-    __slots__ = ("_usual",)
+    __slots__ = ("_longest",)
 
     def __init__(self):
-        self._usual: dict[str, float] = {}
+        self._longest: dict[str, float] = {}
 
     def is_return(self, route: str, deadline_s: float) -> bool:
         """Return whether a request with this deadline repeats an earlier one."""
-        usual_s = max(deadline_s, self._usual.get(route, 0.0))
-        self._usual[route] = usual_s
-        return deadline_s < usual_s * RETURN_SHARE
+        longest_s = max(deadline_s, self._longest.get(route, 0.0))
+        self._longest[route] = longest_s
+        return deadline_s < longest_s * RETURN_SHARE
--- a/camphorrun/admission/tests/test_starts.py
+++ b/camphorrun/admission/tests/test_starts.py
@@ -41,6 +41,15 @@
         assert not detector.is_return("r", 7.9)
         assert detector.is_return("r", 6.0)
 
+    def test_first_tries_differ_by_an_eighth(self):
+        """Guards against three quarters of all newcomers judged as repeats.
+
+        They were never refused for a backlog, whatever it was.
+        """
+        detector = ReturnDetector()
+        detector.is_return("r", 8.0)
+        assert not detector.is_return("r", 7.0)
+
     def test_routes_are_apart(self):
         """Guards against a short deadline of one route judged by another one."""
         detector = ReturnDetector()
--- a/camphorrun/gateway/daemon.py
+++ b/camphorrun/gateway/daemon.py
@@ -215,6 +215,7 @@
         end_at = started_at + self.settings.bounds.stop_s - STOP_MARGIN_SECONDS
         self._callers.closing = True
         leaving = asyncio.ensure_future(self._sync.leave())
+        self._stages.retire()
         await self.timers.sleep(IDLE_CLOSE_SECONDS)
         self._callers.close_idle()
         while self.timers.now() < end_at:
--- a/camphorrun/gateway/messages.py
+++ b/camphorrun/gateway/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-SCHEMA_VERSION = 1
+SCHEMA_VERSION = 2
 
 
 class RecordMessage(msgspec.Struct, array_like=True):
@@ -30,7 +30,10 @@
 
 
 class PieceOrder(msgspec.Struct):
-    """Asks the owner of a stage service for pieces of one stage of one request."""
+    """Asks the owner of a stage service for pieces of one stage of one request.
+
+    ``forced`` orders are carried out by a daemon that is not the owner, too.
+    """
 
     service: str
     request_id: str
@@ -44,18 +47,21 @@
     deadline_left_s: float
     downstream_s: float
     zone: str = ""
+    forced: bool = False
     version: int = SCHEMA_VERSION
 
 
 class PieceReply(msgspec.Struct):
-    """Results in the order of the pieces, or the code of a fault.
+    """Results by piece, or the code of a fault.
 
-    ``wait_s`` is the wait that pieces of this kind have to expect now.
+    ``wait_s`` is the wait that pieces of this kind have to expect now. With the fault
+    ``moved`` the daemon at ``successor`` makes the pieces that have no result.
     """
 
-    handles: list[str]
+    handles: dict[int, str]
     fault: str = ""
     wait_s: float = 0.0
+    successor: str = ""
     version: int = SCHEMA_VERSION
 
 
--- /dev/null
+++ b/camphorrun/gateway/stage_calls.py
@@ -0,0 +1,94 @@
+"""Calls of one stage replica."""
+
+from ..core import TimerService, bounded
+from ..http1 import HttpError
+from ..platform import (
+    StageItem,
+    StageItemResult,
+    decode_space,
+    decode_stage_reply,
+    encode_release,
+    encode_space_question,
+    encode_stage_call,
+)
+from .replicas import ReplicaHandle
+
+CONNECT_TIMEOUT_SECONDS = 0.4
+RELEASE_TIMEOUT_SECONDS = 1.0
+SPACE_TIMEOUT_SECONDS = 0.3
+MAX_ANSWER_BYTES = 1024 * 1024
+
+
+async def make_results(
+    handle: ReplicaHandle,
+    items: list[StageItem],
+    timers: TimerService,
+    timeout_s: float,
+) -> list[StageItemResult]:
+    """Return the results of one call in the order of its items.
+
+    Raises
+    ------
+    HttpError
+        With code ``refused`` if the replica did not take the call.
+    DecodeError
+        If the answer can't be read.
+    TimeoutError
+        If there is no answer in time.
+    """
+    replica = handle.replica
+    data = encode_stage_call(replica.address, replica.identifier, items)
+    body = await _exchange(handle, data, timers, timeout_s)
+    return decode_stage_reply(body, len(items))
+
+
+async def read_free_space(handle: ReplicaHandle, timers: TimerService) -> int:
+    """Return the most bytes that can be free for results.
+
+    Raises
+    ------
+    HttpError, DecodeError, TimeoutError
+        As for ``make_results``.
+    """
+    data = encode_space_question(handle.replica.address)
+    return decode_space(await _exchange(handle, data, timers, SPACE_TIMEOUT_SECONDS))
+
+
+async def release_results(
+    handle: ReplicaHandle, results: list[str], timers: TimerService
+) -> None:
+    """Free results at their maker.
+
+    Raises
+    ------
+    HttpError, TimeoutError
+        If the replica did not confirm it; it drops unused results after a while.
+    """
+    data = encode_release(handle.replica.address, results)
+    await _exchange(handle, data, timers, RELEASE_TIMEOUT_SECONDS)
+
+
+async def _exchange(
+    handle: ReplicaHandle, data: bytes, timers: TimerService, timeout_s: float
+) -> bytes:
+    """Return the body of a successful answer."""
+    conn = await handle.pool.acquire(CONNECT_TIMEOUT_SECONDS)
+
+    async def exchange() -> bytes:
+        head = await conn.request(data)
+        body = await conn.read_all(MAX_ANSWER_BYTES)
+        if head.status != 200:
+            raise HttpError(f"stage replica: status {head.status}", code="refused")
+        return body
+
+    try:
+        return await bounded(timers, exchange(), timeout_s)
+    except HttpError as exc:
+        if exc.code != "refused":
+            conn.abort()
+        raise
+    except BaseException:
+        conn.abort()
+        raise
+    finally:
+        handle.pool.release(conn)
--- a/camphorrun/gateway/stage_owner.py
+++ b/camphorrun/gateway/stage_owner.py
@@ -4,30 +4,22 @@
 import itertools
 import math
 from collections import deque
+from collections.abc import Coroutine
 
 from ..catalog import StageCapacity
-from ..core import EventLog, TimerService, bounded
+from ..core import EventLog, TimerService
 from ..http1 import HttpError
 from ..metrics import Metrics
 from ..pipeline import BatchQueue, PieceGroup, SpaceLedger
-from ..platform import (
-    DecodeError,
-    StageFault,
-    StageItem,
-    StageItemResult,
-    decode_stage_reply,
-    encode_release,
-    encode_stage_call,
-)
+from ..platform import DecodeError, StageFault, StageItem, StageItemResult
 from ..retries import RetryBudget
 from .errors import StageError
 from .replicas import ReplicaHandle, ReplicaPool
+from .stage_calls import make_results, read_free_space, release_results
 
-CONNECT_TIMEOUT_SECONDS = 0.4
 # A call that takes this multiple of its usual time is given up.
 CALL_TIMEOUT_FACTOR = 3.0
 CALL_TIMEOUT_SLACK_SECONDS = 0.3
-MAX_ANSWER_BYTES = 1024 * 1024
 # Pause of a replica after a failed call; a fast failure must not attract the next one.
 FIRST_PAUSE_SECONDS = 0.2
 MAX_PAUSE_SECONDS = 3.0
@@ -39,7 +31,8 @@
 MAX_FILL_WAIT_SECONDS = 0.08
 LEAST_FILL = 0.6
 RELEASE_DELAY_SECONDS = 0.01
-RELEASE_TIMEOUT_SECONDS = 1.0
+# Interval of reports while results of earlier owners use space at a replica.
+SPACE_REPORT_SECONDS = 0.25
 MAX_TRIES = 3
 # A replica that needs this multiple of the usual time gets work only for a backlog.
 SLOW_RATIO = 2.0
@@ -49,7 +42,7 @@
 class _Job:
     """A group with the results that it has so far."""
 
-    __slots__ = ("fut", "group", "results", "total", "tries")
+    __slots__ = ("fut", "group", "left", "moves", "results", "total", "tries")
 
     def __init__(self, group: PieceGroup, fut: asyncio.Future):
         self.group = group
@@ -57,6 +50,14 @@
         self.total = len(group.waiting)
         self.results: dict[int, str] = {}
         self.tries = 0
+        # Once the service has moved, pieces that another owner makes.
+        self.moves = False
+        self.left = 0
+
+    def settle(self) -> None:
+        """End the job if every piece is made, or left to another owner."""
+        if len(self.results) + self.left == self.total and not self.fut.done():
+            self.fut.set_result(None)
 
 
 class _Worker:
@@ -70,6 +71,7 @@
         "ledger",
         "paused_until",
         "ratio",
+        "report_due",
     )
 
     def __init__(self, handle: ReplicaHandle, capacity: StageCapacity):
@@ -80,6 +82,8 @@
         self.failures = 0
         self.paused_until = float("-inf")
         self.ratio = 1.0
+        # Whether a report of the free space was asked for and has not come.
+        self.report_due = False
 
 
 class StageOwner:
@@ -117,35 +121,56 @@
         self._metrics = metrics
         self._events = events
         self._jobs: dict[PieceGroup, _Job] = {}
+        self._forced_jobs: dict[PieceGroup, _Job] = {}
         self._workers: dict[tuple[str, int], _Worker] = {}
         self._calls = itertools.count()
         self._tasks: set[asyncio.Task] = set()
         self._redispatch_scheduled = False
         self._to_release: dict[str, list[str]] = {}
 
-    async def make(self, group: PieceGroup) -> list[str]:
-        """Return the results of a group in the order of its pieces.
+    async def make(self, group: PieceGroup, forced: bool = False) -> dict[int, str]:
+        """Return the results of a group by piece.
+
+        Pieces that are left to another owner have none; those of a ``forced`` group
+        are made here in any case.
 
         Raises
         ------
         StageError
             If a piece can't be made.
         """
-        pieces = list(group.waiting)
         job = _Job(group, asyncio.get_running_loop().create_future())
-        self._jobs[group] = job
+        jobs = self._forced_jobs if forced else self._jobs
+        jobs[group] = job
         self._budget.deposit(self._timers.now())
         self._queue.add(group)
         self._dispatch()
         try:
             await job.fut
-            return [job.results[piece] for piece in pieces]
+            return job.results
         finally:
-            del self._jobs[group]
+            del jobs[group]
             self._queue.remove(group)
             if not job.fut.done() or job.fut.cancelled() or job.fut.exception():
                 self.release(list(job.results.values()))
 
+    def reconfigure(self, capacity: StageCapacity) -> None:
+        """Take over a changed configuration of the service."""
+        if capacity == self._capacity:
+            return
+        self._capacity = self._queue.capacity = capacity
+        for worker in self._workers.values():
+            worker.ledger.resize(capacity.result_bytes, capacity.result_life_s)
+
+    def hand_over(self) -> None:
+        """Leave all pieces that no call has taken yet to another owner."""
+        for group, job in self._jobs.items():
+            job.moves = True
+            job.left += len(group.waiting)
+            group.waiting.clear()
+            self._queue.remove(group)
+            job.settle()
+
     def expected_wait_s(self, result_bytes: int) -> float:
         """Return the wait to expect for pieces with results of a size."""
         return self._queue.expected_wait_s(result_bytes, self._timers.now())
@@ -173,7 +198,8 @@
                 del self._workers[boot]
         for boot, handle in handles.items():
             if boot not in self._workers:
-                self._workers[boot] = _Worker(handle, self._capacity)
+                worker = self._workers[boot] = _Worker(handle, self._capacity)
+                self._ask_for_space(worker)
         return [self._workers[boot] for boot in handles]
 
     def _dispatch(self) -> None:
@@ -182,7 +208,7 @@
         for group in self._queue.expire(len(workers), now):
             self._fail(group, "late")
         free = [w for w in workers if w.busy < self._capacity.calls]
-        free = [w for w in free if w.paused_until <= now]
+        free = [w for w in free if w.paused_until <= now and not w.report_due]
         free.sort(key=lambda worker: worker.ratio)
         for worker in free:
             if not len(self._queue):
@@ -242,7 +268,10 @@
 
     def _start(self, worker: _Worker, batch: list[tuple[PieceGroup, int]]) -> None:
         worker.busy += 1
-        task = asyncio.ensure_future(self._call(worker, batch))
+        self._spawn(self._call(worker, batch))
+
+    def _spawn(self, coroutine: Coroutine) -> None:
+        task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -278,31 +307,39 @@
             )
             for group, piece in batch
         ]
-        replica = worker.handle.replica
-        data = encode_stage_call(replica.address, replica.identifier, items)
         usual_s = self._capacity.call_time_s(len(batch)) * max(1.0, worker.ratio)
         timeout_s = usual_s * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_SLACK_SECONDS
-        pool = worker.handle.pool
-        conn = await pool.acquire(CONNECT_TIMEOUT_SECONDS)
+        return await make_results(worker.handle, items, self._timers, timeout_s)
+
+    # Space
 
-        async def exchange() -> list[StageItemResult]:
-            head = await conn.request(data)
-            body = await conn.read_all(MAX_ANSWER_BYTES)
-            if head.status != 200:
-                raise HttpError(f"stage call: status {head.status}", code="refused")
-            return decode_stage_reply(body, len(batch))
+    def _ask_for_space(self, worker: _Worker) -> None:
+        worker.report_due = True
+        self._spawn(self._read_space(worker))
 
+    async def _read_space(self, worker: _Worker) -> None:
+        """Correct the account of a replica's space by its report."""
         try:
-            return await bounded(self._timers, exchange(), timeout_s)
-        except HttpError as exc:
-            if exc.code != "refused":
-                conn.abort()
-            raise
-        except BaseException:
-            conn.abort()
-            raise
+            free_bytes = await read_free_space(worker.handle, self._timers)
+        except (HttpError, DecodeError, TimeoutError) as exc:
+            self._metrics.drops.labels("space_report").inc()
+            self._events.belief(
+                "space_unknown",
+                service=self._service,
+                replica=worker.handle.replica.identifier,
+                error=str(exc),
+            )
+        else:
+            now = self._timers.now()
+            worker.ledger.on_report(free_bytes, now)
+            if worker.ledger.others_bytes(now):
+                self._timers.call_after(
+                    SPACE_REPORT_SECONDS, lambda: self._spawn(self._read_space(worker))
+                )
         finally:
-            pool.release(conn)
+            worker.report_due = False
+        if len(self._queue):
+            self._dispatch()
 
     # Results
 
@@ -339,14 +376,16 @@
                 self._on_fault(worker, group, piece, result.fault)
 
     def _on_piece(self, group: PieceGroup, piece: int, handle: str) -> None:
-        job = self._jobs.get(group)
+        job = self._job(group)
         if job is None:
             # The caller has left meanwhile.
             self.release([handle])
             return
         job.results[piece] = handle
-        if len(job.results) == job.total and not job.fut.done():
-            job.fut.set_result(None)
+        job.settle()
+
+    def _job(self, group: PieceGroup) -> _Job | None:
+        return self._jobs.get(group) or self._forced_jobs.get(group)
 
     def _on_fault(
         self, worker: _Worker, group: PieceGroup, piece: int, fault: StageFault
@@ -354,6 +393,8 @@
         self._metrics.attempts.labels(self._service, fault.value).inc()
         if fault is StageFault.NO_SPACE:
             worker.ledger.on_full(self._timers.now(), FULL_PAUSE_SECONDS)
+            if not worker.report_due:
+                self._ask_for_space(worker)
             self._queue_again(group, [piece], counts=False)
         elif fault is StageFault.FAILED:
             self._queue_again(group, [piece], counts=True)
@@ -393,7 +434,7 @@
 
     def _queue_again(self, group: PieceGroup, pieces: list[int], counts: bool) -> None:
         """Queue pieces once more; ``counts`` if they may have been worked on."""
-        job = self._jobs.get(group)
+        job = self._job(group)
         if job is None or job.fut.done():
             return
         if counts:
@@ -402,11 +443,15 @@
             if job.tries >= MAX_TRIES or not self._budget.try_withdraw(now):
                 self._fail(group, "failed")
                 return
+        if job.moves:
+            job.left += len(pieces)
+            job.settle()
+            return
         group.waiting.extendleft(reversed(pieces))
         self._queue.add(group)
 
     def _fail(self, group: PieceGroup, code: str) -> None:
-        job = self._jobs.get(group)
+        job = self._job(group)
         if job is not None and not job.fut.done():
             error = StageError(f"stage {group.stage} at {self._service}", code=code)
             job.fut.set_exception(error)
@@ -420,9 +465,7 @@
         for address, handles in pending.items():
             handle = self._replicas.at_address(address)
             if handle is not None:
-                task = asyncio.ensure_future(self._release_at(handle, handles))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                self._spawn(self._release_at(handle, handles))
 
     def _on_released(self, address: str, handles: list[str]) -> None:
         """Use the space only now: a call that overtakes the release finds none."""
@@ -434,25 +477,9 @@
             self._dispatch()
 
     async def _release_at(self, handle: ReplicaHandle, handles: list[str]) -> None:
-        data = encode_release(handle.replica.address, handles)
-        try:
-            conn = await handle.pool.acquire(CONNECT_TIMEOUT_SECONDS)
-        except HttpError:
-            return
-
-        async def exchange() -> None:
-            await conn.request(data)
-            await conn.read_all(MAX_ANSWER_BYTES)
-
         try:
-            await bounded(self._timers, exchange(), RELEASE_TIMEOUT_SECONDS)
-            self._on_released(handle.replica.address, handles)
+            await release_results(handle, handles, self._timers)
         except (HttpError, TimeoutError):
-            # The replica drops unused results by itself after a while.
-            conn.abort()
             self._metrics.drops.labels("release").inc()
-        except BaseException:
-            conn.abort()
-            raise
-        finally:
-            handle.pool.release(conn)
+        else:
+            self._on_released(handle.replica.address, handles)
--- a/camphorrun/gateway/stage_runner.py
+++ b/camphorrun/gateway/stage_runner.py
@@ -28,7 +28,11 @@
 
 # Owners that are asked before a gateway makes the pieces itself.
 MAX_OWNERS = 2
+# A daemon that is named as the new owner makes the pieces, because it may learn later
+# than the earlier owner that it is the new one.
+MAX_REDIRECTS = 1
 MAX_REMAKES = 2
+MOVED = "moved"
 RELEASE_TIMEOUT_SECONDS = 1.0
 # Results of a stage from this size on are made where they will be needed.
 LARGE_RESULT_BYTES = 500_000
@@ -77,6 +81,19 @@
     wait_s: float
 
 
+def _remaining(
+    order: PieceOrder, handles: dict[int, str], elapsed_s: float, forced: bool
+) -> PieceOrder:
+    """Return the order for the pieces that have no result yet."""
+    return msgspec.structs.replace(
+        order,
+        pieces=[piece for piece in order.pieces if piece not in handles],
+        objective_left_s=order.objective_left_s - elapsed_s,
+        deadline_left_s=order.deadline_left_s - elapsed_s,
+        forced=forced,
+    )
+
+
 def _longest(after: list[tuple[int, ...]], needs_s: list[float]) -> float:
     """Return the need of the longest chain of stages."""
     return max(
@@ -108,6 +125,8 @@
         self._events = events
         self._owners: dict[str, StageOwner] = {}
         self._orders: dict[str, list[str]] = {}
+        self._own_address = member_address(state.member)
+        self._retired = False
         self._forecasts: dict[tuple[str, int], tuple[float, float]] = {}
         self._tasks: set[asyncio.Task] = set()
         state.subscribe(deployment=self._refresh, members=self._refresh)
@@ -243,7 +262,7 @@
             downstream,
             zone if count * stage.result_bytes >= LARGE_RESULT_BYTES else "",
         )
-        reply = await self._ask_owner(order, deadline_at)
+        reply = await self._ask_owners(order)
         key = stage.service, stage.result_bytes
         self._forecasts[key] = reply.wait_s, self._timers.now()
         self._events.request(
@@ -258,40 +277,95 @@
         )
         if reply.fault:
             raise StageError(f"stage {index} at {stage.service}", code=reply.fault)
-        return reply.handles
-
-    async def _ask_owner(self, order: PieceOrder, deadline_at: float) -> PieceReply:
-        """Ask the owner of the service, then the next one, then make them here."""
-        for member in self._orders.get(order.service, ())[:MAX_OWNERS]:
-            if member == self._state.member:
-                break
-            link = self._peers.link(member_address(member))
-            if link.suspect:
-                continue
-            left_s = deadline_at - self._timers.now()
-            try:
-                data = await link.call("/pieces", order, max(0.05, left_s))
-                return msgspec.msgpack.decode(data, type=PieceReply)
-            except (PeerError, msgspec.DecodeError) as exc:
-                self._metrics.retries.labels("stage_owner").inc()
-                self._events.request(
-                    "owner_failed",
-                    order.request_id,
-                    owner=member,
-                    service=order.service,
-                    error=str(exc),
-                )
-        return await self.make_pieces(order)
+        return [reply.handles[piece] for piece in range(count)]
+
+    async def _ask_owners(self, order: PieceOrder) -> PieceReply:
+        """Ask the owner of the service, those that it names, and at last this daemon.
+
+        Pieces that one of them made before the service moved are not made again.
+        """
+        started_at = self._timers.now()
+        handles: dict[int, str] = {}
+        unreachable: set[str] = set()
+        owner = self._next_owner(order.service, unreachable)
+        redirects = 0
+        try:
+            while True:
+                elapsed_s = self._timers.now() - started_at
+                forced = bool(unreachable) or redirects == MAX_REDIRECTS
+                part = _remaining(order, handles, elapsed_s, forced)
+                reply = await self._ask(owner, part)
+                if reply is None:
+                    unreachable.add(owner)
+                    owner = self._next_owner(order.service, unreachable)
+                    continue
+                handles.update(reply.handles)
+                if reply.fault != MOVED:
+                    break
+                redirects += 1
+                owner = reply.successor
+                self._metrics.retries.labels("stage_moved").inc()
+        except BaseException:
+            self._release(order.service, list(handles.values()))
+            raise
+        if reply.fault:
+            self._release(order.service, list(handles.values()))
+            return reply
+        return PieceReply(handles, "", reply.wait_s)
+
+    def _next_owner(self, service: str, unreachable: set[str]) -> str:
+        """Return the address of the daemon to ask, empty for this one."""
+        if len(unreachable) >= MAX_OWNERS:
+            return ""
+        for address in self.owners_of(service):
+            if address == self._own_address:
+                return ""
+            if address not in unreachable and not self._peers.link(address).suspect:
+                return address
+        return ""
+
+    async def _ask(self, owner: str, order: PieceOrder) -> PieceReply | None:
+        """Return the reply of one daemon, None if it gave none."""
+        if owner in ("", self._own_address):
+            return await self.make_pieces(order)
+        try:
+            data = await self._peers.link(owner).call(
+                "/pieces", order, max(0.05, order.deadline_left_s)
+            )
+            return msgspec.msgpack.decode(data, type=PieceReply)
+        except (PeerError, msgspec.DecodeError) as exc:
+            self._metrics.retries.labels("stage_owner").inc()
+            self._events.request(
+                "owner_failed",
+                order.request_id,
+                owner=owner,
+                service=order.service,
+                error=str(exc),
+            )
+            return None
 
     # Pieces for all gateways
 
     async def make_pieces(self, order: PieceOrder) -> PieceReply:
-        """Make pieces at this gateway."""
+        """Make pieces at this gateway, or name the one that makes them."""
+        successor = self._successor(order.service)
+        if successor and not order.forced:
+            return PieceReply({}, MOVED, successor=successor)
         owner = self._owner(order.service)
         if owner is None:
-            return PieceReply([], "failed")
+            return PieceReply({}, "failed")
+        try:
+            handles = await owner.make(self._group(order), order.forced)
+        except StageError as exc:
+            return PieceReply({}, exc.code, owner.expected_wait_s(order.result_bytes))
+        wait_s = owner.expected_wait_s(order.result_bytes)
+        if len(handles) < len(order.pieces):
+            return PieceReply(handles, MOVED, wait_s, self._successor(order.service))
+        return PieceReply(handles, "", wait_s)
+
+    def _group(self, order: PieceOrder) -> PieceGroup:
         now = self._timers.now()
-        group = PieceGroup(
+        return PieceGroup(
             order.request_id,
             order.stage,
             order.key,
@@ -305,11 +379,26 @@
             order.zone,
             deque(order.pieces),
         )
-        try:
-            handles = await owner.make(group)
-        except StageError as exc:
-            return PieceReply([], exc.code, owner.expected_wait_s(order.result_bytes))
-        return PieceReply(handles, "", owner.expected_wait_s(order.result_bytes))
+
+    def retire(self) -> None:
+        """Leave the stage services to the other gateways: this one is to stop."""
+        self._retired = True
+        self._hand_over()
+
+    def _successor(self, service: str) -> str:
+        """Return the address of the owner if it is another daemon in contact."""
+        for address in self.owners_of(service):
+            if address == self._own_address:
+                if self._retired:
+                    continue
+                return ""
+            return "" if self._peers.link(address).suspect else address
+        return ""
+
+    def _hand_over(self) -> None:
+        for service, owner in self._owners.items():
+            if self._successor(service):
+                owner.hand_over()
 
     def release(self, order: ReleaseOrder) -> None:
         """Free results that were made through this gateway."""
@@ -317,6 +406,10 @@
         if owner is not None:
             owner.release(order.handles)
 
+    def owners_of(self, service: str) -> list[str]:
+        """Return peer addresses in the order in which they are asked for pieces."""
+        return self._orders.get(service, [])
+
     def close(self) -> None:
         """Cancel all calls."""
         for owner in self._owners.values():
@@ -347,7 +440,14 @@
         deployment = self._state.deployment
         if deployment is not None:
             services = deployment.stage_services()
-            self._orders = owner_orders(services, self._state.members)
+            # A process that takes the place of another one has its address.
+            addresses = {member_address(member) for member in self._state.members}
+            self._orders = owner_orders(services, sorted(addresses - {""}))
+            self._hand_over()
+            for service, owner in self._owners.items():
+                known = deployment.services.get(service)
+                if known is not None and known.stage is not None:
+                    owner.reconfigure(known.stage)
 
     def _release_unneeded(
         self, route: Route, results: StageResults, index: int
@@ -363,17 +463,18 @@
         if not handles:
             return
         order = ReleaseOrder(service, handles)
-        owners = self._orders.get(service, ())
-        if not owners or owners[0] == self._state.member:
+        owner = self._successor(service)
+        if not owner:
             self.release(order)
             return
-        task = asyncio.ensure_future(self._release_remote(owners[0], order))
+        task = asyncio.ensure_future(self._release_remote(owner, order))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _release_remote(self, member: str, order: ReleaseOrder) -> None:
-        link = self._peers.link(member_address(member))
+    async def _release_remote(self, owner: str, order: ReleaseOrder) -> None:
         try:
-            await link.call("/release", order, RELEASE_TIMEOUT_SECONDS)
+            await self._peers.link(owner).call(
+                "/release", order, RELEASE_TIMEOUT_SECONDS
+            )
         except PeerError:
             self.release(order)
--- a/camphorrun/gateway/tests/test_stages.py
+++ b/camphorrun/gateway/tests/test_stages.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from .world import play
+from .world import STAGE, STAGES, configuration, play
 
 STAGED = ("X-Model: m", "X-Pieces: 2,3", "X-Piece-Key: pk")
 
@@ -52,7 +52,7 @@
 
         async def scenario(world):
             replica = world.stage_replicas[0]
-            replica.script.work_s = 0.05
+            replica.script.work_s = 0.04
             task = asyncio.ensure_future(world.ask("/staged/x", *STAGED))
             await world.until(lambda: replica.stage_calls)
             replica.script.stage_fault = "gone"
@@ -128,14 +128,166 @@
         """Guards against requests that wait for an owner that has gone."""
 
         async def scenario(world):
-            owners = world.daemons[0]._stages._orders["stage"]
-            lost = next(
-                i for i, d in enumerate(world.daemons) if d.state.member == owners[0]
-            )
+            lost, other = owner_and_other(world)
             world.tasks[lost].cancel()
             await asyncio.gather(world.tasks[lost], return_exceptions=True)
-            other = (lost + 1) % 3
             answer = await world.ask("/staged/x", *STAGED, gateway=other)
             assert answer.status == 200
 
         play(scenario, stage=1, gateways=3)
+
+    def test_replaced_owner_hands_its_queue_over(self):
+        """Guards against two owners that work at the same replicas for seconds.
+
+        In a rolling restart each earlier owner went on with its queue, so calls of both
+        met at the replicas and neither knew the space that the other one used.
+        """
+
+        async def scenario(world):
+            replica = world.stage_replicas[0]
+            replica.script.work_s = 0.04
+            first, other = owner_and_other(world)
+            asks = [
+                asyncio.ensure_future(
+                    world.ask("/staged/x", "X-Model: m", "X-Pieces: 6,1", gateway=other)
+                )
+                for _ in range(16)
+            ]
+            await world.until(lambda: len(replica.stage_calls) == 2)
+            before = calls_of(world.daemons[first])
+            world.daemons[first].drain("test")
+            answers = await asyncio.gather(*asks)
+            assert [answer.status for answer in answers] == [200] * 16
+            # Only the call that is in flight when the queue moves.
+            assert calls_of(world.daemons[first]) - before <= 1
+
+        play(scenario, stage=1, gateways=2)
+
+    def test_results_made_before_the_move_are_kept(self):
+        """Guards against pieces that are made twice because the owner changed."""
+
+        async def scenario(world):
+            replica = world.stage_replicas[0]
+            replica.script.work_s = 0.1
+            first, other = owner_and_other(world)
+            ask = asyncio.ensure_future(
+                world.ask("/staged/x", "X-Model: m", "X-Pieces: 10,1", gateway=other)
+            )
+            await world.until(lambda: len(replica.stage_calls) == 2)
+            world.daemons[first].drain("test")
+            assert (await ask).status == 200
+            made = [(item["Stage"], item["Piece"]) for item in items(world)]
+            assert sorted(made) == [(0, piece) for piece in range(10)] + [(1, 0)]
+
+        play(scenario, stage=1, gateways=2)
+
+    def test_restarted_host_owns_what_it_owned(self):
+        """Guards against services that change their owner at every restart."""
+
+        async def scenario(world):
+            first, other = owner_and_other(world)
+            host = world.daemons[first].settings.host
+            state = world.daemons[other].state
+            running = first
+            for _ in range(3):
+                world.tasks[running].cancel()
+                await asyncio.gather(world.tasks[running], return_exceptions=True)
+                daemon = world.add_gateway(host.name, host=host)
+                await world.until(lambda new=daemon: new.state.ready)
+                running = len(world.daemons) - 1
+                own = world.daemons[other].state.member
+                expected = sorted([own, daemon.state.member])
+                await world.until(lambda want=expected: list(state.members) == want)
+                assert owner_address(world, other) == host.peers
+
+        play(scenario, stage=1, gateways=2)
+
+    def test_new_owner_knows_the_space_that_is_used(self):
+        """Guards against pieces that an owner sends to a replica without space."""
+
+        async def scenario(world):
+            await configure(world, headroom_mb=4.0, result_bytes=1_500_000)
+            replica = world.stage_replicas[0]
+            replica.free_bytes = 1_500_000
+            answer = await world.ask("/staged/x", "X-Model: m", "X-Pieces: 2,0")
+            assert answer.status == 200
+            assert [len(call) for call in replica.stage_calls] == [1, 1]
+
+        play(scenario, stage=1)
+
+    def test_space_that_comes_free_is_noticed(self):
+        """Guards against an owner that leaves space unused until results expire."""
+
+        async def scenario(world):
+            await configure(world, headroom_mb=4.0, result_bytes=1_500_000)
+            replica = world.stage_replicas[0]
+            replica.free_bytes = 0
+            ask = asyncio.ensure_future(
+                world.ask("/staged/x", "X-Model: m", "X-Pieces: 1,1")
+            )
+            await world.until(lambda: replica.reports)
+            assert not replica.stage_calls
+            replica.free_bytes = 4_000_000
+            assert (await ask).status == 200
+
+        play(scenario, stage=1)
+
+    def test_space_below_a_megabyte_is_used(self):
+        """Guards against a service that gets no call because reports are rounded."""
+
+        async def scenario(world):
+            await configure(world, headroom_mb=0.69, result_bytes=10_000)
+            world.stage_replicas[0].free_bytes = 690_000
+            assert (await world.ask("/staged/x", *STAGED)).status == 200
+
+        play(scenario, stage=1)
+
+    def test_changed_capacity_is_in_force(self):
+        """Guards against calls with more pieces than a new configuration allows."""
+
+        async def scenario(world):
+            await world.ask("/staged/x", *STAGED)
+            await configure(world, batch=2)
+            replica = world.stage_replicas[0]
+            replica.stage_calls.clear()
+            await world.ask("/staged/x", "X-Model: m", "X-Pieces: 4,4")
+            assert max(len(call) for call in replica.stage_calls) == 2
+
+        play(scenario, stage=1)
+
+
+async def configure(
+    world, headroom_mb: float = 1.0, result_bytes: int = 1000, batch: int = 4
+) -> None:
+    """Change the stage service and wait until it is in force."""
+    changed = configuration(2)
+    changed["Services"][1]["Pieces"] = {
+        **STAGE,
+        "HeadroomMb": headroom_mb,
+        "Batch": batch,
+    }
+    staged = next(r for r in changed["Routes"] if r["Name"] == "staged")
+    staged["Stages"] = [{**s, "PayloadBytes": result_bytes} for s in STAGES]
+    world.store.put("keyed.op", "config", changed)
+    for daemon in world.daemons:
+        state = daemon.state
+        await world.until(lambda state=state: state.deployment.version == 2)
+
+
+def calls_of(daemon) -> float:
+    """Return how many stage calls of a gateway have ended."""
+    samples = daemon.metrics.stage_seconds.labels("stage").collect()[0].samples
+    return next(s.value for s in samples if s.name.endswith("_count"))
+
+
+def owner_address(world, gateway: int) -> str:
+    """Return the peer address of the owner that a gateway sees."""
+    return world.daemons[gateway]._stages.owners_of("stage")[0]
+
+
+def owner_and_other(world) -> tuple[int, int]:
+    """Return the numbers of the gateway that owns the stage and of another one."""
+    address = owner_address(world, 0)
+    peers = [daemon.settings.host.peers for daemon in world.daemons]
+    first = peers.index(address)
+    return first, (first + 1) % len(peers)
--- a/camphorrun/gateway/tests/world.py
+++ b/camphorrun/gateway/tests/world.py
@@ -138,9 +138,14 @@
         self.store.put("keyed.servers", replica.identifier, entry)
         return replica
 
-    def add_gateway(self, name: str, seeds: tuple[str, ...] = ()) -> GatewayDaemon:
+    def add_gateway(
+        self,
+        name: str,
+        seeds: tuple[str, ...] = (),
+        host: GatewayHostSettings | None = None,
+    ) -> GatewayDaemon:
         settings = GatewaySettings(
-            GatewayHostSettings(name, "127.0.0.1", "z1", *_free_addresses(4)),
+            host or GatewayHostSettings(name, "127.0.0.1", "z1", *_free_addresses(4)),
             StoreSettings(self.store.address, 1.0),
             seeds,
             BoundSettings(stop_s=self.stop_s),
--- a/camphorrun/pipeline/batches.py
+++ b/camphorrun/pipeline/batches.py
@@ -220,7 +220,8 @@
     """Space for results at one replica, reserved before a call is sent.
 
     A call whose pieces find no space has used the time of a call for nothing, so the
-    account is kept here and corrected when the replica says otherwise.
+    account is kept here and corrected when the replica says otherwise. Results of an
+    earlier owner of the service use space too; the replica's report tells how much.
 
     Examples
     --------
@@ -238,17 +239,40 @@
         self._life_s = life_s
         self._reserved: dict[object, int] = {}
         self._results: dict[str, tuple[int, float]] = {}
+        self._others: tuple[int, float] = (0, -math.inf)
         self._full_until = -math.inf
 
+    def resize(self, capacity_bytes: int, life_s: float) -> None:
+        """Take over a changed configuration."""
+        self._capacity = capacity_bytes
+        self._life_s = life_s
+
     def free_bytes(self, now: float) -> int:
         """Return the space that is neither reserved nor used."""
         if now < self._full_until:
             return 0
+        used = self._used_bytes(now) + self.others_bytes(now)
+        return max(0, self._capacity - used)
+
+    def others_bytes(self, now: float) -> int:
+        """Return the space that results of earlier owners use, as last reported."""
+        size, expires_at = self._others
+        return size if now < expires_at else 0
+
+    def on_report(self, free_bytes: int, now: float) -> None:
+        """Count what the replica reports as used, and is unknown here, as others'.
+
+        ``free_bytes`` is the most that can be free.
+        """
+        size = self._capacity - free_bytes - self._used_bytes(now)
+        self._others = max(0, size), now + self._life_s
+
+    def _used_bytes(self, now: float) -> int:
         for handle, (_, expires_at) in list(self._results.items()):
             if expires_at <= now:
                 del self._results[handle]
         used = sum(size for size, _ in self._results.values())
-        return max(0, self._capacity - used - sum(self._reserved.values()))
+        return used + sum(self._reserved.values())
 
     def reserve(self, call: object, size: int) -> None:
         """Reserve space for the results of a call."""
--- a/camphorrun/platform/__init__.py
+++ b/camphorrun/platform/__init__.py
@@ -5,7 +5,7 @@
 ``DecodeError``, ``CallerRequest``, ``decode_caller_request``, ``encode_request``,
 ``ReplyFacts``, ``reply_facts``, ``relay_headers``, ``refusal_headers``, ``event_id``,
 ``StageItem``, ``StageItemResult``, ``StageFault``, ``encode_stage_call``,
-``decode_stage_reply``, ``encode_release``.
+``decode_stage_reply``, ``encode_release``, ``encode_space_question``, ``decode_space``.
 """
 
 from .configuration import decode_deployment
@@ -25,8 +25,10 @@
     StageFault,
     StageItem,
     StageItemResult,
+    decode_space,
     decode_stage_reply,
     encode_release,
+    encode_space_question,
     encode_stage_call,
 )
 from .store import (
@@ -51,9 +53,11 @@
     "decode_caller_request",
     "decode_deployment",
     "decode_replica",
+    "decode_space",
     "decode_stage_reply",
     "encode_release",
     "encode_request",
+    "encode_space_question",
     "encode_stage_call",
     "event_id",
     "refusal_headers",
--- a/camphorrun/platform/stages.py
+++ b/camphorrun/platform/stages.py
@@ -1,7 +1,8 @@
 """Calls of replicas that run stages.
 
 Names on the wire that mislead: ``Items`` are pieces of a stage, ``Handle`` names a
-result where it was made, ``Key`` is the caller's key of the pieces.
+result where it was made, ``Key`` is the caller's key of the pieces, ``FreeMb`` counts
+whole megabytes, rounded down.
 """
 
 from dataclasses import dataclass
@@ -11,6 +12,8 @@
 
 from .errors import DecodeError
 
+_MEGABYTE = 1_000_000
+
 
 class StageFault(Enum):
     """Why a piece has no result.
@@ -50,6 +53,10 @@
     reason: str = ""
 
 
+class _Report(msgspec.Struct, rename="pascal"):
+    free_mb: float
+
+
 class _Reply(msgspec.Struct, rename="pascal"):
     items: list[_Result]
 
@@ -83,6 +90,26 @@
     return _post(address, "/stage-free", body, "")
 
 
+def encode_space_question(address: str) -> bytes:
+    """Return the request that asks a replica for its free space."""
+    return f"GET /report HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
+
+
+def decode_space(body: bytes) -> int:
+    """Return the most bytes that can be free for results.
+
+    Raises
+    ------
+    DecodeError
+        If the answer does not say it.
+    """
+    try:
+        raw = msgspec.json.decode(body, type=_Report)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise DecodeError(f"report of a stage replica: {exc}") from exc
+    return (max(0, int(raw.free_mb)) + 1) * _MEGABYTE - 1
+
+
 def _item(item: StageItem) -> dict[str, object]:
     raw: dict[str, object] = {
         "Id": item.request_id,
--- a/camphorrun/standins/platform_replica.py
+++ b/camphorrun/standins/platform_replica.py
@@ -48,6 +48,8 @@
         self.stage_calls: list[list[dict]] = []
         self.released: list[str] = []
         self.cancelled = 0
+        self.free_bytes = 1_000_000
+        self.reports = 0
         self.address = ""
         self._timers = timers
         self._handles = itertools.count()
@@ -83,6 +85,8 @@
         elif req.target == b"/stage-free":
             self.released.extend(msgspec.json.decode(req.body)["Handles"])
             responder.respond(200, Headers())
+        elif req.target == b"/report":
+            self._report(responder)
         else:
             await self._run(req, responder)
 
@@ -170,6 +174,11 @@
         body = msgspec.json.encode({"Items": results})
         responder.respond(200, Headers(), body)
 
+    def _report(self, responder: ServerResponder) -> None:
+        self.reports += 1
+        report = {"Queued": 0, "Busy": False, "FreeMb": self.free_bytes // 1_000_000}
+        responder.respond(200, Headers(), msgspec.json.encode(report))
+
     def _result(self) -> dict:
         if self.script.stage_fault:
             reason, self.script.stage_fault = self.script.stage_fault, ""
