Give up late requests at once behind a long backlog

Cause: with repeats told from first tries, the largest losses of bursts were requests that waited up to a second behind a backlog that leaves late ones no call, and were refused then: their callers could have come back earlier.

Late requests are given up as soon as they are late while the backlog is longer than a call of each replica.

--- a/camphorrun/gateway/front.py
+++ b/camphorrun/gateway/front.py
@@ -222,7 +222,7 @@
         A request that comes back after a refusal is late already and is refused only
         if its deadline can't be met.
         """
-        forecast = self._stages.forecast(ctx.route, ctx.caller.pieces)
+        forecast = self._stages.forecast(ctx.route, ctx.caller.pieces, ctx.rank)
         verdict = judge_start(
             forecast.total_s + FIRST_EVENT_SECONDS,
             forecast.wait_s,
--- a/camphorrun/gateway/stage_owner.py
+++ b/camphorrun/gateway/stage_owner.py
@@ -171,9 +171,9 @@
             self._queue.remove(group)
             job.settle()
 
-    def expected_wait_s(self, result_bytes: int) -> float:
+    def expected_wait_s(self, result_bytes: int, priority: int) -> float:
         """Return the wait to expect for pieces with results of a size."""
-        return self._queue.expected_wait_s(result_bytes, self._timers.now())
+        return self._queue.expected_wait_s(result_bytes, priority, self._timers.now())
 
     def release(self, handles: list[str]) -> None:
         """Free results at their makers, a little later and in one call each."""
--- a/camphorrun/gateway/stage_runner.py
+++ b/camphorrun/gateway/stage_runner.py
@@ -127,7 +127,8 @@
         self._orders: dict[str, list[str]] = {}
         self._own_address = member_address(state.member)
         self._retired = False
-        self._forecasts: dict[tuple[str, int], tuple[float, float]] = {}
+        # Last expected wait by service, size of results and priority.
+        self._forecasts: dict[tuple[str, int, int], tuple[float, float]] = {}
         self._tasks: set[asyncio.Task] = set()
         state.subscribe(deployment=self._refresh, members=self._refresh)
 
@@ -154,7 +155,8 @@
             If a stage has no result; the request has not run.
         """
         results = StageResults(route, caller.pieces)
-        need_s = [self._need_s(route, index) for index in range(len(route.stages))]
+        stages = range(len(route.stages))
+        need_s = [self._need_s(route, index, priority) for index in stages]
 
         async def run_one(index: int, _: list) -> list[str]:
             if index in results.by_stage:
@@ -202,24 +204,33 @@
             self._release(route.stages[index].service, handles)
         results.held = {}
 
-    def forecast(self, route: Route, counts: tuple[int, ...]) -> "StageForecast":
+    def forecast(
+        self, route: Route, counts: tuple[int, ...], priority: int
+    ) -> "StageForecast":
         """Return the predicted time of all stages of a request."""
         after = [stage.after for stage in route.stages]
-        waits_s = [self._wait_s(route, index) for index in range(len(after))]
+        waits_s = [self._wait_s(route, i, priority) for i in range(len(after))]
         needs_s = [
-            0.0 if counts[index : index + 1] == (0,) else self._need_s(route, index)
+            0.0
+            if counts[index : index + 1] == (0,)
+            else self._need_s(route, index, priority)
             for index in range(len(after))
         ]
         return StageForecast(_longest(after, needs_s), _longest(after, waits_s))
 
-    def _wait_s(self, route: Route, index: int) -> float:
+    def _wait_s(self, route: Route, index: int, priority: int) -> float:
         """Return the predicted wait of one stage for a replica."""
         stage = route.stages[index]
-        key = stage.service, stage.result_bytes
-        wait_s, seen_at = self._forecasts.get(key, (0.0, 0.0))
-        return max(0.0, wait_s - (self._timers.now() - seen_at) * FORECAST_DECAY)
+        now = self._timers.now()
+        waits_s = (
+            wait_s - (now - seen_at) * FORECAST_DECAY
+            for (service, size, rank), (wait_s, seen_at) in self._forecasts.items()
+            if (service, size) == (stage.service, stage.result_bytes)
+            and rank <= priority
+        )
+        return max(0.0, max(waits_s, default=0.0))
 
-    def _need_s(self, route: Route, index: int) -> float:
+    def _need_s(self, route: Route, index: int, priority: int) -> float:
         """Return the predicted time of one stage: its wait and its call."""
         deployment = self._state.deployment
         service = route.stages[index].service
@@ -227,7 +238,7 @@
         if known is None or known.stage is None:
             return 0.0
         capacity = known.stage
-        wait_s = self._wait_s(route, index)
+        wait_s = self._wait_s(route, index, priority)
         # Calls are full while pieces wait.
         pieces = capacity.batch if wait_s > capacity.call_s else capacity.batch // 2
         return wait_s + capacity.call_time_s(max(1, pieces))
@@ -263,7 +274,7 @@
             zone if count * stage.result_bytes >= LARGE_RESULT_BYTES else "",
         )
         reply = await self._ask_owners(order)
-        key = stage.service, stage.result_bytes
+        key = stage.service, stage.result_bytes, priority
         self._forecasts[key] = reply.wait_s, self._timers.now()
         self._events.request(
             "stage",
@@ -354,11 +365,15 @@
         owner = self._owner(order.service)
         if owner is None:
             return PieceReply({}, "failed")
+        fault = ""
+        handles: dict[int, str] = {}
         try:
             handles = await owner.make(self._group(order), order.forced)
         except StageError as exc:
-            return PieceReply({}, exc.code, owner.expected_wait_s(order.result_bytes))
-        wait_s = owner.expected_wait_s(order.result_bytes)
+            fault = exc.code
+        wait_s = owner.expected_wait_s(order.result_bytes, order.priority)
+        if fault:
+            return PieceReply({}, fault, wait_s)
         if len(handles) < len(order.pieces):
             return PieceReply(handles, MOVED, wait_s, self._successor(order.service))
         return PieceReply(handles, "", wait_s)
--- a/camphorrun/pipeline/batches.py
+++ b/camphorrun/pipeline/batches.py
@@ -19,8 +19,6 @@
 LONG_BACKLOG_CALLS = 1.0
 # With more slack than this, pieces wait for a replica in the zone of their use.
 ZONE_SLACK_SECONDS = 0.25
-# A late request that has waited for so long behind a backlog is given up.
-MAX_LATE_WAIT_SECONDS = 1.0
 # Share of the predicted need of what follows that a request needs in any case.
 CERTAIN_DOWNSTREAM = 0.7
 
@@ -82,8 +80,9 @@
     def __init__(self, capacity: StageCapacity):
         self.capacity = capacity
         self._groups: list[PieceGroup] = []
-        # Last wait by size of results: large ones also wait for space.
-        self._last_waits: dict[int, tuple[float, float]] = {}
+        # Last wait by size of results, because large ones also wait for space, and by
+        # priority, because less urgent ones wait longer behind a backlog.
+        self._last_waits: dict[tuple[int, int], tuple[float, float]] = {}
 
     def __len__(self) -> int:
         return sum(len(group.waiting) for group in self._groups)
@@ -140,30 +139,36 @@
     def _take(self, chosen: list[tuple[PieceGroup, int]], now: float) -> None:
         for group, _ in chosen:
             group.waiting.popleft()
-            self._last_waits[group.result_bytes] = now - group.arrived_at, now
+            key = group.result_bytes, group.priority
+            self._last_waits[key] = now - group.arrived_at, now
         self._groups = [group for group in self._groups if group.waiting]
 
-    def expected_wait_s(self, result_bytes: int, now: float) -> float:
+    def expected_wait_s(self, result_bytes: int, priority: int, now: float) -> float:
         """Return the wait to expect for pieces with results of a size.
 
         The last wait that ended, or the longest present one of a request that is not
-        late, whichever is more.
+        late, whichever is more; requests that are less urgent do not count.
         """
         call_s = self.capacity.call_time_s(self.capacity.batch)
         waits = [
             now - group.arrived_at
             for group in self._groups
-            if group.result_bytes == result_bytes and group.latest_start(call_s) >= now
+            if group.result_bytes == result_bytes
+            and group.priority <= priority
+            and group.latest_start(call_s) >= now
         ]
-        last_s, seen_at = self._last_waits.get(result_bytes, (0.0, now))
-        return max(max(waits, default=0.0), last_s - (now - seen_at))
+        waits.extend(
+            last_s - (now - seen_at)
+            for (size, rank), (last_s, seen_at) in self._last_waits.items()
+            if size == result_bytes and rank <= priority
+        )
+        return max(0.0, max(waits, default=0.0))
 
     def expire(self, replicas: int, now: float) -> list[PieceGroup]:
         """Remove and return the groups that are given up.
 
-        They can't be made before their deadline, or they are late and have waited for
-        long behind a backlog that leaves them no call: their callers learn it now and
-        not when they leave.
+        They can't be made before their deadline, or they are late and a backlog leaves
+        them no call: their callers learn it now and not when they leave.
         """
         least_s = self.capacity.call_time_s(1)
         call_s = self.capacity.call_time_s(self.capacity.batch)
@@ -173,10 +178,7 @@
             needed_s = least_s + group.downstream_s * CERTAIN_DOWNSTREAM
             if group.deadline_at - needed_s < now:
                 return True
-            is_late = group.latest_start(call_s) < now
-            return (
-                is_long and is_late and now - group.arrived_at > MAX_LATE_WAIT_SECONDS
-            )
+            return is_long and group.latest_start(call_s) < now
 
         expired = [group for group in self._groups if is_given_up(group)]
         for group in expired:
