Count the waits of given up requests in forecasts

Cause: forecasts knew only the waits of requests that got their call, so under a backlog that gives up half of them the predicted wait stayed near 0.5 s and admission refused few before stages were spent.

--- a/camphorrun/pipeline/batches.py
+++ b/camphorrun/pipeline/batches.py
@@ -139,8 +139,7 @@
     def _take(self, chosen: list[tuple[PieceGroup, int]], now: float) -> None:
         for group, _ in chosen:
             group.waiting.popleft()
-            key = group.result_bytes, group.priority
-            self._last_waits[key] = now - group.arrived_at, now
+            self._note_wait(group, now)
         self._groups = [group for group in self._groups if group.waiting]
 
     def expected_wait_s(self, result_bytes: int, priority: int, now: float) -> float:
@@ -183,8 +182,13 @@
         expired = [group for group in self._groups if is_given_up(group)]
         for group in expired:
             self._groups.remove(group)
+            self._note_wait(group, now)
         return expired
 
+    def _note_wait(self, group: PieceGroup, now: float) -> None:
+        key = group.result_bytes, group.priority
+        self._last_waits[key] = now - group.arrived_at, now
+
     def backlog_s(self, replicas: int) -> float:
         """Return how long the replicas need for what waits now."""
         if not replicas:
