--- a/camphorrun/gateway/stage_owner.py
+++ b/camphorrun/gateway/stage_owner.py
@@ -5,6 +5,7 @@
 import math
 from collections import deque
 from collections.abc import Coroutine
+from functools import partial
 
 from ..catalog import StageCapacity
 from ..core import EventLog, TimerService
@@ -72,6 +73,7 @@
         "paused_until",
         "ratio",
         "report_due",
+        "reported",
     )
 
     def __init__(self, handle: ReplicaHandle, capacity: StageCapacity):
@@ -84,6 +86,8 @@
         self.ratio = 1.0
         # Whether a report of the free space was asked for and has not come.
         self.report_due = False
+        # Whether the account of the space still follows the reports.
+        self.reported = False
 
 
 class StageOwner:
@@ -198,9 +202,12 @@
                 del self._workers[boot]
         for boot, handle in handles.items():
             if boot not in self._workers:
-                worker = self._workers[boot] = _Worker(handle, self._capacity)
+                self._workers[boot] = _Worker(handle, self._capacity)
+        workers = [self._workers[boot] for boot in handles]
+        for worker in workers:
+            if not worker.reported and not worker.report_due:
                 self._ask_for_space(worker)
-        return [self._workers[boot] for boot in handles]
+        return workers
 
     def _dispatch(self) -> None:
         now = self._timers.now()
@@ -314,9 +321,17 @@
     # Space
 
     def _ask_for_space(self, worker: _Worker) -> None:
-        worker.report_due = True
+        """Read the report of a replica, which gets no call before it has come."""
+        worker.reported = worker.report_due = True
         self._spawn(self._read_space(worker))
 
+    def _follow_space(self, worker: _Worker) -> None:
+        """Read the report once more, or at the next piece if none waits now."""
+        if len(self._queue):
+            self._spawn(self._read_space(worker))
+        else:
+            worker.reported = False
+
     async def _read_space(self, worker: _Worker) -> None:
         """Correct the account of a replica's space by its report."""
         try:
@@ -333,9 +348,8 @@
             now = self._timers.now()
             worker.ledger.on_report(free_bytes, now)
             if worker.ledger.others_bytes(now):
-                self._timers.call_after(
-                    SPACE_REPORT_SECONDS, lambda: self._spawn(self._read_space(worker))
-                )
+                follow = partial(self._follow_space, worker)
+                self._timers.call_after(SPACE_REPORT_SECONDS, follow)
         finally:
             worker.report_due = False
         if len(self._queue):
--- a/camphorrun/gateway/stage_runner.py
+++ b/camphorrun/gateway/stage_runner.py
@@ -303,7 +303,7 @@
         try:
             while True:
                 elapsed_s = self._timers.now() - started_at
-                forced = bool(unreachable) or redirects == MAX_REDIRECTS
+                forced = bool(unreachable) or redirects >= MAX_REDIRECTS
                 part = _remaining(order, handles, elapsed_s, forced)
                 reply = await self._ask(owner, part)
                 if reply is None:
--- a/camphorrun/gateway/tests/test_stages.py
+++ b/camphorrun/gateway/tests/test_stages.py
@@ -236,6 +236,26 @@
 
         play(scenario, stage=1)
 
+    def test_idle_owner_asks_for_no_reports(self):
+        """Guards against a former owner that asks for reports for ever.
+
+        The results of its successor looked to it like those of an earlier owner.
+        """
+
+        async def scenario(world):
+            await configure(world, headroom_mb=4.0, result_bytes=1000)
+            replica = world.stage_replicas[0]
+            replica.free_bytes = 1_000_000
+            assert (await world.ask("/staged/x", *STAGED)).status == 200
+            await asyncio.sleep(0.3)
+            before = replica.reports
+            await asyncio.sleep(0.6)
+            assert replica.reports == before
+            assert (await world.ask("/staged/x", *STAGED)).status == 200
+            assert replica.reports > before
+
+        play(scenario, stage=1)
+
     def test_space_below_a_megabyte_is_used(self):
         """Guards against a service that gets no call because reports are rounded."""
 
