Add a command that prints what gateways decided on one request

`camphorrun explain ID LOG...` reads the event logs of several processes, each in the order of its own clock, with the beliefs in force at the first decision and their ages.

--- a/camphorrun/cli/arguments.py
+++ b/camphorrun/cli/arguments.py
@@ -3,6 +3,7 @@
 import argparse
 
 from .. import __version__
+from .explaining import add_explain
 from .operate import add_ctl
 from .replaying import add_replay
 from .standins import add_standin
@@ -35,6 +36,7 @@
     add_replay(commands)
     add_standin(commands)
     add_ctl(commands)
+    add_explain(commands)
     return parser
 
 
--- a/camphorrun/cli/commands.py
+++ b/camphorrun/cli/commands.py
@@ -5,6 +5,7 @@
 
 from .arguments import build_parser
 from .daemons import run_daemon
+from .explaining import run_explain
 from .operate import run_ctl
 from .replaying import run_demo_command, run_replay
 from .standins import run_standin
@@ -16,6 +17,7 @@
     "replay": run_replay,
     "standin": run_standin,
     "ctl": run_ctl,
+    "explain": run_explain,
 }
 
 
--- /dev/null
+++ b/camphorrun/cli/explaining.py
@@ -0,0 +1,41 @@
+"""The ``explain`` subcommand."""
+
+import sys
+from argparse import Namespace
+from collections.abc import Iterator
+from pathlib import Path
+
+from ..core import render_story, tell_story
+from .exit_codes import EXIT_FAILED, EXIT_OK, EXIT_USAGE
+
+
+def add_explain(commands) -> None:
+    """Add the ``explain`` subcommand to the parser."""
+    text = "print what gateways decided on one request, from their logs"
+    parser = commands.add_parser("explain", help=text, description=text)
+    parser.add_argument("request", help="the caller's attempt identifier")
+    parser.add_argument(
+        "logs", nargs="*", type=Path, help="log files; none reads standard input"
+    )
+
+
+def run_explain(args: Namespace) -> int:
+    """Print the story of a request and return the exit code."""
+    try:
+        stories = tell_story(args.request, _lines(args.logs))
+    except OSError as exc:
+        print(f"explain: {exc}", file=sys.stderr)
+        return EXIT_USAGE
+    if not stories:
+        print(f"explain: no line on request {args.request}", file=sys.stderr)
+        return EXIT_FAILED
+    print(render_story(args.request, stories))
+    return EXIT_OK
+
+
+def _lines(paths: list[Path]) -> Iterator[str]:
+    if not paths:
+        yield from sys.stdin
+    for path in paths:
+        with path.open(encoding="utf-8", errors="replace") as file:
+            yield from file
--- a/camphorrun/core/__init__.py
+++ b/camphorrun/core/__init__.py
@@ -4,7 +4,8 @@
 ``ManualTimerService``, ``PauseDetector``, ``Supervisor``, ``SupervisionError``,
 ``new_identifier``, ``LogStore``, ``LogRecord``,
 ``LogPage``, ``LogError``, ``MemoryLog``, ``AppendFault``,
-``bounded``, ``Lifecycle``, ``EventLog``.
+``bounded``, ``Lifecycle``, ``EventLog``, ``HostStory``, ``tell_story``,
+``render_story``.
 """
 
 from .errors import CamphorrunError
@@ -13,6 +14,7 @@
 from .lifecycle import Lifecycle
 from .log import LogError, LogPage, LogRecord, LogStore
 from .memory_log import AppendFault, MemoryLog
+from .request_story import HostStory, render_story, tell_story
 from .supervision import SupervisionError, Supervisor
 from .timers import (
     LoopTimerService,
@@ -28,6 +30,7 @@
     "AppendFault",
     "CamphorrunError",
     "EventLog",
+    "HostStory",
     "Lifecycle",
     "LogError",
     "LogPage",
@@ -44,4 +47,6 @@
     "TimerService",
     "bounded",
     "new_identifier",
+    "render_story",
+    "tell_story",
 ]
--- /dev/null
+++ b/camphorrun/core/request_story.py
@@ -0,0 +1,135 @@
+"""The decisions on one request, gathered from the event logs of several processes."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+# Beliefs without a subject of their own; the newest of each counts.
+_GENERAL = ("configuration", "members", "store_lost", "store_regained", "drain")
+# Fields by which beliefs about replicas and requests are joined.
+_REPLICA = "replica"
+_OWN_FIELDS = ("at", "host", "event", "request", "requests", "dropped_lines")
+
+
+@dataclass(slots=True)
+class HostStory:
+    """Lines of one process.
+
+    Attributes
+    ----------
+    decisions : list of dict
+        Lines on the request, in the order of the process's clock.
+    known : list of dict
+        Beliefs in force at the first of them, on the same clock.
+    dropped : int
+        Lines that the process dropped, as far as it said so.
+    """
+
+    host: str
+    decisions: list[dict] = field(default_factory=list)
+    known: list[dict] = field(default_factory=list)
+    dropped: int = 0
+
+
+def tell_story(request_id: str, lines: Iterable[str]) -> list[HostStory]:
+    """Return what each process decided on a request.
+
+    The process that accepted the request comes first. Text before the JSON object of a
+    line is ignored, and so are lines without one.
+
+    Examples
+    --------
+    >>> line = '{"at": 1.5, "host": "a", "event": "end", "request": "r", "code": "ok"}'
+    >>> [story.host for story in tell_story("r", [line])]
+    ['a']
+    """
+    by_host: dict[str, list[dict]] = {}
+    for line in lines:
+        event = _decode(line)
+        if event is not None:
+            by_host.setdefault(event["host"], []).append(event)
+    stories = [_host_story(request_id, host, e) for host, e in by_host.items()]
+    stories = [story for story in stories if story.decisions]
+    return sorted(stories, key=lambda story: not _has_accepted(story))
+
+
+def render_story(request_id: str, stories: list[HostStory]) -> str:
+    """Return the story as text; times are seconds since the first line of a process."""
+    parts = [f"request {request_id}"]
+    for story in stories:
+        start_at = story.decisions[0]["at"]
+        parts.append(f"{story.host}, from {start_at:.4f} s on its clock")
+        parts.extend(
+            f"  known for {start_at - belief['at']:.3f} s: {_fields(belief)}"
+            for belief in story.known
+        )
+        parts.extend(
+            f"  +{event['at'] - start_at:.4f} s {_fields(event)}"
+            for event in story.decisions
+        )
+        if story.dropped:
+            parts.append(f"  {story.dropped} lines were dropped by this process")
+    parts.append(_outcome(stories))
+    return "\n".join(parts)
+
+
+def _decode(line: str) -> dict | None:
+    start = line.find("{")
+    if start < 0:
+        return None
+    try:
+        event = msgspec.json.decode(line[start:])
+    except msgspec.DecodeError:
+        return None
+    needed = {"at": (int, float), "host": str, "event": str}
+    if not isinstance(event, dict):
+        return None
+    if not all(isinstance(event.get(name), kind) for name, kind in needed.items()):
+        return None
+    return event
+
+
+def _host_story(request_id: str, host: str, events: list[dict]) -> HostStory:
+    events.sort(key=lambda event: event["at"])
+    story = HostStory(host)
+    story.decisions = [event for event in events if _concerns(event, request_id)]
+    story.dropped = sum(event.get("dropped_lines", 0) for event in events)
+    if story.decisions:
+        story.known = _known(events, story.decisions)
+    return story
+
+
+def _concerns(event: dict, request_id: str) -> bool:
+    return event.get("request") == request_id or request_id in event.get("requests", ())
+
+
+def _known(events: list[dict], decisions: list[dict]) -> list[dict]:
+    """Return the newest belief of each subject before the first decision."""
+    replicas = {event[_REPLICA] for event in decisions if _REPLICA in event}
+    newest: dict[tuple[str, str], dict] = {}
+    for event in events:
+        if event["at"] > decisions[0]["at"]:
+            break
+        replica = event.get(_REPLICA, "")
+        is_belief = event["event"] in ("replica", "replica_health")
+        if event["event"] in _GENERAL or (is_belief and replica in replicas):
+            newest[event["event"], replica] = event
+    return list(newest.values())
+
+
+def _has_accepted(story: HostStory) -> bool:
+    return any(event["event"] in ("accepted", "end") for event in story.decisions)
+
+
+def _fields(event: dict) -> str:
+    shown = (f"{k}={v}" for k, v in event.items() if k not in _OWN_FIELDS)
+    return " ".join([event["event"], *shown])
+
+
+def _outcome(stories: list[HostStory]) -> str:
+    ends = [e for s in stories for e in s.decisions if e["event"] == "end"]
+    if not ends:
+        return "outcome: no process logged an end"
+    end = ends[-1]
+    return f"outcome: {end.get('code')} after {end.get('seconds')} s"
--- /dev/null
+++ b/camphorrun/core/tests/test_request_story.py
@@ -0,0 +1,65 @@
+"""Tests of the story of one request."""
+
+import json
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from .. import render_story, tell_story
+
+
+def line(host: str, at: float, event: str, **fields) -> str:
+    return json.dumps({"at": at, "host": host, "event": event, **fields})
+
+
+LINES = [
+    line("owner", 900.1, "stage_call", requests=["r1", "r2"], replica="s1", made=2),
+    line("owner", 899.0, "replica", replica="s1", state="ready"),
+    line("owner", 899.0, "replica", replica="s2", state="ready"),
+    line("edge", 10.0, "configuration", version=6),
+    line("edge", 11.0, "configuration", version=7),
+    line("edge", 13.5, "configuration", version=8),
+    "12.0 edge " + line("edge", 12.5, "end", request="r1", code="ok", seconds=0.5),
+    line("edge", 12.0, "accepted", request="r1", route="safe", version=7),
+    line("edge", 12.1, "accepted", request="r3", route="safe"),
+    "no object",
+    '{"at": "x", "host": 1}',
+]
+
+
+class TestStory:
+    """Lines of several processes, in any order."""
+
+    def test_lines_of_the_request_only(self):
+        """Guards against decisions on other requests in the story."""
+        stories = tell_story("r1", LINES)
+        assert [story.host for story in stories] == ["edge", "owner"]
+        assert [e["event"] for e in stories[0].decisions] == ["accepted", "end"]
+        assert [e["event"] for e in stories[1].decisions] == ["stage_call"]
+
+    def test_beliefs_in_force(self):
+        """Guards against a later or an older belief shown as the known one."""
+        edge, owner = tell_story("r1", LINES)
+        assert [belief["version"] for belief in edge.known] == [7]
+        assert [belief["replica"] for belief in owner.known] == ["s1"]
+
+    def test_text(self):
+        """Guards against ages that mix the clocks of two hosts."""
+        text = render_story("r1", tell_story("r1", LINES))
+        assert "known for 1.000 s: configuration version=7" in text
+        assert "known for 1.100 s: replica replica=s1" in text
+        assert text.endswith("outcome: ok after 0.5 s")
+
+    def test_unknown_request(self):
+        """Guards against an empty story for a wrong identifier."""
+        assert tell_story("r9", LINES) == []
+
+    def test_dropped_lines_are_told(self):
+        """Guards against a story that looks complete and is not."""
+        lines = [line("edge", 1.0, "end", request="r", code="ok", dropped_lines=4)]
+        assert "4 lines were dropped" in render_story("r", tell_story("r", lines))
+
+    @given(st.lists(st.text(max_size=40) | st.sampled_from(LINES), max_size=8))
+    def test_any_lines(self, lines):
+        """Guards against a traceback for a log that is cut or foreign."""
+        render_story("r1", tell_story("r1", lines))
