--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -412,6 +412,48 @@
         "if False:",
         "camphorrun/admission/tests/test_starts.py",
     ),
+    Mutation(
+        "first tries with less time are no repeats",
+        "camphorrun/admission/starts.py",
+        "RETURN_SHARE = 0.86",
+        "RETURN_SHARE = 0.97",
+        "camphorrun/admission/tests/test_starts.py",
+    ),
+    Mutation(
+        "late requests behind a long backlog are given up at once",
+        "camphorrun/pipeline/batches.py",
+        "return is_long and group.latest_start(call_s) < now",
+        "return False",
+        "camphorrun/pipeline/tests/test_batches.py",
+    ),
+    Mutation(
+        "waits of urgent requests are those of urgent requests",
+        "camphorrun/pipeline/batches.py",
+        "and group.priority <= priority",
+        "and True",
+        "camphorrun/pipeline/tests/test_batches.py",
+    ),
+    Mutation(
+        "a replaced owner hands its queue over",
+        "camphorrun/gateway/stage_runner.py",
+        "                owner.hand_over()",
+        "                pass",
+        "camphorrun/gateway/tests/test_stages.py",
+    ),
+    Mutation(
+        "an owner reads the space that earlier results use",
+        "camphorrun/gateway/stage_owner.py",
+        "worker.ledger.on_report(free_bytes, now)",
+        "pass",
+        "camphorrun/gateway/tests/test_stages.py",
+    ),
+    Mutation(
+        "a changed capacity is in force in running owners",
+        "camphorrun/gateway/stage_owner.py",
+        "if capacity == self._capacity:",
+        "if True:",
+        "camphorrun/gateway/tests/test_stages.py",
+    ),
 )
 
 
