End a stream of frequent events at the timeout of its route

Cause: each read of an answer was given 20 ms at least, so a stream with an event at least every 20 ms went on beyond the route's timeout and its caller's deadline. Found by a test of the timeout with events every 2 ms.

Tests also for a peer that answers no ping, and for prompt fields that must reach the replica unchanged.

--- a/camphorrun/gateway/answers.py
+++ b/camphorrun/gateway/answers.py
@@ -18,7 +18,6 @@
 # A resumable stream that pauses for longer goes on at another replica; callers leave
 # after two seconds at the earliest.
 STREAM_GAP_SECONDS = 2.0
-MIN_READ_SECONDS = 0.02
 
 
 class AnswerRelay:
@@ -111,7 +110,9 @@
     async def _read(
         self, ctx: RequestContext, conn: ClientConnection, most_s: float = float("inf")
     ) -> bytes:
-        left_s = max(MIN_READ_SECONDS, ctx.end_at - self._timers.now())
+        left_s = ctx.end_at - self._timers.now()
+        if left_s <= 0.0:
+            raise TimeoutError("the time of the request is over")
         return await bounded(self._timers, conn.read(), min(left_s, most_s))
 
     async def _relay_events(
--- a/camphorrun/gateway/tests/test_requests.py
+++ b/camphorrun/gateway/tests/test_requests.py
@@ -299,6 +299,42 @@
 
         play(scenario, plain=2)
 
+    def test_stream_ends_at_the_route_timeout(self):
+        """Guards against a stream that goes on while the route allows it no time."""
+
+        async def scenario(world):
+            stream = route("s", "/stream/", "streaming", "plain", TimeoutMs=400)
+            world.store.put("keyed.op", "config", configuration(2, Routes=[stream]))
+            daemon = world.daemons[0]
+            await world.until(lambda: daemon.state.deployment.version == 2)
+            world.replicas[0].script.events = 5000
+            world.replicas[0].script.event_gap_s = 0.002
+            conn = await world.connect()
+            await conn.request(world.encode("/stream/x", "X-Model: m"))
+            with pytest.raises(HttpError):
+                async with asyncio.timeout(0.9):
+                    await conn.read_all(10_000)
+            conn.abort()
+            await world.until(lambda: world.replicas[0].cancelled == 1)
+
+        play(scenario)
+
+    def test_prompt_fields_reach_the_replica_as_sent(self):
+        """Guards against a replica that judges another prompt than the caller's."""
+
+        async def scenario(world):
+            prompt = {
+                "x-model": "m",
+                "x-token-count": "1460,80",
+                "x-prefix-hash": "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+            }
+            lines = (f"{name}: {value}" for name, value in prompt.items())
+            assert (await world.ask("/stream/x", *lines)).status == 200
+            got = world.replicas[0].runs[0].headers
+            assert {name: got.get(name) for name in prompt} == prompt
+
+        play(scenario)
+
     def test_resumable_stream_goes_on_at_the_next_event(self):
         """Guards against missing or doubled events after a replica was lost."""
 
--- a/camphorrun/gateway/tests/test_stages.py
+++ b/camphorrun/gateway/tests/test_stages.py
@@ -138,6 +138,25 @@
 
         play(scenario, stage=1, gateways=3)
 
+    def test_silent_owner_is_passed_over(self):
+        """Guards against requests that wait for an owner that is frozen.
+
+        Its connections stay open, so only unanswered pings tell.
+        """
+
+        async def scenario(world):
+            async def stay_silent(req, responder):
+                await asyncio.Event().wait()
+
+            first, other = owner_and_other(world)
+            for server in world.daemons[first]._others:
+                server.handler = stay_silent
+            async with asyncio.timeout(1.5):
+                answer = await world.ask("/staged/x", *STAGED, gateway=other)
+            assert answer.status == 200
+
+        play(scenario, stage=1, gateways=2)
+
     def test_replaced_owner_hands_its_queue_over(self):
         """Guards against two owners that work at the same replicas for seconds.
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -454,6 +454,20 @@
         "if True:",
         "camphorrun/gateway/tests/test_stages.py",
     ),
+    Mutation(
+        "a stream of frequent events ends at the timeout of its route",
+        "camphorrun/gateway/answers.py",
+        "if left_s <= 0.0:",
+        "if False:",
+        "camphorrun/gateway/tests/test_requests.py",
+    ),
+    Mutation(
+        "a peer that answers no ping is passed over",
+        "camphorrun/gateway/peers.py",
+        "                for task in list(self._outstanding):\n                    task.cancel()",
+        "                pass",
+        "camphorrun/gateway/tests/test_stages.py",
+    ),
 )
 
 
