--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -457,8 +457,8 @@
     Mutation(
         "a stream of frequent events ends at the timeout of its route",
         "camphorrun/gateway/answers.py",
-        "if left_s <= 0.0:",
-        "if False:",
+        "left_s = ctx.end_at - self._timers.now()",
+        "left_s = 0.02 + max(0.0, ctx.end_at - self._timers.now())",
         "camphorrun/gateway/tests/test_requests.py",
     ),
     Mutation(
