--- a/camphorrun/gateway/tests/test_requests.py
+++ b/camphorrun/gateway/tests/test_requests.py
@@ -349,6 +349,22 @@
 
         play(scenario, plain=2)
 
+    def test_replica_that_pauses_is_stopped_when_its_stream_moves(self):
+        """Guards against two replicas that work at the same stream."""
+
+        async def scenario(world):
+            for replica in world.replicas:
+                replica.script.event_gap_s = 3.0
+            ask = asyncio.ensure_future(world.ask("/resume/x", "X-Model: m"))
+            await world.until(lambda: any(r.runs for r in world.replicas))
+            paused, other = sorted(world.replicas, key=lambda r: not r.runs)
+            other.script.event_gap_s = 0.0
+            await world.until(lambda: other.runs)
+            await world.until(lambda: paused.cancelled == 1, 0.4)
+            assert (await ask).body == events(1, 2, 3, 4, 5)
+
+        play(scenario, plain=2)
+
     def test_caller_resumes(self):
         """Guards against events that the caller has already."""
 
