--- a/camphorrun/http1/tests/test_client.py
+++ b/camphorrun/http1/tests/test_client.py
@@ -173,3 +173,40 @@
         with pytest.raises(HttpError) as caught:
             asyncio.run(scenario())
         assert caught.value.unsent
+
+
+class TestEarlyAnswer:
+    """A peer that answers before it has read a long request."""
+
+    def test_next_request_follows_the_whole_body(self):
+        """Guards against bytes of the next request inside the body of the last."""
+        body = bytes(range(256)) * 16384
+        request = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        received = bytearray()
+
+        async def serve(reader, writer):
+            received.extend(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(answer)
+            await asyncio.sleep(0.05)
+            received.extend(await reader.readexactly(len(body)))
+            received.extend(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(answer)
+
+        async def scenario():
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            pool = ConnectionPool(
+                "127.0.0.1", server.sockets[0].getsockname()[1], TIMERS
+            )
+            for data in (request, REQUEST):
+                conn = await pool.acquire(1.0)
+                head = await conn.request(data)
+                assert (head.status, await conn.read_all(10)) == (200, b"ok")
+                pool.release(conn)
+            pool.close()
+            server.close()
+            return pool.opened
+
+        opened = asyncio.run(asyncio.wait_for(scenario(), 5))
+        assert opened == 1
+        assert bytes(received) == request + REQUEST
