Stop sending to replicas that leave or want a pause

Replicas say in their answers that they leave, and may ask for a pause with a 503. Both were ignored: requests, stage calls, space reports and releases went on. Both are kept by start of the replica now, also while its registration vanishes and returns, and are checked again after the wait for a connection. If all replicas of a service rest, requests are refused at once with the time of the first one's return; stages wait only if they can still meet the objective.

A second copy of an earlier answer was believed when it was a rejection (a false promise that nothing ran) and when it named results of an earlier stage call. A rejection must name the request now; results that were named before close the connection.

--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -26,7 +26,12 @@
 )
 from .answers import BUFFERED_ANSWER_BYTES, AnswerRelay
 from .context import RequestContext
-from .errors import AttemptFailedError, InputsGoneError, RefusedError
+from .errors import (
+    AttemptFailedError,
+    InputsGoneError,
+    RefusedError,
+    ReplicaBarredError,
+)
 from .replicas import ReplicaHandle, ReplicaPool, endpoints
 
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -46,6 +51,27 @@
 # replica is left.
 REJECTION_PAUSE_SECONDS = 0.25
 MIN_USEFUL_SECONDS = 0.02
+# Attempts that ended before anything was sent; another one is no repeat.
+UNSENT_CODES = frozenset(
+    {
+        "connect_failed",
+        "connect_timeout",
+        "replica_draining",
+        "replica_leaving",
+        "replica_resting",
+    }
+)
+# Ends of an attempt that say nothing about the health of the replica.
+BLAMELESS_CODES = frozenset(
+    {
+        "caller_slow",
+        "deadline",
+        "rejected",
+        "replica_draining",
+        "replica_leaving",
+        "replica_resting",
+    }
+)
 
 
 class Attempts:
@@ -115,6 +141,8 @@
         if ctx.end_at - now < MIN_USEFUL_SECONDS:
             raise self._refusal(ctx, reason or "deadline")
         handles = self._replicas.usable(ctx.service)
+        if not handles:
+            raise self._none_usable(ctx, reason)
         paused = {
             h.replica.identifier for h in handles if now < h.rejected_until
         } | ctx.tried
@@ -129,6 +157,13 @@
             raise self._refusal(ctx, choice.reason)
         return self._chosen(ctx, choice)
 
+    def _none_usable(self, ctx: RequestContext, reason: str) -> RefusedError:
+        """Return the refusal while no replica takes work."""
+        rest_s = self._replicas.rest_left_s(ctx.service)
+        if rest_s:
+            return self._refusal(ctx, "replicas_resting", rest_s)
+        return self._refusal(ctx, reason or "no_endpoint")
+
     def preferred_zone(self, ctx: RequestContext) -> str:
         """Return the zone of the engine that holds a request's prefix.
 
@@ -189,7 +224,7 @@
             return False
         if ctx.runs >= route.max_attempts or rejections >= MAX_REJECTIONS:
             return False
-        if reason in ("connect_failed", "connect_timeout"):
+        if reason in UNSENT_CODES:
             return True
         if not budget.try_withdraw(self._timers.now()):
             self._metrics.refusals.labels("retry_budget").inc()
@@ -205,11 +240,16 @@
             return
         raise self._refusal(ctx, reason)
 
-    def _refusal(self, ctx: RequestContext, reason: str) -> RefusedError:
+    def _refusal(
+        self,
+        ctx: RequestContext,
+        reason: str,
+        retry_after_s: float = REFUSED_RETRY_SECONDS,
+    ) -> RefusedError:
         """Return the answer for a request that no replica answered."""
         if not ctx.sent:
             return RefusedError(
-                reason, code=reason, status=503, retry_after_s=REFUSED_RETRY_SECONDS
+                reason, code=reason, status=503, retry_after_s=retry_after_s
             )
         late = self._timers.now() >= ctx.end_at - MIN_USEFUL_SECONDS
         return RefusedError(reason, code=reason, status=504 if late else 502)
@@ -246,8 +286,8 @@
             await self._exchange(ctx, handle, conn, responder)
             ok = True
         except AttemptFailedError as exc:
-            # A replica that is full is busy, not broken.
-            ok = None if exc.code == "rejected" else False
+            # A replica that is full, for instance, is busy and not broken.
+            ok = None if exc.code in BLAMELESS_CODES else False
             raise
         except BaseException:
             if conn is not None:
@@ -270,7 +310,7 @@
         idle_s = float("inf") if repeatable else UNSAFE_IDLE_SECONDS
         left_s = max(MIN_USEFUL_SECONDS, ctx.end_at - self._timers.now())
         try:
-            return await bounded(
+            conn = await bounded(
                 self._timers,
                 handle.pool.acquire(CONNECT_TIMEOUT_SECONDS, idle_s),
                 left_s,
@@ -279,6 +319,24 @@
             raise AttemptFailedError(exc.code, not_run=True) from exc
         except TimeoutError as exc:
             raise AttemptFailedError("connect_timeout", not_run=True) from exc
+        try:
+            self._check_again(ctx, handle)
+        except AttemptFailedError:
+            handle.pool.release(conn)
+            raise
+        return conn
+
+    def _check_again(self, ctx: RequestContext, handle: ReplicaHandle) -> None:
+        """Check what may have changed while the request waited for a connection.
+
+        The process may have been paused meanwhile.
+        """
+        if ctx.end_at - self._timers.now() < MIN_USEFUL_SECONDS:
+            raise AttemptFailedError("deadline", not_run=True)
+        try:
+            handle.check()
+        except ReplicaBarredError as exc:
+            raise AttemptFailedError(exc.code, not_run=True) from exc
 
     async def _exchange(
         self,
@@ -302,8 +360,9 @@
         ctx.runs += 1
         try:
             head = await self._head(ctx, conn, data)
+            handle.hear(head, ctx.request_id)
             facts = reply_facts(head, ctx.caller)
-            if facts.not_run:
+            if facts.not_run and _is_believed(facts, conn):
                 await self._drop_body(conn)
                 ctx.sent = was_sent
                 ctx.runs -= 1
@@ -352,6 +411,15 @@
             conn.abort()
 
 
+def _is_believed(facts: ReplyFacts, conn: ClientConnection) -> bool:
+    """Return whether a rejection belongs to the request that was sent.
+
+    A second copy of an earlier answer may arrive where the next one is due. Only the
+    first answer on a connection can be no copy; only there a rejection needs no name.
+    """
+    return facts.own or (facts.anonymous and conn.requests == 1)
+
+
 def _rejection(facts: ReplyFacts) -> AttemptFailedError:
     if facts.inputs_gone:
         return AttemptFailedError("inputs_gone", not_run=True, inputs_gone=True)
--- a/camphorrun/gateway/errors.py
+++ b/camphorrun/gateway/errors.py
@@ -27,11 +27,30 @@
 class StageError(CamphorrunError):
     """A stage of a request has no result.
 
-    Codes: ``late``, ``input_gone``, ``failed``.
+    Codes: ``late``, ``input_gone``, ``failed``, ``resting`` (all replicas asked for a
+    pause).
+
+    Parameters
+    ----------
+    retry_after_s : float
+        When the stage may be possible again; 0 if that is unknown.
     """
 
     default_code = "failed"
 
+    def __init__(self, message: str, *, code: str, retry_after_s: float = 0.0):
+        super().__init__(message, code=code)
+        self.retry_after_s = retry_after_s
+
+
+class ReplicaBarredError(CamphorrunError):
+    """A replica takes no work any more, or not now; nothing was sent.
+
+    Codes: ``replica_draining``, ``replica_leaving``, ``replica_resting``.
+    """
+
+    default_code = "replica_draining"
+
 
 class PeerError(CamphorrunError):
     """Another daemon gave no usable answer."""
--- a/camphorrun/gateway/front.py
+++ b/camphorrun/gateway/front.py
@@ -24,6 +24,7 @@
 
 # Answer to callers while nothing is known yet.
 NOT_READY_RETRY_SECONDS = 0.5
+# Least time after which a caller whose stages failed comes back.
 STAGE_RETRY_SECONDS = 0.5
 DRAINING = "draining"
 # A caller that comes back meets another gateway, so it need not wait.
@@ -35,7 +36,11 @@
 # A request that comes back after a refusal is ordered before newcomers of its rank.
 RETURN_OBJECTIVE_SHARE = 0.7
 STAGE_FAILED = "stage_failed"
-_STAGE_CODES = {"late": "stage_late", "input_gone": "stage_input_gone"}
+_STAGE_CODES = {
+    "late": "stage_late",
+    "input_gone": "stage_input_gone",
+    "resting": "replicas_resting",
+}
 
 
 class Front:
@@ -264,5 +269,5 @@
                 str(exc),
                 code=_STAGE_CODES.get(exc.code, STAGE_FAILED),
                 status=502 if ctx.sent else 503,
-                retry_after_s=STAGE_RETRY_SECONDS,
+                retry_after_s=max(STAGE_RETRY_SECONDS, exc.retry_after_s),
             ) from exc
--- a/camphorrun/gateway/messages.py
+++ b/camphorrun/gateway/messages.py
@@ -56,12 +56,14 @@
 
     ``wait_s`` is the wait that pieces of this kind have to expect now. With the fault
     ``moved`` the daemon at ``successor`` makes the pieces that have no result.
+    ``retry_after_s`` is set while all replicas asked for a pause.
     """
 
     handles: dict[int, str]
     fault: str = ""
     wait_s: float = 0.0
     successor: str = ""
+    retry_after_s: float = 0.0
     version: int = SCHEMA_VERSION
 
 
--- a/camphorrun/gateway/replicas.py
+++ b/camphorrun/gateway/replicas.py
@@ -1,12 +1,15 @@
 """Replicas as this gateway uses them: connections, load and health of each."""
 
-from collections.abc import Iterable
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
 
 from ..catalog import Replica, ReplicaState
 from ..core import EventLog, TimerService
-from ..http1 import ConnectionPool
+from ..http1 import ConnectionPool, ResponseHead
 from ..metrics import Metrics
+from ..platform import ReplicaNotice, replica_notice
 from ..routing import EndpointState, OutlierDetector
+from .errors import ReplicaBarredError
 from .state import GatewayState
 
 OUTLIER_SECONDS = 0.25
@@ -15,6 +18,61 @@
 # Share of a replica's connections that all gateways together use.
 CONNECTION_SHARE = 0.8
 MIN_CONNECTIONS = 2
+# Starts of replicas whose notices are kept; the oldest ones are long gone.
+MAX_NOTICES = 4096
+# More than a replica makes in the time in which a copy of an answer may arrive.
+MAX_KNOWN_RESULTS = 512
+
+
+class KnownResults:
+    """Names of the latest results of a replica, to notice a second copy of an answer.
+
+    Examples
+    --------
+    >>> known = KnownResults()
+    >>> known.add(["a", "b"]), known.add(["c"]), known.add(["b"])
+    (True, True, False)
+    """
+
+    __slots__ = ("_names",)
+
+    def __init__(self):
+        self._names: OrderedDict[str, None] = OrderedDict()
+
+    def add(self, names: list[str]) -> bool:
+        """Remember names; return False if one of them is known already."""
+        if any(name in self._names for name in names):
+            return False
+        self._names.update(dict.fromkeys(names))
+        while len(self._names) > MAX_KNOWN_RESULTS:
+            self._names.popitem(last=False)
+        return True
+
+
+class ReplicaAdvice:
+    """What one start of a replica asked of this gateway.
+
+    It outlives the registration, which may vanish and come back while the store fails.
+
+    Attributes
+    ----------
+    leaving_since : float or None
+        When it first said that it leaves.
+    rest_until : float
+        End of the pause that it asked for.
+    """
+
+    __slots__ = ("leaving_since", "rest_until")
+
+    def __init__(self):
+        self.leaving_since: float | None = None
+        self.rest_until = float("-inf")
+
+    def barred_by(self, now: float) -> str:
+        """Return why the replica gets no request now, empty if it may."""
+        if self.leaving_since is not None:
+            return "leaving"
+        return "resting" if now < self.rest_until else ""
 
 
 class ReplicaHandle:
@@ -28,15 +86,39 @@
         Load and health as this gateway sees them.
     pool : ConnectionPool
         Connections to it.
+    advice : ReplicaAdvice
+        What it asked of this gateway.
+    results : KnownResults
+        Stage results that it named in its answers.
     rejected_until : float
         End of the pause after it rejected a request: idle for that reason, it would
         otherwise attract all others.
     """
 
-    __slots__ = ("endpoint", "pool", "rejected_until", "replica")
+    __slots__ = (
+        "_on_notice",
+        "_timers",
+        "advice",
+        "endpoint",
+        "pool",
+        "rejected_until",
+        "replica",
+        "results",
+    )
 
-    def __init__(self, replica: Replica, timers: TimerService, connections: int):
+    def __init__(
+        self,
+        replica: Replica,
+        timers: TimerService,
+        connections: int,
+        advice: ReplicaAdvice,
+        on_notice: Callable[["ReplicaHandle", ReplicaNotice, str], None],
+    ):
         self.replica = replica
+        self.advice = advice
+        self.results = KnownResults()
+        self._timers = timers
+        self._on_notice = on_notice
         self.rejected_until = float("-inf")
         self.endpoint = EndpointState(
             replica.identifier, replica.availability_zone, replica.service
@@ -45,8 +127,34 @@
 
     @property
     def takes_work(self) -> bool:
-        """Whether new work may be sent."""
-        return self.replica.state is ReplicaState.READY
+        """Whether new work may be sent now."""
+        return not self.barred_by
+
+    @property
+    def barred_by(self) -> str:
+        """Why no new work may be sent now, empty if it may."""
+        if self.replica.state is not ReplicaState.READY or self.pool.closed:
+            return "draining"
+        return self.advice.barred_by(self._timers.now())
+
+    def check(self) -> None:
+        """Check once more, after a wait, whether the replica takes work.
+
+        Raises
+        ------
+        ReplicaBarredError
+            If it does not.
+        """
+        reason = self.barred_by
+        if reason:
+            name = self.replica.identifier
+            raise ReplicaBarredError(f"{name}: {reason}", code=f"replica_{reason}")
+
+    def hear(self, head: ResponseHead, request_id: str = "") -> None:
+        """Take over what an answer says about the replica."""
+        notice = replica_notice(head)
+        if notice is not None:
+            self._on_notice(self, notice, request_id)
 
 
 class ReplicaPool:
@@ -65,6 +173,7 @@
         self._events = events
         self._handles: dict[str, ReplicaHandle] = {}
         self._detectors: dict[str, OutlierDetector] = {}
+        self._advice: OrderedDict[tuple[str, int], ReplicaAdvice] = OrderedDict()
         state.subscribe(replicas=self.update)
         timers.subscribe(OUTLIER_SECONDS, self._detect_outliers)
 
@@ -76,10 +185,13 @@
                 if handle is not None:
                     handle.pool.close()
                 limit = self._connection_limit(replica.service)
-                handle = ReplicaHandle(replica, self._timers, limit)
+                advice = self._advice.get(replica.boot) or ReplicaAdvice()
+                handle = ReplicaHandle(
+                    replica, self._timers, limit, advice, self._take_notice
+                )
                 self._handles[identifier] = handle
             handle.replica = replica
-            handle.endpoint.set_draining(not handle.takes_work)
+            handle.endpoint.set_draining(replica.state is not ReplicaState.READY)
         for identifier in self._handles.keys() - self._state.replicas.keys():
             self._handles.pop(identifier).pool.close()
 
@@ -91,6 +203,21 @@
         """Return the replicas of a service that take new work."""
         return [h for h in self.of_service(service) if h.takes_work]
 
+    def rest_left_s(self, service: str) -> float:
+        """Return when the first replica of a service takes work again.
+
+        0 if one takes work now, or if none is expected to.
+        """
+        now = self._timers.now()
+        left_s = []
+        for handle in self.of_service(service):
+            reason = handle.barred_by
+            if not reason:
+                return 0.0
+            if reason == "resting":
+                left_s.append(handle.advice.rest_until - now)
+        return min(left_s, default=0.0)
+
     def get(self, identifier: str) -> ReplicaHandle | None:
         """Return the handle of a replica."""
         return self._handles.get(identifier)
@@ -105,6 +232,45 @@
         for handle in self._handles.values():
             handle.pool.close()
 
+    def _take_notice(
+        self, handle: ReplicaHandle, notice: ReplicaNotice, request_id: str
+    ) -> None:
+        now = self._timers.now()
+        advice = handle.advice
+        self._advice[handle.replica.boot] = advice
+        while len(self._advice) > MAX_NOTICES:
+            self._advice.popitem(last=False)
+        if notice.unusual:
+            self._metrics.drops.labels("retry_after").inc()
+        if notice.leaving and advice.leaving_since is None:
+            advice.leaving_since = now
+            handle.pool.close_idle()
+            self._note_advice(handle, "leaving", request_id)
+        was_resting = now < advice.rest_until
+        advice.rest_until = max(advice.rest_until, now + notice.rest_s)
+        if (notice.rest_s and not was_resting) or notice.unusual:
+            self._note_advice(
+                handle,
+                "resting",
+                request_id,
+                seconds=notice.rest_s,
+                unusual=notice.unusual[:40],
+            )
+
+    def _note_advice(
+        self, handle: ReplicaHandle, kind: str, request_id: str, **fields: object
+    ) -> None:
+        service = handle.replica.service
+        self._metrics.replica_notices.labels(service, kind).inc()
+        self._events.belief(
+            "replica_notice",
+            replica=handle.replica.identifier,
+            service=service,
+            says=kind,
+            heard_by=request_id,
+            **fields,
+        )
+
     def _connection_limit(self, service: str) -> int:
         deployment = self._state.deployment
         known = deployment.services.get(service) if deployment else None
--- a/camphorrun/gateway/stage_calls.py
+++ b/camphorrun/gateway/stage_calls.py
@@ -1,8 +1,12 @@
 """Calls of one stage replica."""
 
+from collections.abc import Callable
+from typing import TypeVar
+
 from ..core import TimerService, bounded
 from ..http1 import HttpError
 from ..platform import (
+    DecodeError,
     StageItem,
     StageItemResult,
     decode_space,
@@ -11,6 +15,7 @@
     encode_space_question,
     encode_stage_call,
 )
+from .errors import ReplicaBarredError
 from .replicas import ReplicaHandle
 
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -18,6 +23,8 @@
 SPACE_TIMEOUT_SECONDS = 0.3
 MAX_ANSWER_BYTES = 1024 * 1024
 
+T = TypeVar("T")
+
 
 async def make_results(
     handle: ReplicaHandle,
@@ -32,14 +39,23 @@
     HttpError
         With code ``refused`` if the replica did not take the call.
     DecodeError
-        If the answer can't be read.
+        If the answer can't be read, or is a second copy of an earlier one.
+    ReplicaBarredError
+        If the replica takes no work; nothing was sent.
     TimeoutError
         If there is no answer in time.
     """
     replica = handle.replica
     data = encode_stage_call(replica.address, replica.identifier, items)
-    body = await _exchange(handle, data, timers, timeout_s)
-    return decode_stage_reply(body, len(items))
+
+    def decode(body: bytes) -> list[StageItemResult]:
+        results = decode_stage_reply(body, len(items))
+        made = [result.handle for result in results if result.handle]
+        if not handle.results.add(made):
+            raise DecodeError("stage reply: repeats an earlier one")
+        return results
+
+    return await _exchange(handle, data, timers, timeout_s, decode)
 
 
 async def read_free_space(handle: ReplicaHandle, timers: TimerService) -> int:
@@ -47,11 +63,11 @@
 
     Raises
     ------
-    HttpError, DecodeError, TimeoutError
+    HttpError, DecodeError, ReplicaBarredError, TimeoutError
         As for ``make_results``.
     """
     data = encode_space_question(handle.replica.address)
-    return decode_space(await _exchange(handle, data, timers, SPACE_TIMEOUT_SECONDS))
+    return await _exchange(handle, data, timers, SPACE_TIMEOUT_SECONDS, decode_space)
 
 
 async def release_results(
@@ -61,28 +77,41 @@
 
     Raises
     ------
-    HttpError, TimeoutError
+    HttpError, ReplicaBarredError, TimeoutError
         If the replica did not confirm it; it drops unused results after a while.
     """
     data = encode_release(handle.replica.address, results)
-    await _exchange(handle, data, timers, RELEASE_TIMEOUT_SECONDS)
+    await _exchange(handle, data, timers, RELEASE_TIMEOUT_SECONDS, bytes)
 
 
 async def _exchange(
-    handle: ReplicaHandle, data: bytes, timers: TimerService, timeout_s: float
-) -> bytes:
-    """Return the body of a successful answer."""
+    handle: ReplicaHandle,
+    data: bytes,
+    timers: TimerService,
+    timeout_s: float,
+    decode: Callable[[bytes], T],
+) -> T:
+    """Return the decoded body of a successful answer.
+
+    Nothing is sent to a replica that takes no work by the time a connection is free. A
+    connection whose answer can't be read is closed: the answer may be that of another
+    call.
+    """
     conn = await handle.pool.acquire(CONNECT_TIMEOUT_SECONDS)
 
-    async def exchange() -> bytes:
+    async def exchange() -> T:
         head = await conn.request(data)
+        handle.hear(head)
         body = await conn.read_all(MAX_ANSWER_BYTES)
         if head.status != 200:
             raise HttpError(f"stage replica: status {head.status}", code="refused")
-        return body
+        return decode(body)
 
     try:
+        handle.check()
         return await bounded(timers, exchange(), timeout_s)
+    except ReplicaBarredError:
+        raise
     except HttpError as exc:
         if exc.code != "refused":
             conn.abort()
--- a/camphorrun/gateway/stage_owner.py
+++ b/camphorrun/gateway/stage_owner.py
@@ -14,7 +14,7 @@
 from ..pipeline import BatchQueue, PieceGroup, SpaceLedger
 from ..platform import DecodeError, StageFault, StageItem, StageItemResult
 from ..retries import RetryBudget
-from .errors import StageError
+from .errors import ReplicaBarredError, StageError
 from .replicas import ReplicaHandle, ReplicaPool
 from .stage_calls import make_results, read_free_space, release_results
 
@@ -214,6 +214,8 @@
         workers = self._current_workers()
         for group in self._queue.expire(len(workers), now):
             self._fail(group, "late")
+        if not workers:
+            self._refuse_during_rest(now)
         free = [w for w in workers if w.busy < self._capacity.calls]
         free = [w for w in free if w.paused_until <= now and not w.report_due]
         free.sort(key=lambda worker: worker.ratio)
@@ -236,6 +238,16 @@
         if len(self._queue):
             self._schedule_dispatch()
 
+    def _refuse_during_rest(self, now: float) -> None:
+        """Give up what can't be in time once the first replica takes work again."""
+        rest_s = self._replicas.rest_left_s(self._service)
+        if rest_s <= 0.0:
+            return
+        call_s = self._capacity.call_time_s(1)
+        for group in self._queue.groups:
+            if group.latest_start(call_s) < now + rest_s:
+                self._fail(group, "resting", rest_s)
+
     def _zone_of(self, worker: _Worker, workers: list[_Worker]) -> str:
         """Return the zone of a replica, empty if not all zones have a working one."""
         now = self._timers.now()
@@ -289,7 +301,7 @@
         made: list[tuple[str, int]] = []
         try:
             results = await self._send(worker, batch)
-        except (HttpError, DecodeError, TimeoutError) as exc:
+        except (HttpError, DecodeError, ReplicaBarredError, TimeoutError) as exc:
             self._on_failed_call(worker, batch, exc)
         else:
             self._on_results(worker, batch, results, made, started_at)
@@ -336,7 +348,7 @@
         """Correct the account of a replica's space by its report."""
         try:
             free_bytes = await read_free_space(worker.handle, self._timers)
-        except (HttpError, DecodeError, TimeoutError) as exc:
+        except (HttpError, DecodeError, ReplicaBarredError, TimeoutError) as exc:
             self._metrics.drops.labels("space_report").inc()
             self._events.belief(
                 "space_unknown",
@@ -422,7 +434,8 @@
         batch: list[tuple[PieceGroup, int]],
         exc: Exception,
     ) -> None:
-        refused = isinstance(exc, HttpError) and exc.code == "refused"
+        barred = isinstance(exc, ReplicaBarredError)
+        refused = barred or (isinstance(exc, HttpError) and exc.code == "refused")
         pause_s = FULL_PAUSE_SECONDS
         if not refused:
             worker.failures += 1
@@ -464,10 +477,11 @@
         group.waiting.extendleft(reversed(pieces))
         self._queue.add(group)
 
-    def _fail(self, group: PieceGroup, code: str) -> None:
+    def _fail(self, group: PieceGroup, code: str, retry_after_s: float = 0.0) -> None:
         job = self._job(group)
         if job is not None and not job.fut.done():
-            error = StageError(f"stage {group.stage} at {self._service}", code=code)
+            text = f"stage {group.stage} at {self._service}"
+            error = StageError(text, code=code, retry_after_s=retry_after_s)
             job.fut.set_exception(error)
         group.waiting = deque()
         self._queue.remove(group)
@@ -478,9 +492,20 @@
         pending, self._to_release = self._to_release, {}
         for address, handles in pending.items():
             handle = self._replicas.at_address(address)
-            if handle is not None:
+            if handle is None or handle.barred_by == "leaving":
+                continue
+            if handle.barred_by == "resting":
+                self._release_after_rest(handle, handles)
+            else:
                 self._spawn(self._release_at(handle, handles))
 
+    def _release_after_rest(self, handle: ReplicaHandle, handles: list[str]) -> None:
+        """Release results when the replica takes requests, if they still exist then."""
+        rest_s = handle.advice.rest_until - self._timers.now()
+        if rest_s < self._capacity.result_life_s:
+            again = partial(self.release, handles)
+            self._timers.call_after(rest_s + RELEASE_DELAY_SECONDS, again)
+
     def _on_released(self, address: str, handles: list[str]) -> None:
         """Use the space only now: a call that overtakes the release finds none."""
         for worker in self._workers.values():
@@ -493,6 +518,8 @@
     async def _release_at(self, handle: ReplicaHandle, handles: list[str]) -> None:
         try:
             await release_results(handle, handles, self._timers)
+        except ReplicaBarredError:
+            self.release(handles)
         except (HttpError, TimeoutError):
             self._metrics.drops.labels("release").inc()
         else:
--- a/camphorrun/gateway/stage_runner.py
+++ b/camphorrun/gateway/stage_runner.py
@@ -287,7 +287,11 @@
             wait_s=round(reply.wait_s, 3),
         )
         if reply.fault:
-            raise StageError(f"stage {index} at {stage.service}", code=reply.fault)
+            raise StageError(
+                f"stage {index} at {stage.service}",
+                code=reply.fault,
+                retry_after_s=reply.retry_after_s or reply.wait_s,
+            )
         return [reply.handles[piece] for piece in range(count)]
 
     async def _ask_owners(self, order: PieceOrder) -> PieceReply:
@@ -367,13 +371,15 @@
             return PieceReply({}, "failed")
         fault = ""
         handles: dict[int, str] = {}
+        retry_after_s = 0.0
         try:
             handles = await owner.make(self._group(order), order.forced)
         except StageError as exc:
             fault = exc.code
+            retry_after_s = exc.retry_after_s
         wait_s = owner.expected_wait_s(order.result_bytes, order.priority)
         if fault:
-            return PieceReply({}, fault, wait_s)
+            return PieceReply({}, fault, wait_s, retry_after_s=retry_after_s)
         if len(handles) < len(order.pieces):
             return PieceReply(handles, MOVED, wait_s, self._successor(order.service))
         return PieceReply(handles, "", wait_s)
--- a/camphorrun/http1/pool.py
+++ b/camphorrun/http1/pool.py
@@ -72,9 +72,18 @@
         else:
             conn.abort()
 
+    @property
+    def closed(self) -> bool:
+        """Whether the pool was closed for good."""
+        return self._closed
+
     def close(self) -> None:
         """Close the idle connections, and each other one when it is released."""
         self._closed = True
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close the idle connections."""
         for conn in self._idle:
             conn.abort()
         self._idle.clear()
--- a/camphorrun/metrics/registry.py
+++ b/camphorrun/metrics/registry.py
@@ -56,6 +56,11 @@
         self.retries = self._counter(
             "retries", "Attempts repeated, by reason.", ("reason",)
         )
+        self.replica_notices = self._counter(
+            "replica_notices",
+            "Replicas that said that they leave or want a pause.",
+            ("service", "kind"),
+        )
         self.drops = self._counter(
             "drops", "Messages and replies dropped, by reason.", ("reason",)
         )
--- a/camphorrun/pipeline/batches.py
+++ b/camphorrun/pipeline/batches.py
@@ -87,6 +87,11 @@
     def __len__(self) -> int:
         return sum(len(group.waiting) for group in self._groups)
 
+    @property
+    def groups(self) -> list[PieceGroup]:
+        """Groups that wait, as a list of its own."""
+        return list(self._groups)
+
     def add(self, group: PieceGroup) -> None:
         """Queue a group, again if some of its pieces must be made once more."""
         if group not in self._groups:
--- a/camphorrun/platform/__init__.py
+++ b/camphorrun/platform/__init__.py
@@ -4,6 +4,7 @@
 ``CONFIGURATION_TOPIC``, ``REPLICA_TOPIC``, ``decode_deployment``, ``decode_replica``,
 ``DecodeError``, ``CallerRequest``, ``decode_caller_request``, ``encode_request``,
 ``ReplyFacts``, ``reply_facts``, ``relay_headers``, ``refusal_headers``, ``event_id``,
+``ReplicaNotice``, ``replica_notice``,
 ``StageItem``, ``StageItemResult``, ``StageFault``, ``encode_stage_call``,
 ``decode_stage_reply``, ``encode_release``, ``encode_space_question``, ``decode_space``.
 """
@@ -20,6 +21,7 @@
     relay_headers,
     reply_facts,
 )
+from .notices import ReplicaNotice, replica_notice
 from .registrations import decode_replica
 from .stages import (
     StageFault,
@@ -44,6 +46,7 @@
     "REPLICA_TOPIC",
     "CallerRequest",
     "DecodeError",
+    "ReplicaNotice",
     "ReplyFacts",
     "StageFault",
     "StageItem",
@@ -62,5 +65,6 @@
     "event_id",
     "refusal_headers",
     "relay_headers",
+    "replica_notice",
     "reply_facts",
 ]
--- a/camphorrun/platform/exchange.py
+++ b/camphorrun/platform/exchange.py
@@ -85,7 +85,9 @@
     inputs_gone : bool
         A stage result that the request needs no longer exists.
     own : bool
-        The answer belongs to the request that was sent.
+        The answer names the request that was sent.
+    anonymous : bool
+        The answer names no request at all.
     stamped : bool
         The answer carries the replica's stamp.
     """
@@ -94,6 +96,7 @@
     misdirected: bool
     inputs_gone: bool
     own: bool
+    anonymous: bool
     stamped: bool
 
 
@@ -176,6 +179,7 @@
         misdirected,
         not_run and head.status == 409,
         echoed == caller.attempt_id,
+        not echoed,
         "x-replica-stamp" in headers,
     )
 
--- a/camphorrun/standins/platform_replica.py
+++ b/camphorrun/standins/platform_replica.py
@@ -26,7 +26,10 @@
 
     ``answer`` is ``ok``, ``full`` (503, not run), ``error`` (500), ``reset`` (runs and
     closes without an answer), ``mute`` (runs and stays silent), ``truncated``,
-    ``foreign`` (an answer to another request) or ``misdirected`` (421).
+    ``foreign`` (an answer to another request), ``stale_rejection`` (runs, and answers
+    with the rejection of another request), ``repeat`` (answers a stage call with its
+    last answer, once) or ``misdirected`` (421). ``leaving`` adds
+    ``Server-Leaving`` to all answers, ``retry_after`` a pause to those of ``full``.
     """
 
     answer: str = "ok"
@@ -35,6 +38,8 @@
     event_gap_s: float = 0.0
     work_s: float = 0.0
     stage_fault: str = ""
+    leaving: bool = False
+    retry_after: str = ""
     lost_handles: set[str] = field(default_factory=set)
 
 
@@ -47,9 +52,13 @@
         self.runs: list[ReplicaRun] = []
         self.stage_calls: list[list[dict]] = []
         self.released: list[str] = []
+        self.results: list[str] = []
+        self._last_results = b""
         self.cancelled = 0
         self.free_bytes = 1_000_000
         self.reports = 0
+        # Requests of any kind, rejected ones too.
+        self.asked = 0
         self.address = ""
         self._timers = timers
         self._handles = itertools.count()
@@ -83,6 +92,7 @@
         if req.target == b"/stage-run":
             await self._run_stage(req, responder)
         elif req.target == b"/stage-free":
+            self.asked += 1
             self.released.extend(msgspec.json.decode(req.body)["Handles"])
             responder.respond(200, Headers())
         elif req.target == b"/report":
@@ -95,15 +105,19 @@
     async def _run(self, req: ServerRequest, responder: ServerResponder) -> None:
         script = self.script
         attempt_id = req.headers.get("x-attempt-id")
+        self.asked += 1
+        if script.answer == "stale_rejection":
+            self.runs.append(ReplicaRun(attempt_id, req.target, req.headers, req.body))
+            responder.respond(503, self._not_run("another"))
+            return
         if script.answer in ("full", "misdirected"):
             status = 503 if script.answer == "full" else 421
-            not_run = Headers([(b"X-Not-Executed", b"1")])
-            responder.respond(status, not_run)
+            responder.respond(status, self._not_run(attempt_id))
             return
         inputs = req.headers.get("x-inputs").split(",")
         if script.lost_handles.intersection(inputs):
             script.lost_handles.clear()
-            responder.respond(409, Headers([(b"X-Not-Executed", b"1")]))
+            responder.respond(409, self._not_run(attempt_id))
             return
         run = ReplicaRun(attempt_id, req.target, req.headers, req.body)
         self.runs.append(run)
@@ -126,6 +140,7 @@
             [
                 (b"X-Attempt-Id", attempt_id.encode()),
                 (b"X-Replica-Stamp", self.identifier.encode()),
+                *self._notices(),
             ]
         )
         if script.answer == "reset":
@@ -141,6 +156,19 @@
         else:
             responder.respond(200, headers, b"answer " + req.target)
 
+    def _not_run(self, attempt_id: str) -> Headers:
+        fields = [(b"X-Not-Executed", b"1"), (b"X-Attempt-Id", attempt_id.encode())]
+        return Headers([*fields, *self._notices()])
+
+    def _notices(self) -> list[tuple[bytes, bytes]]:
+        """Return what the replica says about itself in each answer."""
+        fields = []
+        if self.script.leaving:
+            fields.append((b"Server-Leaving", b"1"))
+        if self.script.retry_after and self.script.answer == "full":
+            fields.append((b"Retry-After", self.script.retry_after.encode()))
+        return fields
+
     async def _stream(
         self, req: ServerRequest, responder: ServerResponder, headers: Headers
     ) -> None:
@@ -162,20 +190,28 @@
 
     async def _run_stage(self, req: ServerRequest, responder: ServerResponder) -> None:
         items = msgspec.json.decode(req.body)["Items"]
+        self.asked += 1
         if self.script.answer == "full":
-            responder.respond(503, Headers([(b"X-Not-Executed", b"1")]))
+            fields = [(b"X-Not-Executed", b"1"), *self._notices()]
+            responder.respond(503, Headers(fields))
             return
         self.stage_calls.append(items)
         await self._timers.sleep(self.script.work_s)
         if self.script.answer == "reset":
             responder.abort()
             return
+        if self.script.answer == "repeat":
+            self.script.answer = "ok"
+            responder.respond(200, Headers(), self._last_results)
+            return
         results = [self._result() for _ in items]
-        body = msgspec.json.encode({"Items": results})
-        responder.respond(200, Headers(), body)
+        self.results.extend(r["Handle"] for r in results if "Handle" in r)
+        body = self._last_results = msgspec.json.encode({"Items": results})
+        responder.respond(200, Headers(self._notices()), body)
 
     def _report(self, responder: ServerResponder) -> None:
         self.reports += 1
+        self.asked += 1
         report = {"Queued": 0, "Busy": False, "FreeMb": self.free_bytes // 1_000_000}
         responder.respond(200, Headers(), msgspec.json.encode(report))
 
