Bound what peers send, read the store once a zone, see all members

Framing between two steps of a message is bounded by 64 KiB at replicas, by the configured head size at callers; trailers are dropped, interim responses and fields counted, events bounded by 256 KiB. What a caller sends ahead of its request in progress is bounded by 256 KiB.

A stream stalls by events and not by bytes, and is given up only if the retry budget pays for another replica; a silent replica likewise. A stream that ends with its connection in the middle of an event is broken.

Registrations and configuration are read by the first gateway of each zone and asked of it by the others. A group with more members than partitions continues in a second topic: on the large site 20 of 68 gateways were unknown to the others and each took itself for an owner. After a pause of the process everything known is confirmed before requests are served.

--- a/camphorrun/gateway/answers.py
+++ b/camphorrun/gateway/answers.py
@@ -1,5 +1,6 @@
 """Passes the answer of a replica on to the caller."""
 
+import math
 from collections.abc import Callable
 
 from ..catalog import RouteKind
@@ -15,11 +16,35 @@
 # Answers up to this size are read to their end before the caller gets the first byte,
 # so that a repeatable request can still be sent to another replica.
 BUFFERED_ANSWER_BYTES = 256 * 1024
-# A resumable stream that pauses for longer goes on at another replica; callers leave
-# after two seconds at the earliest.
+# A resumable stream without an event for longer goes on at another replica; callers
+# leave after two seconds at the earliest.
 STREAM_GAP_SECONDS = 2.0
 
 
+class StallWatch:
+    """When a stream has stalled.
+
+    Attributes
+    ----------
+    last_event_at : float
+        When the last event came, or the stream began.
+    may_move : bool
+        Whether the stream may go on at another replica.
+    """
+
+    __slots__ = ("last_event_at", "may_move")
+
+    def __init__(self, now: float, may_move: bool):
+        self.last_event_at = now
+        self.may_move = may_move
+
+    def left_s(self, now: float) -> float:
+        """Return the time in which the next event must come."""
+        if not self.may_move:
+            return math.inf
+        return max(0.0, self.last_event_at + STREAM_GAP_SECONDS - now)
+
+
 class AnswerRelay:
     """Relays whole answers and streams of events.
 
@@ -78,13 +103,32 @@
             self._replace_failure(ctx)
         length = len(body) if is_whole else None
         responder.start(head.status, relay_headers(head), length, head.reason)
-        await responder.write(body)
+        await self._send(ctx, responder, body)
         while not is_whole:
             data = await self._read(ctx, conn)
             is_whole = not data
-            await responder.write(data)
+            await self._send(ctx, responder, data)
         responder.finish()
 
+    async def _send(
+        self, ctx: RequestContext, responder: ServerResponder, data: bytes
+    ) -> None:
+        """Pass bytes on, no longer than the request may last.
+
+        Raises
+        ------
+        AttemptFailedError
+            With code ``caller_slow`` if the caller does not read them in time.
+        """
+        responder.send(data)
+        if not responder.congested:
+            return
+        left_s = max(0.0, ctx.end_at - self._timers.now())
+        try:
+            await bounded(self._timers, responder.drain(), left_s)
+        except TimeoutError as exc:
+            raise AttemptFailedError("caller_slow", not_run=False) from exc
+
     def _replace_failure(self, ctx: RequestContext) -> None:
         """Drop a replica's failure if the budget allows another attempt."""
         if self._budget_of(ctx.service).try_withdraw(self._timers.now()):
@@ -125,19 +169,52 @@
     ) -> None:
         """Pass on events as they arrive, each one whole."""
         buffer = EventBuffer()
-        gap_s = STREAM_GAP_SECONDS if may_move else float("inf")
-        while data := await self._read(ctx, conn, gap_s):
+        watch = StallWatch(self._timers.now(), may_move)
+        while data := await self._read_event_bytes(ctx, conn, watch):
             if not ctx.begun_at:
                 ctx.begun_at = self._timers.now()
                 ctx.on_begun()
             events = buffer.feed(data)
+            if any(event_id(event) for event in events):
+                watch.last_event_at = self._timers.now()
             if events:
                 await self._pass_on(ctx, head, events, responder)
+        if buffer.rest and not conn.framed:
+            # The replica may have stopped in the middle of an event.
+            raise AttemptFailedError("truncated", not_run=False)
         if not responder.started:
             responder.start(head.status, relay_headers(head), None, head.reason)
-        await responder.write(buffer.rest)
+        await self._send(ctx, responder, buffer.rest)
         responder.finish()
 
+    async def _read_event_bytes(
+        self, ctx: RequestContext, conn: ClientConnection, watch: StallWatch
+    ) -> bytes:
+        """Return the next bytes of a stream; empty at its end.
+
+        Bytes that make no event are no progress. A stream that stalls is given up for
+        another replica only if the retry budget pays for it; otherwise the replica at
+        hand is the best chance of the caller.
+        """
+        while True:
+            left_s = watch.left_s(self._timers.now())
+            try:
+                return await self._read(ctx, conn, left_s)
+            except TimeoutError:
+                now = self._timers.now()
+                if now >= ctx.end_at:
+                    raise
+            if conn.readable:
+                # After a pause of this process, its timers fire before it reads.
+                watch.last_event_at = now
+                continue
+            if watch.left_s(now) > 0.0:
+                continue
+            if self._budget_of(ctx.service).try_withdraw(now):
+                self._metrics.retries.labels("stalled").inc()
+                raise AttemptFailedError("stalled", not_run=False, is_repeat_paid=True)
+            watch.may_move = False
+
     async def _pass_on(
         self,
         ctx: RequestContext,
@@ -149,4 +226,4 @@
             responder.start(head.status, relay_headers(head), None, head.reason)
         for event in events:
             ctx.last_event = event_id(event) or ctx.last_event
-        await responder.write(b"".join(events))
+        await self._send(ctx, responder, b"".join(events))
--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -1,5 +1,6 @@
 """Sends a request to replicas until it has an answer or none can be had."""
 
+import asyncio
 from random import Random
 
 from ..catalog import RouteKind
@@ -28,6 +29,7 @@
 from .context import RequestContext
 from .errors import (
     AttemptFailedError,
+    EventError,
     InputsGoneError,
     RefusedError,
     ReplicaBarredError,
@@ -378,6 +380,9 @@
         except TimeoutError as exc:
             conn.abort()
             raise AttemptFailedError("timeout", not_run=False) from exc
+        except EventError as exc:
+            conn.abort()
+            raise AttemptFailedError(exc.code, not_run=False) from exc
         except AttemptFailedError as exc:
             if exc.code == "foreign_answer":
                 conn.abort()
@@ -387,9 +392,32 @@
         self, ctx: RequestContext, conn: ClientConnection, data: bytes
     ) -> ResponseHead:
         left_s = max(MIN_USEFUL_SECONDS, ctx.end_at - self._timers.now())
-        if self._may_move(ctx):
-            left_s = min(left_s, self._patience_s(ctx))
-        return await bounded(self._timers, conn.request(data), left_s)
+        if not self._may_move(ctx):
+            return await bounded(self._timers, conn.request(data), left_s)
+        waiting = asyncio.ensure_future(conn.request(data))
+        try:
+            patience_s = min(left_s, self._patience_s(ctx))
+            return await self._patient(ctx, waiting, patience_s)
+        finally:
+            waiting.cancel()
+
+    async def _patient(
+        self,
+        ctx: RequestContext,
+        waiting: asyncio.Future[ResponseHead],
+        patience_s: float,
+    ) -> ResponseHead:
+        """Wait for a head; give a silent replica up if the budget pays for another."""
+        try:
+            return await bounded(self._timers, asyncio.shield(waiting), patience_s)
+        except TimeoutError:
+            now = self._timers.now()
+            if now >= ctx.end_at - MIN_USEFUL_SECONDS:
+                raise
+        if not waiting.done() and self._budget_of(ctx.service).try_withdraw(now):
+            self._metrics.retries.labels("silent").inc()
+            raise AttemptFailedError("silent", not_run=False, is_repeat_paid=True)
+        return await bounded(self._timers, waiting, ctx.end_at - now)
 
     def _may_move(self, ctx: RequestContext) -> bool:
         """Return whether a replica that stays silent is given up for another one."""
--- a/camphorrun/gateway/daemon.py
+++ b/camphorrun/gateway/daemon.py
@@ -7,6 +7,7 @@
     EventLog,
     Lifecycle,
     LoopTimerService,
+    PauseDetector,
     Supervisor,
     TimerService,
     new_identifier,
@@ -23,6 +24,7 @@
 from .stage_runner import StageRunner
 from .state import GatewayState
 from .store_sync import StoreSync
+from .zone_readers import ZoneReaders
 
 # After the start of a drain the balancer still sends connections for about this long.
 REDIRECT_SECONDS = 3.0
@@ -110,16 +112,11 @@
             "metrics": self.metrics,
             "events": self.events,
         }
-        member = member_name(host.name, host.peers, self.incarnation)
+        member = member_name(
+            host.name, host.peers, self.incarnation, host.availability_zone
+        )
         self.state = GatewayState(member, self.metrics, self.events)
         self._store = StoreClient(self.settings.store.address, self.timers)
-        self._sync = StoreSync(
-            self._store,
-            self.state,
-            ttl_s=self.settings.store.member_ttl_s,
-            seed=self._rng.getrandbits(32),
-            **common,
-        )
         self._peers = Peers(
             self.state,
             self.settings.seeds,
@@ -128,6 +125,15 @@
             seed=self._rng.getrandbits(32),
             **common,
         )
+        readers = ZoneReaders(self.state, self._peers, host.availability_zone, **common)
+        self._sync = StoreSync(
+            self._store,
+            self.state,
+            readers,
+            ttl_s=self.settings.store.member_ttl_s,
+            seed=self._rng.getrandbits(32),
+            **common,
+        )
         self._replicas = ReplicaPool(self.state, self.timers, self.metrics, self.events)
         self._stages = StageRunner(
             self.state, self._replicas, self._peers, self._new_budget, **common
@@ -147,6 +153,15 @@
         # The share of the common budget changes with the number of members.
         self.state.subscribe(deployment=self._apply_limits, members=self._budgets.clear)
 
+        self._pauses = PauseDetector(self.timers, self._on_pause)
+        self._confirming: asyncio.Task | None = None
+
+    def _on_pause(self, seconds: float) -> None:
+        """Confirm what is known: it may have been withdrawn during the pause."""
+        self.events.belief("paused", seconds=round(seconds, 3))
+        if self._confirming is None or self._confirming.done():
+            self._confirming = asyncio.ensure_future(self._sync.confirm_all())
+
     async def _listen(self) -> None:
         service = PeerService(
             self._peers,
@@ -234,6 +249,9 @@
         return sum(server.active for server in self._others)
 
     def _close(self) -> None:
+        self._pauses.cancel()
+        if self._confirming is not None:
+            self._confirming.cancel()
         self._callers.close()
         for server in self._others:
             server.close()
--- a/camphorrun/gateway/errors.py
+++ b/camphorrun/gateway/errors.py
@@ -91,3 +91,9 @@
     """The replica lacks a stage result that the request needs."""
 
     default_code = "inputs_gone"
+
+
+class EventError(CamphorrunError):
+    """A stream holds something that can't be an event."""
+
+    default_code = "endless_event"
--- a/camphorrun/gateway/events.py
+++ b/camphorrun/gateway/events.py
@@ -1,7 +1,10 @@
 """Splits a stream into its events."""
 
+from .errors import EventError
+
 EVENT_END = b"\n\n"
-MAX_EVENT_BYTES = 1024 * 1024
+# Far above the events of any model; the host holds one for each stream at most.
+MAX_EVENT_BYTES = 256 * 1024
 
 
 class EventBuffer:
@@ -19,17 +22,34 @@
     b'id: 2'
     """
 
-    __slots__ = ("_pending",)
+    __slots__ = ("_pending", "_searched")
 
     def __init__(self):
-        self._pending = b""
+        self._pending = bytearray()
+        # Bytes at the start of the pending ones that hold no end of an event.
+        self._searched = 0
 
     @property
     def rest(self) -> bytes:
         """Bytes that are no whole event yet."""
-        return self._pending
+        return bytes(self._pending)
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Return the events that are whole now."""
-        *events, self._pending = (self._pending + data).split(EVENT_END)
-        return [event + EVENT_END for event in events]
+        """Return the events that are whole now.
+
+        Raises
+        ------
+        EventError
+            If an event is longer than ``MAX_EVENT_BYTES``.
+        """
+        self._pending += data
+        events = []
+        while (end := self._pending.find(EVENT_END, self._searched)) >= 0:
+            end += len(EVENT_END)
+            events.append(bytes(self._pending[:end]))
+            del self._pending[:end]
+            self._searched = 0
+        self._searched = max(0, len(self._pending) - len(EVENT_END) + 1)
+        if len(self._pending) > MAX_EVENT_BYTES:
+            raise EventError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+        return events
--- a/camphorrun/gateway/messages.py
+++ b/camphorrun/gateway/messages.py
@@ -22,10 +22,15 @@
 
 
 class SyncMessage(msgspec.Struct):
-    """What a daemon knows of the store, and the members that it sees."""
+    """What a daemon knows of the store, and the members that it sees.
+
+    ``ages_s`` gives for each topic the seconds since its knowledge was confirmed by
+    the store.
+    """
 
     topics: dict[str, TopicMessage]
     members: list[str] = []
+    ages_s: dict[str, float] = {}
     version: int = SCHEMA_VERSION
 
 
--- a/camphorrun/gateway/peers.py
+++ b/camphorrun/gateway/peers.py
@@ -33,15 +33,21 @@
 MAX_RECORDS = 2000
 
 
-def member_name(host: str, address: str, incarnation: str) -> str:
-    """Return the name of a group member, from which peers learn its address."""
-    return f"{host}|{address}|{incarnation}"
+def member_name(host: str, address: str, incarnation: str, zone: str = "") -> str:
+    """Return the name of a group member, from which peers learn where it is."""
+    return f"{host}|{address}|{incarnation}|{zone}"
 
 
 def member_address(member: str) -> str:
     """Return the peer address in a member's name, empty if it has none."""
     parts = member.split("|")
-    return parts[1] if len(parts) == 3 else ""
+    return parts[1] if len(parts) >= 3 else ""
+
+
+def member_zone(member: str) -> str:
+    """Return the availability zone in a member's name, empty if it has none."""
+    parts = member.split("|")
+    return parts[3] if len(parts) >= 4 else ""
 
 
 class PeerLink:
@@ -196,23 +202,33 @@
                     self._events.belief("peer_unavailable", error=str(exc))
 
     async def _ask(self, address: str) -> None:
+        answer = await self.ask(address, SYNC_TIMEOUT_SECONDS)
+        if self._is_urgent() and len(self._state.members) == 1 and answer.members:
+            self._state.set_members(tuple(answer.members))
+
+    async def ask(self, address: str, timeout_s: float) -> SyncMessage:
+        """Take over the records that a peer has beyond those known here.
+
+        Raises
+        ------
+        PeerError
+            If there is no readable answer.
+        """
         topics = {
             name: TopicMessage(view.end if view.known else -1)
             for name, view in self._state.views.items()
         }
-        question = SyncMessage(topics)
-        data = await self.link(address).call("/sync", question, SYNC_TIMEOUT_SECONDS)
+        data = await self.link(address).call("/sync", SyncMessage(topics), timeout_s)
         try:
             answer = msgspec.msgpack.decode(data, type=SyncMessage)
         except msgspec.DecodeError as exc:
             raise PeerError(f"{address}: unreadable answer: {exc}") from exc
-        if self._is_urgent() and len(self._state.members) == 1 and answer.members:
-            self._state.set_members(tuple(answer.members))
         for name, topic in answer.topics.items():
             if name in self._state.views and topic.end >= 0:
                 records = tuple(Record(r.key, r.offset, r.value) for r in topic.records)
                 page = RecordPage(records, topic.end, is_listing=topic.is_listing)
                 self._state.apply(name, page, address)
+        return answer
 
     def answer_sync(self, question: SyncMessage) -> SyncMessage:
         """Return what this daemon knows beyond what the asking one does."""
@@ -224,7 +240,8 @@
             page = view.since(max(0, asked.end), MAX_RECORDS)
             records = [RecordMessage(r.key, r.offset, r.value) for r in page.records]
             topics[name] = TopicMessage(page.end, records, page.is_listing)
-        return SyncMessage(topics, list(self._state.members))
+        ages_s = self._state.ages_s(self._timers.now())
+        return SyncMessage(topics, list(self._state.members), ages_s)
 
     def close(self) -> None:
         """Close all links."""
--- a/camphorrun/gateway/state.py
+++ b/camphorrun/gateway/state.py
@@ -38,6 +38,9 @@
         self.replicas: dict[str, Replica] = {}
         self.members: tuple[str, ...] = (member,)
         self.views = {CONFIGURATION_TOPIC: RecordView(), REPLICA_TOPIC: RecordView()}
+        # When the store last confirmed what is known of a topic.
+        self._confirmed_at: dict[str, float] = {}
+        self._doubted: set[str] = set()
         self._metrics = metrics
         self._events = events
         self._on_deployment: list[Listener] = []
@@ -47,7 +50,21 @@
     @property
     def ready(self) -> bool:
         """Whether requests can be served."""
-        return self.deployment is not None and self.views[REPLICA_TOPIC].known
+        known = self.deployment is not None and self.views[REPLICA_TOPIC].known
+        return known and not self.doubted
+
+    @property
+    def doubted(self) -> bool:
+        """Whether a topic was not confirmed since the last pause of the process."""
+        return bool(self._doubted)
+
+    def doubt(self) -> None:
+        """Serve nothing until every topic that is known was confirmed again."""
+        self._doubted = {topic for topic, view in self.views.items() if view.known}
+
+    def trust(self) -> None:
+        """Serve with what is known."""
+        self._doubted.clear()
 
     def subscribe(
         self,
@@ -68,6 +85,15 @@
         """Take over records that were read from the store or from a peer."""
         self._changed(topic, self.views[topic].apply(page), source)
 
+    def confirm(self, topic: str, at: float) -> None:
+        """Note that what is known of a topic was the store's at a time."""
+        self._confirmed_at[topic] = max(at, self._confirmed_at.get(topic, at))
+        self._doubted.discard(topic)
+
+    def ages_s(self, now: float) -> dict[str, float]:
+        """Return the seconds since the store confirmed each topic."""
+        return {topic: now - at for topic, at in self._confirmed_at.items()}
+
     def set_members(self, members: tuple[str, ...]) -> None:
         """Take over the members of the group; this daemon is always one."""
         members = tuple(sorted({*members, self.member}))
--- a/camphorrun/gateway/store_sync.py
+++ b/camphorrun/gateway/store_sync.py
@@ -11,10 +11,15 @@
     StoreError,
 )
 from .state import GatewayState
+from .zone_readers import ZoneReaders
 
 GROUP = "gateways"
-# Partitions of this topic are dealt to the members; nothing is written to it.
+# Partitions of these topics are dealt to the members; nothing is written to them. A
+# member without a partition is not seen by the others, so it moves to the next topic.
 MEMBER_TOPIC = "gateways"
+MAX_MEMBER_TOPICS = 16
+# Partitions are dealt again only as their holders join, which takes some joins.
+EMPTY_JOINS = 4
 # A changed configuration ends the read at once; the wait bounds for how long a dead
 # connection to the store goes unnoticed.
 CONFIGURATION_WAIT_SECONDS = 3.0
@@ -23,6 +28,11 @@
 REPLICA_POLL_SECONDS = 0.5
 RETRY_SECONDS = 0.25
 JOINS_PER_TTL = 3.0
+# The lease grows with the group, so that the joins of a large one stay few; a member
+# that is gone is noticed sooner by those who call it.
+LEASE_SECONDS_PER_MEMBER = 0.1
+# How long after a pause requests wait at most for knowledge that is confirmed anew.
+DOUBT_SECONDS = 1.0
 
 
 class StoreSync:
@@ -38,6 +48,7 @@
         self,
         store: StoreClient,
         state: GatewayState,
+        readers: ZoneReaders,
         *,
         ttl_s: float,
         timers: TimerService,
@@ -47,24 +58,49 @@
     ):
         self._store = store
         self._state = state
+        self._readers = readers
         self._ttl_s = ttl_s
         self._timers = timers
         self._metrics = metrics
         self._events = events
         self._rng = Random(seed)
         self._generation = 0
+        self._members_generation = 0
+        self._empty_joins = 0
+        self._member_topics = 1
         self.failing_since: dict[str, float] = {}
 
     async def follow_configuration(self) -> None:
-        """Read configuration records for ever."""
+        """Read configuration records for ever, unless another gateway does."""
         while True:
-            await self._read(CONFIGURATION_TOPIC, CONFIGURATION_WAIT_SECONDS)
+            if self._readers.following:
+                await self._timers.sleep(REPLICA_POLL_SECONDS)
+            else:
+                await self._read(CONFIGURATION_TOPIC, CONFIGURATION_WAIT_SECONDS)
 
     async def follow_replicas(self) -> None:
-        """Read registrations for ever."""
+        """Learn registrations for ever, from a reader of the zone or the store."""
         while True:
-            if await self._read(REPLICA_TOPIC, 0.0):
-                await self._timers.sleep(REPLICA_POLL_SECONDS)
+            if await self._readers.refresh():
+                for topic in list(self.failing_since):
+                    self._regained(topic)
+            elif not await self._read(REPLICA_TOPIC, 0.0):
+                continue
+            await self._timers.sleep(REPLICA_POLL_SECONDS)
+
+    async def confirm_all(self) -> None:
+        """Read all topics at once after a pause of this process.
+
+        What was known before the pause may have been withdrawn since then, so requests
+        wait for the answer, for a bounded time.
+        """
+        self._readers.stop()
+        self._state.doubt()
+        end_at = self._timers.now() + DOUBT_SECONDS
+        while self._state.doubted and self._timers.now() < end_at:
+            for topic in self._state.views:
+                await self._read(topic, 0.0)
+        self._state.trust()
 
     async def keep_membership(self) -> None:
         """Stay in the group and learn its members for ever."""
@@ -74,7 +110,7 @@
                 self._regained("members")
             except StoreError as exc:
                 self._lost("members", exc)
-            await self._timers.sleep(self._ttl_s / JOINS_PER_TTL)
+            await self._timers.sleep(self._lease_s / JOINS_PER_TTL)
 
     async def leave(self) -> None:
         """Leave the group, so that others take over the work at once."""
@@ -83,14 +119,33 @@
         except StoreError as exc:
             self._events.belief("leave_failed", code=exc.code, error=str(exc))
 
+    @property
+    def _lease_s(self) -> float:
+        return max(self._ttl_s, len(self._state.members) * LEASE_SECONDS_PER_MEMBER)
+
     async def _join(self) -> None:
-        generation = await self._store.join(
-            GROUP, MEMBER_TOPIC, self._state.member, self._generation, self._ttl_s
+        topic = MEMBER_TOPIC
+        if self._member_topics > 1:
+            topic = f"{MEMBER_TOPIC}-{self._member_topics}"
+        joined = await self._store.join(
+            GROUP, topic, self._state.member, self._generation, self._lease_s
         )
-        if generation != self._generation:
-            members = await self._store.members(GROUP)
-            self._generation = generation
-            self._state.set_members(members)
+        self._generation = joined.generation
+        self._note_partitions(joined.partitions)
+        if self._readers.following or joined.generation == self._members_generation:
+            return
+        members = await self._store.members(GROUP)
+        self._members_generation = joined.generation
+        self._state.set_members(members)
+
+    def _note_partitions(self, count: int) -> None:
+        """Move to the next topic if all partitions of this one belong to others."""
+        self._empty_joins = 0 if count else self._empty_joins + 1
+        if self._empty_joins < EMPTY_JOINS or self._member_topics >= MAX_MEMBER_TOPICS:
+            return
+        self._empty_joins = 0
+        self._member_topics += 1
+        self._events.belief("member_topic", number=self._member_topics)
 
     async def _read(self, topic: str, wait_s: float) -> bool:
         """Read one page; return whether the reader is up to date."""
@@ -99,6 +154,7 @@
             if not view.known:
                 await self._list(topic)
                 return True
+            asked_at = self._timers.now()
             page = await self._store.read_records(topic, view.end, wait_s)
         except StoreError as exc:
             if exc.code == "trimmed":
@@ -107,6 +163,9 @@
             return False
         self._regained(topic)
         self._state.apply(topic, page, "store")
+        if page.complete:
+            # A read that waits was answered when the store wrote, or at its end.
+            self._state.confirm(topic, self._timers.now() if wait_s else asked_at)
         return page.complete
 
     async def _list_after_trim(self, topic: str) -> bool:
@@ -118,9 +177,11 @@
         return True
 
     async def _list(self, topic: str) -> None:
+        asked_at = self._timers.now()
         page = await self._store.list_records(topic)
         self._regained(topic)
         self._state.apply(topic, page, "store")
+        self._state.confirm(topic, asked_at)
 
     async def _after_failure(self, topic: str, exc: StoreError) -> None:
         self._lost(topic, exc)
--- a/camphorrun/http1/client.py
+++ b/camphorrun/http1/client.py
@@ -16,6 +16,13 @@
 READ_HIGH_WATER_BYTES = 256 * 1024
 # A peer that acknowledges nothing for this long is unreachable (TCP_USER_TIMEOUT).
 UNACKNOWLEDGED_MILLISECONDS = 4000
+# Bytes that are no body, between two steps of a response: its status line and fields,
+# interim responses included, or the framing between two parts of a body. Responses
+# stay far below; a peer that sends a head or trailers without end is cut off here.
+MAX_OVERHEAD_BYTES = 64 * 1024
+MAX_FIELDS = 256
+MAX_INTERIM_RESPONSES = 8
+OVERSIZED = "oversized"
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +71,8 @@
         self._buffered = 0
         self._complete = False
         self._until_close = False
+        self._overhead = 0
+        self._interim = 0
 
     @property
     def reusable(self) -> bool:
@@ -82,6 +91,16 @@
         """Whether the response has ended completely and was read to its end."""
         return self._complete and not self._chunks
 
+    @property
+    def readable(self) -> bool:
+        """Whether ``read`` returns at once."""
+        return bool(self._chunks) or self._complete
+
+    @property
+    def framed(self) -> bool:
+        """Whether the end of the body is marked, and not only by the connection's."""
+        return not self._until_close
+
     async def request(self, data: bytes) -> ResponseHead:
         """Send a request that is already encoded; return the head of its response.
 
@@ -177,17 +196,28 @@
             self._unexpected = True
             self.abort()
             return
+        self._overhead += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._fail(HttpError("unexpected upgrade", code="malformed"))
         except httptools.HttpParserError as exc:
             self._on_parser_error(exc)
+        if not self._complete and self._is_oversized():
+            self._fail(HttpError("too much besides the body", code=OVERSIZED))
+            self.abort()
         if self._buffered > READ_HIGH_WATER_BYTES and self._transport is not None:
             with contextlib.suppress(RuntimeError):
                 self._transport.pause_reading()
         self._wake()
 
+    def _is_oversized(self) -> bool:
+        return (
+            self._overhead > MAX_OVERHEAD_BYTES
+            or len(self._fields) > MAX_FIELDS
+            or self._interim > MAX_INTERIM_RESPONSES
+        )
+
     def _on_parser_error(self, exc: Exception) -> None:
         self._unexpected = True
         if not self._complete:
@@ -223,8 +253,8 @@
         self._reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header field."""
-        if not self._complete:
+        """Collect a header field; trailers are dropped."""
+        if self._head is None and len(self._fields) <= MAX_FIELDS:
             self._fields.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -235,6 +265,7 @@
         if 100 <= status < 200:
             self._fields = []
             self._reason = b""
+            self._interim += 1
             return
         headers = Headers(self._fields)
         self._until_close = (
@@ -242,6 +273,7 @@
             and "content-length" not in headers
             and status not in (204, 304)
         )
+        self._overhead = 0
         self._note_persistence(headers)
         self._head = ResponseHead(status, self._reason, headers)
 
@@ -253,8 +285,13 @@
             if name.lower() == "timeout" and value.strip().isdigit():
                 self.idle_limit_s = float(value)
 
+    def on_chunk_header(self) -> None:
+        """Notice the next chunk: the framing before it has ended."""
+        self._overhead = 0
+
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body."""
+        self._overhead = max(0, self._overhead - len(body))
         if not self._complete:
             self._chunks.append(body)
             self._buffered += len(body)
--- a/camphorrun/http1/errors.py
+++ b/camphorrun/http1/errors.py
@@ -8,7 +8,8 @@
 
     Codes: ``connect_failed`` (nothing was sent), ``connect_timeout`` (nothing was
     sent), ``reset`` (the peer closed before the message was complete), ``malformed``
-    (the bytes are no HTTP message), ``timeout``.
+    (the bytes are no HTTP message), ``oversized`` (a head, or framing, without end),
+    ``timeout``.
     """
 
     default_code = "reset"
--- a/camphorrun/http1/server.py
+++ b/camphorrun/http1/server.py
@@ -16,6 +16,9 @@
 SWEEP_SECONDS = 0.5
 # Requests that a caller may send ahead on one connection before it is closed.
 MAX_PIPELINED = 16
+# Bytes that a caller may send ahead of the request in progress before the connection
+# reads no more until it has ended.
+MAX_AHEAD_BYTES = 256 * 1024
 WRITE_HIGH_WATER_BYTES = 64 * 1024
 UNACKNOWLEDGED_MILLISECONDS = 8000
 
@@ -102,13 +105,25 @@
         lines.append(b"\r\n")
         self._conn.write(b"".join(lines))
 
+    def send(self, data: bytes) -> None:
+        """Write a part of the body without waiting."""
+        if data:
+            if self._chunked:
+                data = b"%x\r\n%b\r\n" % (len(data), data)
+            self._conn.write(data)
+
     async def write(self, data: bytes) -> None:
         """Write a part of the body and wait while the caller does not read."""
-        if not data:
-            return
-        if self._chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._conn.write(data)
+        self.send(data)
+        await self._conn.drain()
+
+    @property
+    def congested(self) -> bool:
+        """Whether the caller reads more slowly than the body is written."""
+        return self._conn.congested
+
+    async def drain(self) -> None:
+        """Wait while the caller does not read."""
         await self._conn.drain()
 
     def finish(self) -> None:
@@ -151,6 +166,10 @@
         self._last_activity = self._timers.now()
         self._message_at: float | None = None
         self._broken = False
+        self._ahead = 0
+        self._is_paused = False
+        # Bytes that are no body, since the last step of a request.
+        self._overhead = 0
         self._reset_message()
         self._parser = httptools.HttpRequestParser(self)
 
@@ -160,7 +179,6 @@
         self._target = b""
         self._fields: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
-        self._head_size = 0
         self._head_done = False
         self._body_size = 0
 
@@ -185,6 +203,7 @@
         self._last_activity = self._timers.now()
         if self._message_at is None:
             self._message_at = self._last_activity
+        self._overhead += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -192,14 +211,26 @@
         except httptools.HttpParserError:
             self._refuse(400)
         else:
-            if self._task is None and not self._ready and not self._broken:
-                self._check_head_size(len(data))
+            self._check_overhead()
+        if self._busy:
+            self._ahead += len(data)
+            self._pause_if_ahead()
+
+    def _check_overhead(self) -> None:
+        """Refuse a head, or framing of a body, without end."""
+        if self._overhead > self.server.limits.header_bytes:
+            self._refuse(400 if self._head_done else 431)
 
-    def _check_head_size(self, size: int) -> None:
-        if not self._body_size and not self._head_done:
-            self._head_size += size
-            if self._head_size > self.server.limits.header_bytes:
-                self._refuse(431)
+    def _pause_if_ahead(self) -> None:
+        if self._ahead > MAX_AHEAD_BYTES and not self._is_paused and self._transport:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def _resume(self) -> None:
+        self._ahead = 0
+        if self._is_paused and self._transport and not self._transport.is_closing():
+            self._transport.resume_reading()
+        self._is_paused = False
 
     def on_message_begin(self) -> None:
         """Start a new request."""
@@ -210,8 +241,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header field."""
-        self._fields.append((name, value))
+        """Collect a header field; trailers are dropped."""
+        if not self._head_done:
+            self._fields.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Check the framing, which decides where the next request begins."""
@@ -229,9 +261,15 @@
             self._refuse(431)
         elif headers.get("expect").lower() == "100-continue" and not self._busy:
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._overhead = 0
+
+    def on_chunk_header(self) -> None:
+        """Notice the next chunk: the framing before it has ended."""
+        self._overhead = 0
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
+        self._overhead = max(0, self._overhead - len(body))
         if self._broken:
             return
         self._body.append(body)
@@ -254,6 +292,7 @@
             self._message_at if self._message_at is not None else now,
         )
         self._message_at = None
+        self._overhead = 0
         self._reset_message()
         if len(self._ready) >= MAX_PIPELINED:
             self.abort()
@@ -288,6 +327,8 @@
         if not responder.ended:
             self.abort()
         self._next()
+        if not self._busy:
+            self._resume()
 
     def _refuse(self, status: int) -> None:
         """Answer a request that can't be read, and close."""
@@ -319,13 +360,17 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or handled."""
-        if not self._busy and self._message_at is None:
+        if not self._busy and self._message_at is None and not self._broken:
             self.close_after_write()
 
     @property
     def idle(self) -> bool:
-        """Whether no request is being read or handled."""
-        return not self._busy and self._message_at is None
+        """Whether no request is being read or handled, and all answers were sent."""
+        return not self._busy and self._message_at is None and not self._unsent_bytes
+
+    @property
+    def _unsent_bytes(self) -> int:
+        return self._transport.get_write_buffer_size() if self._transport else 0
 
     # Writing
 
@@ -334,6 +379,11 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
+    @property
+    def congested(self) -> bool:
+        """Whether the transport's buffer is above its high-water mark."""
+        return self._can_write is not None
+
     async def drain(self) -> None:
         """Wait while the transport's buffer is above its high-water mark."""
         if self._can_write is not None:
--- a/camphorrun/platform/store.py
+++ b/camphorrun/platform/store.py
@@ -6,6 +6,7 @@
 
 import base64
 import struct
+from dataclasses import dataclass
 from urllib.parse import urlencode
 
 import msgspec
@@ -39,8 +40,26 @@
     has_more: bool = False
 
 
-class _Joined(msgspec.Struct, rename="pascal"):
+class _Joined(msgspec.Struct):
+    generation: int = msgspec.field(name="Generation")
+    parts: list[list[object]] = []
+
+
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """What a member of a group learns when it joins.
+
+    Attributes
+    ----------
+    generation : int
+        Grows with each change of the group.
+    partitions : int
+        Partitions of its topic that belong to the member. A member that has none is
+        not seen by the others.
+    """
+
     generation: int
+    partitions: int
 
 
 class StoreClient:
@@ -113,8 +132,8 @@
 
     async def join(
         self, group: str, topic: str, member: str, generation: int, ttl_s: float
-    ) -> int:
-        """Join a group or stay in it; return its generation."""
+    ) -> Membership:
+        """Join a group or stay in it."""
         body = {
             "group": group,
             "Member": member,
@@ -124,7 +143,8 @@
         }
         status, answer = await self._call("POST", "/log-join", {}, body)
         self._check(status, answer)
-        return _decode(answer, _Joined).generation
+        joined = _decode(answer, _Joined)
+        return Membership(joined.generation, len(joined.parts))
 
     async def leave(self, group: str, member: str) -> None:
         """Leave a group."""
@@ -133,7 +153,7 @@
         self._check(status, answer)
 
     async def members(self, group: str) -> tuple[str, ...]:
-        """Return the members that own a partition of the group's topic, sorted."""
+        """Return the members that own a partition of the group's topics, sorted."""
         status, body = await self._call("GET", "/log-owners", {"group": group})
         self._check(status, body)
         # Rows are topic, partition, member and offset.
--- a/camphorrun/routing/__init__.py
+++ b/camphorrun/routing/__init__.py
@@ -13,6 +13,7 @@
     policy_by_name,
 )
 from .prefixes import PrefixIndex
+from .readers import reader_order
 from .router import NoEndpoint, RouteChoice, Router
 
 __all__ = [
@@ -32,6 +33,7 @@
     "StageRequest",
     "load_share",
     "owner_orders",
+    "reader_order",
     "policy_by_name",
     "service_capacity",
 ]
--- a/camphorrun/standins/platform_store.py
+++ b/camphorrun/standins/platform_store.py
@@ -21,8 +21,8 @@
     ----------
     fault : str
         Empty, ``busy`` (503), ``reset`` (the connection is closed) or ``silent``.
-    turned_away : set of str
-        Members whose join is refused; None refuses nobody.
+    partitions : int
+        Partitions of each topic of the group; a member may have none.
     calls : dict of str to int
         Calls by path.
     """
@@ -33,7 +33,9 @@
         self._logs: dict[str, list[tuple[str, bytes]]] = {}
         self._first: dict[str, int] = {}
         self._members: dict[str, float] = {}
+        self._topics: dict[str, list[str]] = {}
         self._generation = 0
+        self.partitions = PARTITIONS
         self.fault = ""
         self.calls: dict[str, int] = {}
         self.address = ""
@@ -119,16 +121,27 @@
             self._generation += 1
         self._members = {name: self._members[name] for name in alive}
         self._members[body["Member"]] = now + body["TtlMs"] / 1000
-        return _encode({"Generation": self._generation, "TtlMs": body["TtlMs"]})
+        if self._topics.get(body["Member"]) != body["Topics"]:
+            self._generation += 1
+            self._topics[body["Member"]] = body["Topics"]
+        owned = [row for row in self._rows() if row[2] == body["Member"]]
+        answer = {"Generation": self._generation, "TtlMs": body["TtlMs"]}
+        return _encode({**answer, "parts": [[row[0], row[1], 0] for row in owned]})
+
+    def _rows(self) -> list[list]:
+        """Return topic, partition, member and offset of all partitions."""
+        by_topic: dict[str, list[str]] = {}
+        for member in sorted(self._members):
+            for topic in self._topics[member]:
+                by_topic.setdefault(topic, []).append(member)
+        return [
+            [topic, part, members[part % len(members)], 0]
+            for topic, members in by_topic.items()
+            for part in range(self.partitions)
+        ]
 
     def _owners(self) -> bytes:
-        members = sorted(self._members)
-        rows = [
-            ["topic", part, members[part % len(members)], 0]
-            for part in range(PARTITIONS)
-            if members
-        ]
-        return _encode({"parts": rows})
+        return _encode({"parts": self._rows()})
 
 
 def _encode(value: object) -> bytes:
