--- a/camphorrun/gateway/context.py
+++ b/camphorrun/gateway/context.py
@@ -5,7 +5,7 @@
 
 from ..catalog import Route, RouteKind
 from ..platform import CallerRequest
-from .stage_runner import StageResults
+from .stage_results import StageResults
 
 # Callers leave a stream after a gap of this long, or of that many times its objective
 # or its longest accepted pause, whichever is longest (the platform's page on requests).
@@ -38,6 +38,8 @@
         Replicas that may have run it.
     last_event : str
         Identifier of the last event that the caller has.
+    zone : str
+        Availability zone in which the request will probably run, empty if unknown.
     """
 
     caller: CallerRequest
@@ -56,6 +58,7 @@
     sent: bool = False
     runs: int = 0
     last_event: str = ""
+    zone: str = ""
     tried: set[str] = field(default_factory=set)
 
     @property
--- a/camphorrun/gateway/daemon.py
+++ b/camphorrun/gateway/daemon.py
@@ -136,7 +136,12 @@
         )
         self._replicas = ReplicaPool(self.state, self.timers, self.metrics, self.events)
         self._stages = StageRunner(
-            self.state, self._replicas, self._peers, self._new_budget, **common
+            self.state,
+            self._replicas,
+            self._peers,
+            self._new_budget,
+            host.availability_zone,
+            **common,
         )
         attempts = Attempts(
             self._replicas,
--- a/camphorrun/gateway/front.py
+++ b/camphorrun/gateway/front.py
@@ -227,7 +227,10 @@
         A request that comes back after a refusal is late already and is refused only
         if its deadline can't be met.
         """
-        forecast = self._stages.forecast(ctx.route, ctx.caller.pieces, ctx.rank)
+        ctx.zone = self._attempts.preferred_zone(ctx)
+        forecast = self._stages.forecast(
+            ctx.route, ctx.caller.pieces, ctx.rank, ctx.zone
+        )
         verdict = judge_start(
             forecast.total_s + FIRST_EVENT_SECONDS,
             forecast.wait_s,
@@ -262,7 +265,7 @@
                 objective_at=ctx.objective_at,
                 deadline_at=ctx.first_event_at,
                 final_s=FIRST_EVENT_SECONDS,
-                zone=self._attempts.preferred_zone(ctx),
+                zone=ctx.zone,
             )
         except StageError as exc:
             raise RefusedError(
--- a/camphorrun/gateway/messages.py
+++ b/camphorrun/gateway/messages.py
@@ -37,7 +37,8 @@
 class PieceOrder(msgspec.Struct):
     """Asks the owner of a stage service for pieces of one stage of one request.
 
-    ``forced`` orders are carried out by a daemon that is not the owner, too.
+    ``forced`` orders are carried out by a daemon that is not the owner, too. ``shard``
+    names the availability zone whose replicas make the pieces, empty for all.
     """
 
     service: str
@@ -53,6 +54,7 @@
     downstream_s: float
     zone: str = ""
     forced: bool = False
+    shard: str = ""
     version: int = SCHEMA_VERSION
 
 
--- a/camphorrun/gateway/replicas.py
+++ b/camphorrun/gateway/replicas.py
@@ -1,7 +1,7 @@
 """Replicas as this gateway uses them: connections, load and health of each."""
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 
 from ..catalog import Replica, ReplicaState
 from ..core import EventLog, TimerService
@@ -203,14 +203,17 @@
         """Return the replicas of a service that take new work."""
         return [h for h in self.of_service(service) if h.takes_work]
 
-    def rest_left_s(self, service: str) -> float:
-        """Return when the first replica of a service takes work again.
+    def rest_left_s(self, service: str, zones: Container[str] | None = None) -> float:
+        """Return the time until the first replica of a service takes work again.
 
-        0 if one takes work now, or if none is expected to.
+        0 if one takes work now, or if none is expected to. ``zones`` are the
+        availability zones that count, None for all.
         """
         now = self._timers.now()
         left_s = []
         for handle in self.of_service(service):
+            if zones is not None and handle.replica.availability_zone not in zones:
+                continue
             reason = handle.barred_by
             if not reason:
                 return 0.0
--- a/camphorrun/gateway/stage_owner.py
+++ b/camphorrun/gateway/stage_owner.py
@@ -91,7 +91,7 @@
 
 
 class StageOwner:
-    """Queue and replicas of one stage service.
+    """Queue and replicas of one stage service, or of one shard of it.
 
     Parameters
     ----------
@@ -103,6 +103,11 @@
         Replicas of all services.
     budget : RetryBudget
         Bounds pieces that are sent once more.
+
+    Attributes
+    ----------
+    zones : frozenset of str
+        Availability zones whose replicas are used.
     """
 
     def __init__(
@@ -116,6 +121,7 @@
         metrics: Metrics,
         events: EventLog,
     ):
+        self.zones: frozenset[str] = frozenset()
         self._service = service
         self._capacity = capacity
         self._queue = BatchQueue(capacity)
@@ -196,7 +202,11 @@
 
     def _current_workers(self) -> list[_Worker]:
         """Return workers of the replicas that take work, and forget the others."""
-        handles = {h.replica.boot: h for h in self._replicas.usable(self._service)}
+        handles = {
+            handle.replica.boot: handle
+            for handle in self._replicas.usable(self._service)
+            if handle.replica.availability_zone in self.zones
+        }
         for boot in self._workers.keys() - handles.keys():
             if not self._workers[boot].busy:
                 del self._workers[boot]
@@ -240,7 +250,7 @@
 
     def _refuse_during_rest(self, now: float) -> None:
         """Give up what can't be in time once the first replica takes work again."""
-        rest_s = self._replicas.rest_left_s(self._service)
+        rest_s = self._replicas.rest_left_s(self._service, self.zones)
         if rest_s <= 0.0:
             return
         call_s = self._capacity.call_time_s(1)
--- a/camphorrun/gateway/stage_runner.py
+++ b/camphorrun/gateway/stage_runner.py
@@ -10,20 +10,17 @@
 from ..catalog import Route
 from ..core import EventLog, TimerService
 from ..metrics import Metrics
-from ..pipeline import (
-    PieceGroup,
-    downstream_s,
-    final_stages,
-    run_stages,
-)
+from ..pipeline import PieceGroup, WaitForecasts, downstream_s, run_stages
 from ..platform import CallerRequest
 from ..retries import RetryBudget
-from ..routing import owner_orders
+from ..routing import WHOLE
 from .errors import PeerError, StageError
 from .messages import PieceOrder, PieceReply, ReleaseOrder
 from .peers import Peers, member_address
 from .replicas import ReplicaPool
 from .stage_owner import StageOwner
+from .stage_results import StageResults
+from .stage_shards import StageShards
 from .state import GatewayState
 
 # Owners that are asked before a gateway makes the pieces itself.
@@ -36,41 +33,6 @@
 RELEASE_TIMEOUT_SECONDS = 1.0
 # Results of a stage from this size on are made where they will be needed.
 LARGE_RESULT_BYTES = 500_000
-# A forecast loses this much of its wait a second, because queues drain meanwhile.
-FORECAST_DECAY = 0.7
-
-
-class StageResults:
-    """Results of the stages of one request, and those that are still held."""
-
-    __slots__ = ("after", "by_stage", "held", "remaining")
-
-    def __init__(self, route: Route, counts: tuple[int, ...]):
-        self.after = [stage.after for stage in route.stages]
-        self.by_stage: dict[int, list[str]] = {}
-        self.held: dict[int, list[str]] = {}
-        # Stages that still need the results of a stage.
-        self.remaining = {
-            index: {i for i, needs in enumerate(self.after) if index in needs}
-            for index in range(len(self.after))
-        }
-
-    def inputs(self, index: int) -> list[str]:
-        """Return the results that a stage needs, in the order of the stages."""
-        return [h for needed in self.after[index] for h in self.by_stage[needed]]
-
-    def final(self) -> tuple[str, ...]:
-        """Return the results that the request itself needs."""
-        stages = final_stages(self.after)
-        return tuple(h for index in stages for h in self.by_stage.get(index, ()))
-
-    def final_sizes(self, route: Route) -> list[tuple[str, int]]:
-        """Return the results that the request itself needs, with their bytes."""
-        return [
-            (result, route.stages[index].result_bytes)
-            for index in final_stages(self.after)
-            for result in self.by_stage.get(index, ())
-        ]
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +73,7 @@
         replicas: ReplicaPool,
         peers: Peers,
         new_budget: Callable[[], RetryBudget],
+        zone: str,
         *,
         timers: TimerService,
         metrics: Metrics,
@@ -123,14 +86,17 @@
         self._timers = timers
         self._metrics = metrics
         self._events = events
-        self._owners: dict[str, StageOwner] = {}
-        self._orders: dict[str, list[str]] = {}
+        self._zone = zone
+        self._shards = StageShards(state, replicas)
+        # By service and shard; owners of shards that are gone finish their calls.
+        self._owners: dict[tuple[str, str], StageOwner] = {}
         self._own_address = member_address(state.member)
         self._retired = False
-        # Last expected wait by service, size of results and priority.
-        self._forecasts: dict[tuple[str, int, int], tuple[float, float]] = {}
+        self._forecasts = WaitForecasts()
         self._tasks: set[asyncio.Task] = set()
-        state.subscribe(deployment=self._refresh, members=self._refresh)
+        state.subscribe(
+            deployment=self._refresh, members=self._refresh, replicas=self._refresh
+        )
 
     # Requests of this gateway
 
@@ -147,7 +113,8 @@
     ) -> StageResults:
         """Return the results that a request needs.
 
-        ``final_s`` is the predicted need of the request itself after its stages.
+        ``final_s`` is the predicted need of the request itself after its stages,
+        ``zone`` where it will probably run, empty for the zone of this gateway.
 
         Raises
         ------
@@ -155,8 +122,9 @@
             If a stage has no result; the request has not run.
         """
         results = StageResults(route, caller.pieces)
+        zone = zone or self._zone
         stages = range(len(route.stages))
-        need_s = [self._need_s(route, index, priority) for index in stages]
+        need_s = [self._need_s(route, index, priority, zone) for index in stages]
 
         async def run_one(index: int, _: list) -> list[str]:
             if index in results.by_stage:
@@ -205,32 +173,44 @@
         results.held = {}
 
     def forecast(
-        self, route: Route, counts: tuple[int, ...], priority: int
-    ) -> "StageForecast":
+        self, route: Route, counts: tuple[int, ...], priority: int, zone: str = ""
+    ) -> StageForecast:
         """Return the predicted time of all stages of a request."""
+        zone = zone or self._zone
         after = [stage.after for stage in route.stages]
-        waits_s = [self._wait_s(route, i, priority) for i in range(len(after))]
+        waits_s = [self._wait_s(route, i, priority, zone) for i in range(len(after))]
         needs_s = [
             0.0
             if counts[index : index + 1] == (0,)
-            else self._need_s(route, index, priority)
+            else self._need_s(route, index, priority, zone)
             for index in range(len(after))
         ]
         return StageForecast(_longest(after, needs_s), _longest(after, waits_s))
 
-    def _wait_s(self, route: Route, index: int, priority: int) -> float:
+    def _wait_s(self, route: Route, index: int, priority: int, zone: str) -> float:
         """Return the predicted wait of one stage for a replica."""
         stage = route.stages[index]
-        now = self._timers.now()
-        waits_s = (
-            wait_s - (now - seen_at) * FORECAST_DECAY
-            for (service, size, rank), (wait_s, seen_at) in self._forecasts.items()
-            if (service, size) == (stage.service, stage.result_bytes)
-            and rank <= priority
+        shard = self._shard(stage.service, stage.result_bytes, priority, zone)
+        return self._forecasts.wait_s(
+            stage.service,
+            shard,
+            stage.result_bytes,
+            priority,
+            now=self._timers.now(),
+        )
+
+    def _shard(self, service: str, result_bytes: int, priority: int, zone: str) -> str:
+        """Return the shard that makes the pieces of a stage."""
+        return self._forecasts.best_shard(
+            service,
+            self._shards.names(service),
+            self._shards.of_zone(service, zone),
+            result_bytes,
+            priority,
+            now=self._timers.now(),
         )
-        return max(0.0, max(waits_s, default=0.0))
 
-    def _need_s(self, route: Route, index: int, priority: int) -> float:
+    def _need_s(self, route: Route, index: int, priority: int, zone: str) -> float:
         """Return the predicted time of one stage: its wait and its call."""
         deployment = self._state.deployment
         service = route.stages[index].service
@@ -238,7 +218,7 @@
         if known is None or known.stage is None:
             return 0.0
         capacity = known.stage
-        wait_s = self._wait_s(route, index, priority)
+        wait_s = self._wait_s(route, index, priority, zone)
         # Calls are full while pieces wait.
         pieces = capacity.batch if wait_s > capacity.call_s else capacity.batch // 2
         return wait_s + capacity.call_time_s(max(1, pieces))
@@ -259,6 +239,8 @@
     ) -> list[str]:
         stage = route.stages[index]
         now = self._timers.now()
+        shard = self._shard(stage.service, stage.result_bytes, priority, zone)
+        is_placed = shard == WHOLE and count * stage.result_bytes >= LARGE_RESULT_BYTES
         order = PieceOrder(
             stage.service,
             caller.attempt_id,
@@ -271,16 +253,24 @@
             objective_at - now,
             deadline_at - now,
             downstream,
-            zone if count * stage.result_bytes >= LARGE_RESULT_BYTES else "",
+            zone if is_placed else "",
+            shard=shard,
         )
         reply = await self._ask_owners(order)
-        key = stage.service, stage.result_bytes, priority
-        self._forecasts[key] = reply.wait_s, self._timers.now()
+        self._forecasts.note(
+            stage.service,
+            shard,
+            stage.result_bytes,
+            priority,
+            reply.wait_s,
+            now=self._timers.now(),
+        )
         self._events.request(
             "stage",
             caller.attempt_id,
             stage=index,
             service=stage.service,
+            shard=shard,
             pieces=count,
             fault=reply.fault,
             seconds=round(self._timers.now() - now, 4),
@@ -302,7 +292,7 @@
         started_at = self._timers.now()
         handles: dict[int, str] = {}
         unreachable: set[str] = set()
-        owner = self._next_owner(order.service, unreachable)
+        owner = self._next_owner(order, unreachable)
         redirects = 0
         try:
             while True:
@@ -312,7 +302,7 @@
                 reply = await self._ask(owner, part)
                 if reply is None:
                     unreachable.add(owner)
-                    owner = self._next_owner(order.service, unreachable)
+                    owner = self._next_owner(order, unreachable)
                     continue
                 handles.update(reply.handles)
                 if reply.fault != MOVED:
@@ -328,11 +318,11 @@
             return reply
         return PieceReply(handles, "", reply.wait_s)
 
-    def _next_owner(self, service: str, unreachable: set[str]) -> str:
+    def _next_owner(self, order: PieceOrder, unreachable: set[str]) -> str:
         """Return the address of the daemon to ask, empty for this one."""
         if len(unreachable) >= MAX_OWNERS:
             return ""
-        for address in self.owners_of(service):
+        for address in self.owners_of(order.service, order.shard):
             if address == self._own_address:
                 return ""
             if address not in unreachable and not self._peers.link(address).suspect:
@@ -363,10 +353,11 @@
 
     async def make_pieces(self, order: PieceOrder) -> PieceReply:
         """Make pieces at this gateway, or name the one that makes them."""
-        successor = self._successor(order.service)
+        shard = self._shards.of_zone(order.service, order.shard)
+        successor = self._successor(order.service, shard)
         if successor and not order.forced:
             return PieceReply({}, MOVED, successor=successor)
-        owner = self._owner(order.service)
+        owner = self._owner(order.service, shard)
         if owner is None:
             return PieceReply({}, "failed")
         fault = ""
@@ -381,7 +372,10 @@
         if fault:
             return PieceReply({}, fault, wait_s, retry_after_s=retry_after_s)
         if len(handles) < len(order.pieces):
-            return PieceReply(handles, MOVED, wait_s, self._successor(order.service))
+            # The shard may have been divided or joined meanwhile.
+            shard = self._shards.of_zone(order.service, order.shard)
+            successor = self._successor(order.service, shard) or self._own_address
+            return PieceReply(handles, MOVED, wait_s, successor)
         return PieceReply(handles, "", wait_s)
 
     def _group(self, order: PieceOrder) -> PieceGroup:
@@ -406,9 +400,9 @@
         self._retired = True
         self._hand_over()
 
-    def _successor(self, service: str) -> str:
+    def _successor(self, service: str, shard: str) -> str:
         """Return the address of the owner if it is another daemon in contact."""
-        for address in self.owners_of(service):
+        for address in self.owners_of(service, shard):
             if address == self._own_address:
                 if self._retired:
                     continue
@@ -417,19 +411,25 @@
         return ""
 
     def _hand_over(self) -> None:
-        for service, owner in self._owners.items():
-            if self._successor(service):
+        for (service, shard), owner in self._owners.items():
+            is_gone = shard not in self._shards.names(service)
+            if is_gone or self._successor(service, shard):
                 owner.hand_over()
 
     def release(self, order: ReleaseOrder) -> None:
         """Free results that were made through this gateway."""
-        owner = self._owner(order.service)
-        if owner is not None:
-            owner.release(order.handles)
-
-    def owners_of(self, service: str) -> list[str]:
+        by_shard: dict[str, list[str]] = {}
+        for result in order.handles:
+            shard = self._shards.of_result(order.service, result)
+            by_shard.setdefault(shard, []).append(result)
+        for shard, handles in by_shard.items():
+            owner = self._owner(order.service, shard)
+            if owner is not None:
+                owner.release(handles)
+
+    def owners_of(self, service: str, shard: str = WHOLE) -> list[str]:
         """Return peer addresses in the order in which they are asked for pieces."""
-        return self._orders.get(service, [])
+        return self._shards.owners(service, self._shards.of_zone(service, shard))
 
     def close(self) -> None:
         """Cancel all calls."""
@@ -438,15 +438,15 @@
         for task in self._tasks:
             task.cancel()
 
-    def _owner(self, service: str) -> StageOwner | None:
-        owner = self._owners.get(service)
+    def _owner(self, service: str, shard: str) -> StageOwner | None:
+        owner = self._owners.get((service, shard))
         if owner is not None:
             return owner
         deployment = self._state.deployment
         known = deployment.services.get(service) if deployment else None
         if known is None or known.stage is None:
             return None
-        owner = self._owners[service] = StageOwner(
+        owner = self._owners[service, shard] = StageOwner(
             service,
             known.stage,
             self._replicas,
@@ -455,20 +455,21 @@
             metrics=self._metrics,
             events=self._events,
         )
+        owner.zones = self._shards.zones(service, shard)
         return owner
 
     def _refresh(self) -> None:
         deployment = self._state.deployment
-        if deployment is not None:
-            services = deployment.stage_services()
-            # A process that takes the place of another one has its address.
-            addresses = {member_address(member) for member in self._state.members}
-            self._orders = owner_orders(services, sorted(addresses - {""}))
+        if deployment is None:
+            return
+        if self._shards.update():
+            for (service, shard), owner in self._owners.items():
+                owner.zones = self._shards.zones(service, shard)
             self._hand_over()
-            for service, owner in self._owners.items():
-                known = deployment.services.get(service)
-                if known is not None and known.stage is not None:
-                    owner.reconfigure(known.stage)
+        for (service, _), owner in self._owners.items():
+            known = deployment.services.get(service)
+            if known is not None and known.stage is not None:
+                owner.reconfigure(known.stage)
 
     def _release_unneeded(
         self, route: Route, results: StageResults, index: int
@@ -481,16 +482,18 @@
                 self._release(route.stages[needed].service, handles)
 
     def _release(self, service: str, handles: list[str]) -> None:
-        if not handles:
-            return
-        order = ReleaseOrder(service, handles)
-        owner = self._successor(service)
-        if not owner:
-            self.release(order)
-            return
-        task = asyncio.ensure_future(self._release_remote(owner, order))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        by_owner: dict[str, list[str]] = {}
+        for result in handles:
+            shard = self._shards.of_result(service, result)
+            by_owner.setdefault(self._successor(service, shard), []).append(result)
+        for owner, results in by_owner.items():
+            order = ReleaseOrder(service, results)
+            if not owner:
+                self.release(order)
+                continue
+            task = asyncio.ensure_future(self._release_remote(owner, order))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
     async def _release_remote(self, owner: str, order: ReleaseOrder) -> None:
         try:
--- a/camphorrun/pipeline/__init__.py
+++ b/camphorrun/pipeline/__init__.py
@@ -2,6 +2,7 @@
 
 from .batches import BatchQueue, PieceGroup, SpaceLedger
 from .executor import PartHandler, PipelineExecutor, StageCall, StageDispatcher
+from .forecasts import WaitForecasts
 from .outcomes import (
     AttemptTrace,
     Outcome,
@@ -21,6 +22,7 @@
     "BatchQueue",
     "PieceGroup",
     "SpaceLedger",
+    "WaitForecasts",
     "check_dependencies",
     "downstream_s",
     "final_stages",
--- a/camphorrun/routing/__init__.py
+++ b/camphorrun/routing/__init__.py
@@ -4,7 +4,7 @@
 from .endpoints import EjectionState, EndpointState, StageRequest
 from .estimates import StageEstimator, load_share, service_capacity
 from .outliers import OutlierDetector
-from .ownership import owner_orders
+from .ownership import WHOLE, owner_orders, stage_shards
 from .policies import (
     BalancedPolicy,
     LeastReportedLoadPolicy,
@@ -17,6 +17,7 @@
 from .router import NoEndpoint, RouteChoice, Router
 
 __all__ = [
+    "WHOLE",
     "AffinityPolicy",
     "BalancedPolicy",
     "EjectionState",
@@ -36,4 +37,5 @@
     "reader_order",
     "policy_by_name",
     "service_capacity",
+    "stage_shards",
 ]
--- a/camphorrun/routing/ownership.py
+++ b/camphorrun/routing/ownership.py
@@ -7,10 +7,39 @@
 """
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import xxhash
 
+# A service with fewer replicas has one owner: its calls would be too small otherwise.
+MIN_SHARDED_REPLICAS = 6
+# A zone with fewer replicas belongs to the shard of another one, so that the loss of
+# one replica leaves no zone without any.
+MIN_SHARD_REPLICAS = 2
+# The shard of a service that is not divided.
+WHOLE = ""
+
+
+def stage_shards(replicas: Mapping[str, int]) -> dict[str, str]:
+    """Return the shard of each availability zone, given its number of replicas.
+
+    Load pattern: results of megabytes are dear to move between zones, and a call of a
+    replica takes what has come in since the last one. With several replicas a zone,
+    calls of an owner for each zone are as full as those of one owner for all.
+
+    Examples
+    --------
+    >>> stage_shards({"a": 4, "b": 4, "c": 1})
+    {'a': 'a', 'b': 'b', 'c': 'a'}
+    >>> stage_shards({"a": 1, "b": 1, "c": 1})
+    {'a': '', 'b': '', 'c': ''}
+    """
+    large = sorted(z for z, count in replicas.items() if count >= MIN_SHARD_REPLICAS)
+    if sum(replicas.values()) < MIN_SHARDED_REPLICAS or len(large) < 2:
+        return dict.fromkeys(replicas, WHOLE)
+    smallest = min(large, key=lambda zone: (replicas[zone], zone))
+    return {zone: zone if zone in large else smallest for zone in replicas}
+
 
 def owner_orders(
     services: Sequence[str], members: Sequence[str]
