Test peers that send bytes without end

A small peer plays heads, fields, reason phrases, interim responses, trailers, chunk extensions, sizes and bodies without end; memory of a process with 20 of them at once is measured against 50 MB, a third of what the smallest host has left.

--- a/camphorrun/http1/client.py
+++ b/camphorrun/http1/client.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import socket
-from collections import deque
 from dataclasses import dataclass
 
 import httptools
@@ -67,8 +66,8 @@
         self._fields: list[tuple[bytes, bytes]] = []
         self._reason = b""
         self._head: ResponseHead | None = None
-        self._chunks: deque[bytes] = deque()
-        self._buffered = 0
+        # One buffer, because tiny chunks cost more as objects than as bytes.
+        self._unread = bytearray()
         self._complete = False
         self._until_close = False
         self._overhead = 0
@@ -89,12 +88,12 @@
     @property
     def complete(self) -> bool:
         """Whether the response has ended completely and was read to its end."""
-        return self._complete and not self._chunks
+        return self._complete and not self._unread
 
     @property
     def readable(self) -> bool:
         """Whether ``read`` returns at once."""
-        return bool(self._chunks) or self._complete
+        return bool(self._unread) or self._complete
 
     @property
     def framed(self) -> bool:
@@ -129,16 +128,15 @@
         HttpError
             If the connection ends before the body is complete.
         """
-        while not self._chunks:
+        while not self._unread:
             if self._complete:
                 self._finish()
                 return b""
             if self._error is not None:
                 raise self._error
             await self._wait()
-        data = b"".join(self._chunks)
-        self._chunks.clear()
-        self._buffered = 0
+        data = bytes(self._unread)
+        self._unread.clear()
         if self._transport is not None:
             with contextlib.suppress(RuntimeError):
                 self._transport.resume_reading()
@@ -206,7 +204,7 @@
         if not self._complete and self._is_oversized():
             self._fail(HttpError("too much besides the body", code=OVERSIZED))
             self.abort()
-        if self._buffered > READ_HIGH_WATER_BYTES and self._transport is not None:
+        if len(self._unread) > READ_HIGH_WATER_BYTES and self._transport is not None:
             with contextlib.suppress(RuntimeError):
                 self._transport.pause_reading()
         self._wake()
@@ -293,8 +291,7 @@
         """Buffer a part of the body."""
         self._overhead = max(0, self._overhead - len(body))
         if not self._complete:
-            self._chunks.append(body)
-            self._buffered += len(body)
+            self._unread += body
 
     def on_message_complete(self) -> None:
         """Mark the response as complete."""
--- /dev/null
+++ b/camphorrun/http1/tests/endless.py
@@ -0,0 +1,77 @@
+"""Peers that answer with bytes without end, and a measurement of their reader."""
+
+import asyncio
+import contextlib
+
+from ...core import LoopTimerService, bounded
+from .. import HttpError, connect
+
+_OK = b"HTTP/1.1 200 OK\r\n"
+_CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
+BLOCK_BYTES = 64 * 1024
+# Time for which the reader of an endless body is measured.
+READ_SECONDS = 1.0
+
+
+def _block(unit: bytes) -> bytes:
+    return unit * (BLOCK_BYTES // len(unit))
+
+
+# First bytes of the answer, and those that follow again and again.
+ENDLESS = {
+    "reason": (b"HTTP/1.1 200 ", _block(b"a")),
+    "fields": (_OK, _block(b"X-A: 1\r\n")),
+    "field": (_OK + b"X-A: ", _block(b"a")),
+    "name": (_OK, _block(b"a")),
+    "interim": (b"", _block(b"HTTP/1.1 102 Processing\r\n\r\n")),
+    "trailers": (_CHUNKED + b"0\r\n", _block(b"X-A: 1\r\n")),
+    "trailer": (_CHUNKED + b"0\r\nX-A: ", _block(b"a")),
+    "extension": (_CHUNKED + b"1;", _block(b"a")),
+    "size": (_CHUNKED, _block(b"0")),
+    "junk": (b"", _block(b"\x00\xff")),
+    "blank": (b"", _block(b"\r\n")),
+    "body": (_OK + b"\r\n", _block(b"a")),
+    "chunks": (_CHUNKED, _block(b"4\r\naaaa\r\n")),
+}
+
+
+class EndlessPeer:
+    """Answers every request with a start and then one block for ever."""
+
+    def __init__(self, answer: tuple[bytes, bytes]):
+        self._answer = answer
+        self.sent = 0
+
+    async def __aenter__(self) -> "EndlessPeer":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *exc) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        start, block = self._answer
+        await reader.read(1024)
+        writer.write(start)
+        with contextlib.suppress(ConnectionError):
+            while not writer.is_closing():
+                writer.write(block)
+                await writer.drain()
+                self.sent += len(block)
+
+
+async def measure(kind: str, peers: int) -> None:
+    """Read the answers of several such peers at once, until they fail or a while."""
+    timers = LoopTimerService()
+
+    async def read(port: int) -> None:
+        conn = await connect("127.0.0.1", port, timers, 5.0)
+        with contextlib.suppress(HttpError, TimeoutError):
+            await bounded(timers, conn.request(b"GET / HTTP/1.1\r\n\r\n"), READ_SECONDS)
+            await asyncio.sleep(READ_SECONDS)
+            await bounded(timers, conn.read(), READ_SECONDS)
+        conn.abort()
+
+    async with EndlessPeer(ENDLESS[kind]) as peer:
+        await asyncio.gather(*(read(peer.port) for _ in range(peers)))
--- /dev/null
+++ b/camphorrun/http1/tests/test_endless.py
@@ -0,0 +1,166 @@
+"""Tests of peers that send bytes without end."""
+
+import asyncio
+import contextlib
+import subprocess
+import sys
+
+import pytest
+
+from ...core import LoopTimerService
+from .. import Headers, HttpError, HttpServer, ServerLimits, connect
+from ..client import MAX_OVERHEAD_BYTES, READ_HIGH_WATER_BYTES
+from ..server import MAX_AHEAD_BYTES
+from .endless import ENDLESS, EndlessPeer
+
+TIMERS = LoopTimerService()
+REQUEST = b"GET / HTTP/1.1\r\n\r\n"
+# A host of 200 MB, the smallest of the deployments, holds a process of about 50 MB; 20
+# sick peers at once may use a third of what is left.
+BUDGET_MB = 50
+PEERS = 20
+# More than all peers together could send within the budget.
+MEASURE = """
+import asyncio, resource, sys
+from camphorrun.http1.tests.endless import measure
+before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+asyncio.run(measure(sys.argv[1], int(sys.argv[2])))
+after = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+print((after - before) // 1024)
+"""
+
+
+class TestReplicas:
+    """Answers without end."""
+
+    @pytest.mark.parametrize("kind", sorted(set(ENDLESS) - {"body", "chunks"}))
+    def test_connection_is_closed(self, kind):
+        """Guards against a head or framing that is read until memory ends."""
+
+        async def scenario():
+            async with EndlessPeer(ENDLESS[kind]) as peer:
+                conn = await connect("127.0.0.1", peer.port, TIMERS, 1.0)
+                with pytest.raises(HttpError) as caught:
+                    await conn.request(REQUEST)
+                    while await conn.read():
+                        pass
+                assert caught.value.code in ("oversized", "malformed")
+                assert not conn.reusable
+                await asyncio.sleep(0.05)
+                return peer.sent
+
+        sent = asyncio.run(asyncio.wait_for(scenario(), 20))
+        # What the sockets hold besides is not read any more.
+        assert sent < 64 * MAX_OVERHEAD_BYTES
+
+    @pytest.mark.parametrize("kind", ["body", "chunks"])
+    def test_body_is_read_as_fast_as_it_is_passed_on(self, kind):
+        """Guards against a body that fills the memory while its caller is slow."""
+
+        async def scenario():
+            async with EndlessPeer(ENDLESS[kind]) as peer:
+                conn = await connect("127.0.0.1", peer.port, TIMERS, 1.0)
+                await conn.request(REQUEST)
+                await asyncio.sleep(0.3)
+                held = len(conn._unread)
+                await conn.read()
+                conn.abort()
+                return held
+
+        held = asyncio.run(asyncio.wait_for(scenario(), 10))
+        assert held <= 2 * READ_HIGH_WATER_BYTES
+
+    @pytest.mark.parametrize("kind", sorted(ENDLESS))
+    def test_memory_of_a_process(self, kind):
+        """Guards against one sick replica that ends an entry host."""
+        command = [sys.executable, "-c", MEASURE, kind, str(PEERS)]
+        run = subprocess.run(command, capture_output=True, text=True, timeout=60)
+        assert run.returncode == 0, run.stderr
+        assert int(run.stdout) <= BUDGET_MB
+
+
+HEAD = b"POST / HTTP/1.1\r\nHost: a\r\n"
+CALLERS = {
+    "fields": (HEAD, b"X-A: 1\r\n" * 1000),
+    "field": (HEAD + b"X-A: ", b"a" * 8000),
+    "target": (b"GET /", b"a" * 8000),
+    "trailers": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-A: 1\r\n" * 1000,
+    ),
+    "extension": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n1;",
+        b"a" * 8000,
+    ),
+}
+
+
+class TestCallers:
+    """Requests without end."""
+
+    @pytest.mark.parametrize("kind", sorted(CALLERS))
+    @pytest.mark.parametrize("is_busy", [False, True])
+    def test_connection_is_closed(self, kind, is_busy):
+        """Guards against a caller that fills the memory, also behind a request."""
+
+        async def scenario():
+            release = asyncio.Event()
+
+            async def handle(_req, responder):
+                await release.wait()
+                responder.abort()
+
+            server = HttpServer(handle, TIMERS, ServerLimits(header_bytes=16384))
+            port = await server.start("127.0.0.1", 0)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            first, more = CALLERS[kind]
+            if is_busy:
+                writer.write(b"GET / HTTP/1.1\r\n\r\n")
+            writer.write(first)
+            sent = 0
+            with contextlib.suppress(ConnectionError):
+                while sent < 4_000_000:
+                    writer.write(more)
+                    sent += len(more)
+                    await writer.drain()
+                    await asyncio.sleep(0)
+                    if reader.at_eof():
+                        break
+                await reader.read()
+            writer.close()
+            server.close()
+            return sent
+
+        assert asyncio.run(asyncio.wait_for(scenario(), 10)) < 4_000_000
+
+    def test_requests_sent_ahead_are_not_read_for_ever(self):
+        """Guards against a caller that sends many bodies behind a slow request."""
+
+        async def scenario():
+            release = asyncio.Event()
+            served = []
+
+            async def handle(req, responder):
+                await release.wait()
+                served.append(len(req.body))
+                responder.respond(200, Headers())
+
+            server = HttpServer(handle, TIMERS)
+            port = await server.start("127.0.0.1", 0)
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            body = b"b" * 1_000_000
+            head = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body)
+            writer.write(b"GET / HTTP/1.1\r\n\r\n" + (head + body) * 8)
+            await asyncio.sleep(0.2)
+            (conn,) = server.connections
+            held = sum(len(r.body) for r in conn._ready) + conn._body_size
+            release.set()
+            async with asyncio.timeout(5):
+                while len(served) < 9:
+                    await asyncio.sleep(0.01)
+            writer.close()
+            server.close()
+            return held
+
+        held = asyncio.run(asyncio.wait_for(scenario(), 10))
+        assert held <= 3 * MAX_AHEAD_BYTES
