--- a/camphorrun/gateway/state.py
+++ b/camphorrun/gateway/state.py
@@ -18,6 +18,9 @@
 
 Listener = Callable[[], None]
 
+# Bounds a line of the log; the count tells the rest.
+MAX_NAMED_MEMBERS = 8
+
 
 class GatewayState:
     """Records of the store, decoded, whatever way they came.
@@ -97,10 +100,17 @@
     def set_members(self, members: tuple[str, ...]) -> None:
         """Take over the members of the group; this daemon is always one."""
         members = tuple(sorted({*members, self.member}))
-        if members != self.members:
-            self.members = members
-            self._events.belief("members", count=len(members), members=list(members))
-            _notify(self._on_members)
+        if members == self.members:
+            return
+        old, self.members = set(self.members), members
+        # A large group is named once, by those who come and go.
+        self._events.belief(
+            "members",
+            count=len(members),
+            joined=sorted(set(members) - old)[:MAX_NAMED_MEMBERS],
+            left=sorted(old - set(members))[:MAX_NAMED_MEMBERS],
+        )
+        _notify(self._on_members)
 
     def _changed(self, topic: str, keys: list[str], source: str) -> None:
         if not keys:
--- a/camphorrun/gateway/tests/world.py
+++ b/camphorrun/gateway/tests/world.py
@@ -98,11 +98,13 @@
     stage: int = 0
     gateways: int = 1
     stop_s: float = 8.0
+    partitions: int = 24
     timers: LoopTimerService = field(default_factory=LoopTimerService)
 
     async def __aenter__(self) -> "World":
         self.store = PlatformStore(self.timers)
         await self.store.start()
+        self.store.partitions = self.partitions
         self.replicas: list[PlatformReplica] = []
         self.stage_replicas: list[PlatformReplica] = []
         self.daemons: list[GatewayDaemon] = []
@@ -143,9 +145,10 @@
         name: str,
         seeds: tuple[str, ...] = (),
         host: GatewayHostSettings | None = None,
+        zone: str = "z1",
     ) -> GatewayDaemon:
         settings = GatewaySettings(
-            host or GatewayHostSettings(name, "127.0.0.1", "z1", *_free_addresses(4)),
+            host or GatewayHostSettings(name, "127.0.0.1", zone, *_free_addresses(4)),
             StoreSettings(self.store.address, 1.0),
             seeds,
             BoundSettings(stop_s=self.stop_s),
--- a/camphorrun/platform/tests/test_store.py
+++ b/camphorrun/platform/tests/test_store.py
@@ -80,13 +80,26 @@
         async def scenario(store, client):
             first = await client.join("g", "t", "m1", 0, 1.0)
             second = await client.join("g", "t", "m2", 0, 1.0)
-            again = await client.join("g", "t", "m2", second, 1.0)
+            again = await client.join("g", "t", "m2", second.generation, 1.0)
             both = await client.members("g")
             await client.leave("g", "m1")
-            return first < second == again, both, await client.members("g")
+            grown = first.generation < second.generation == again.generation
+            return grown, both, await client.members("g")
 
         assert play(scenario) == (True, ("m1", "m2"), ("m2",))
 
+    def test_member_without_a_partition_knows_it(self):
+        """Guards against a daemon that works unseen in a group with few partitions."""
+
+        async def scenario(store, client):
+            store.partitions = 1
+            first = await client.join("g", "t", "m1", 0, 1.0)
+            second = await client.join("g", "t", "m2", 0, 1.0)
+            other = await client.join("g", "t-2", "m2", 0, 1.0)
+            return first.partitions, second.partitions, other.partitions
+
+        assert play(scenario) == (1, 0, 1)
+
 
 class TestFaults:
     """A store that does not answer as it should."""
--- a/camphorrun/standins/platform_replica.py
+++ b/camphorrun/standins/platform_replica.py
@@ -30,6 +30,7 @@
     with the rejection of another request), ``repeat`` (answers a stage call with its
     last answer, once) or ``misdirected`` (421). ``leaving`` adds
     ``Server-Leaving`` to all answers, ``retry_after`` a pause to those of ``full``.
+    After ``trickle_after`` events a stream sends a byte now and then and no event.
     """
 
     answer: str = "ok"
@@ -40,6 +41,7 @@
     stage_fault: str = ""
     leaving: bool = False
     retry_after: str = ""
+    trickle_after: int = -1
     lost_handles: set[str] = field(default_factory=set)
 
 
@@ -182,6 +184,10 @@
                 await self._timers.sleep(0.02)
                 responder.abort()
                 return
+            if number - first == script.trickle_after:
+                while True:
+                    await responder.write(b":")
+                    await self._timers.sleep(0.02)
             await responder.write(b"id: %d\ndata: e%d\n\n" % (number, number))
             await self._timers.sleep(script.event_gap_s)
         responder.finish()
