Turn work away where the backlog is known, before it is spent

The owner refuses pieces of a first stage at once if the backlog before them, or the last waits for the same space, make them late; other shards are asked before. Owners of later stages are asked for their waits before a request starts. A shard elsewhere costs 0.05 s of wait and 0.2 s for each megabyte.

--- a/camphorrun/admission/starts.py
+++ b/camphorrun/admission/starts.py
@@ -10,7 +10,7 @@
 
 # A request is started if it would miss its objective by up to this share of it, because
 # forecasts are uncertain.
-ACCEPTED_OVERRUN = 0.3
+ACCEPTED_OVERRUN = 0.05
 # Below this wait the stages are not overloaded, whatever the objective is.
 LEAST_WAIT_SECONDS = 0.1
 MIN_RETRY_AFTER_SECONDS = 0.3
--- a/camphorrun/gateway/errors.py
+++ b/camphorrun/gateway/errors.py
@@ -27,8 +27,8 @@
 class StageError(CamphorrunError):
     """A stage of a request has no result.
 
-    Codes: ``late``, ``input_gone``, ``failed``, ``resting`` (all replicas asked for a
-    pause).
+    Codes: ``late``, ``busy`` (it would be late; nothing was made), ``input_gone``,
+    ``failed``, ``resting`` (all replicas asked for a pause).
 
     Parameters
     ----------
--- a/camphorrun/gateway/front.py
+++ b/camphorrun/gateway/front.py
@@ -40,6 +40,7 @@
     "late": "stage_late",
     "input_gone": "stage_input_gone",
     "resting": "replicas_resting",
+    "busy": "stages_busy",
 }
 
 
@@ -204,7 +205,7 @@
         if not ctx.route.stages:
             await self._attempts.answer(ctx, responder)
             return
-        self._check_time(ctx)
+        await self._check_time(ctx)
         for remake in range(MAX_INPUT_REMAKES + 1):
             await self._run_stages(ctx)
             ctx.on_begun = partial(self._stages.release_all, ctx.route, ctx.results)
@@ -221,13 +222,14 @@
             finally:
                 self._stages.release_all(ctx.route, ctx.results)
 
-    def _check_time(self, ctx: RequestContext) -> None:
+    async def _check_time(self, ctx: RequestContext) -> None:
         """Refuse at once what its stages would delay too much.
 
         A request that comes back after a refusal is late already and is refused only
         if its deadline can't be met.
         """
         ctx.zone = self._attempts.preferred_zone(ctx)
+        await self._stages.probe(ctx.route, ctx.caller.pieces, ctx.rank, ctx.zone)
         forecast = self._stages.forecast(
             ctx.route, ctx.caller.pieces, ctx.rank, ctx.zone
         )
--- a/camphorrun/gateway/messages.py
+++ b/camphorrun/gateway/messages.py
@@ -38,7 +38,8 @@
     """Asks the owner of a stage service for pieces of one stage of one request.
 
     ``forced`` orders are carried out by a daemon that is not the owner, too. ``shard``
-    names the availability zone whose replicas make the pieces, empty for all.
+    names the availability zone whose replicas make the pieces, empty for all. The
+    pieces of ``patient`` orders wait although they will be late.
     """
 
     service: str
@@ -55,6 +56,7 @@
     zone: str = ""
     forced: bool = False
     shard: str = ""
+    patient: bool = False
     version: int = SCHEMA_VERSION
 
 
@@ -63,6 +65,7 @@
 
     ``wait_s`` is the wait that pieces of this kind have to expect now. With the fault
     ``moved`` the daemon at ``successor`` makes the pieces that have no result.
+    The fault ``busy`` means that the pieces would be late, and that none was made.
     ``retry_after_s`` is set while all replicas asked for a pause.
     """
 
--- /dev/null
+++ b/camphorrun/gateway/owner_calls.py
@@ -0,0 +1,139 @@
+"""Asks the owners of stage services for pieces."""
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from ..core import EventLog, TimerService
+from ..metrics import Metrics
+from .errors import PeerError
+from .messages import PieceOrder, PieceReply
+from .peers import Peers
+
+# Owners that are asked before a gateway makes the pieces itself.
+MAX_OWNERS = 2
+# A daemon that is named as the new owner makes the pieces, because it may learn later
+# than the earlier owner that it is the new one.
+MAX_REDIRECTS = 1
+LEAST_TIMEOUT_SECONDS = 0.05
+# Faults of a reply that have a meaning for the asking gateway.
+MOVED = "moved"
+BUSY = "busy"
+
+
+class OwnerCalls:
+    """Calls of this gateway to the owners.
+
+    Parameters
+    ----------
+    owners_of : callable
+        Returns the addresses of the owners of a shard of a service, in order.
+    make_pieces : callable
+        Makes pieces at this gateway.
+    release : callable
+        Frees results of a service.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        owners_of: Callable[[str, str], list[str]],
+        own_address: str,
+        make_pieces: Callable[[PieceOrder], Awaitable[PieceReply]],
+        release: Callable[[str, list[str]], None],
+        *,
+        timers: TimerService,
+        metrics: Metrics,
+        events: EventLog,
+    ):
+        self._peers = peers
+        self._owners_of = owners_of
+        self._own_address = own_address
+        self._make_pieces = make_pieces
+        self._release = release
+        self._timers = timers
+        self._metrics = metrics
+        self._events = events
+
+    async def ask(self, order: PieceOrder) -> PieceReply:
+        """Ask the owner of the shard, those that it names, and at last this daemon.
+
+        Pieces that one of them made before the service moved are not made again.
+        """
+        started_at = self._timers.now()
+        handles: dict[int, str] = {}
+        unreachable: set[str] = set()
+        owner = self._next_owner(order, unreachable)
+        redirects = 0
+        try:
+            while True:
+                elapsed_s = self._timers.now() - started_at
+                forced = bool(unreachable) or redirects >= MAX_REDIRECTS
+                part = _remaining(order, handles, elapsed_s, forced)
+                reply = await self._ask_one(owner, part)
+                if reply is None:
+                    unreachable.add(owner)
+                    owner = self._next_owner(order, unreachable)
+                    continue
+                handles.update(reply.handles)
+                if reply.fault != MOVED:
+                    break
+                redirects += 1
+                owner = reply.successor
+                self._metrics.retries.labels("stage_moved").inc()
+        except BaseException:
+            self._release(order.service, list(handles.values()))
+            raise
+        if reply.fault:
+            self._release(order.service, list(handles.values()))
+            return reply
+        return PieceReply(handles, "", reply.wait_s)
+
+    async def probe(self, order: PieceOrder) -> PieceReply | None:
+        """Return the reply of the owner to an order without pieces; None if it has none."""
+        reply = await self._ask_one(self._next_owner(order, set()), order)
+        return reply if reply is not None and not reply.fault else None
+
+    def _next_owner(self, order: PieceOrder, unreachable: set[str]) -> str:
+        """Return the address of the daemon to ask, empty for this one."""
+        if len(unreachable) >= MAX_OWNERS:
+            return ""
+        for address in self._owners_of(order.service, order.shard):
+            if address == self._own_address:
+                return ""
+            if address not in unreachable and not self._peers.link(address).suspect:
+                return address
+        return ""
+
+    async def _ask_one(self, owner: str, order: PieceOrder) -> PieceReply | None:
+        """Return the reply of one daemon, None if it gave none."""
+        if owner in ("", self._own_address):
+            return await self._make_pieces(order)
+        try:
+            data = await self._peers.link(owner).call(
+                "/pieces", order, max(LEAST_TIMEOUT_SECONDS, order.deadline_left_s)
+            )
+            return msgspec.msgpack.decode(data, type=PieceReply)
+        except (PeerError, msgspec.DecodeError) as exc:
+            self._metrics.retries.labels("stage_owner").inc()
+            self._events.request(
+                "owner_failed",
+                order.request_id,
+                owner=owner,
+                service=order.service,
+                error=str(exc),
+            )
+            return None
+
+
+def _remaining(
+    order: PieceOrder, handles: dict[int, str], elapsed_s: float, forced: bool
+) -> PieceOrder:
+    """Return the order for the pieces that have no result yet."""
+    return msgspec.structs.replace(
+        order,
+        pieces=[piece for piece in order.pieces if piece not in handles],
+        objective_left_s=order.objective_left_s - elapsed_s,
+        deadline_left_s=order.deadline_left_s - elapsed_s,
+        forced=forced,
+    )
--- a/camphorrun/gateway/stage_owner.py
+++ b/camphorrun/gateway/stage_owner.py
@@ -38,6 +38,8 @@
 # A replica that needs this multiple of the usual time gets work only for a backlog.
 SLOW_RATIO = 2.0
 RATIO_WEIGHT = 0.4
+# Longest wait that is told to others; without a replica there is no prediction.
+MAX_WAIT_SECONDS = 3.0
 
 
 class _Job:
@@ -138,17 +140,22 @@
         self._redispatch_scheduled = False
         self._to_release: dict[str, list[str]] = {}
 
-    async def make(self, group: PieceGroup, forced: bool = False) -> dict[int, str]:
+    async def make(
+        self, group: PieceGroup, forced: bool = False, *, patient: bool = True
+    ) -> dict[int, str]:
         """Return the results of a group by piece.
 
         Pieces that are left to another owner have none; those of a ``forced`` group
-        are made here in any case.
+        are made here in any case. A group that is not ``patient`` is not queued if it
+        would be late.
 
         Raises
         ------
         StageError
             If a piece can't be made.
         """
+        if not patient:
+            self._check_wait(group)
         job = _Job(group, asyncio.get_running_loop().create_future())
         jobs = self._forced_jobs if forced else self._jobs
         jobs[group] = job
@@ -164,6 +171,20 @@
             if not job.fut.done() or job.fut.cancelled() or job.fut.exception():
                 self.release(list(job.results.values()))
 
+    def _check_wait(self, group: PieceGroup) -> None:
+        """Turn away a group that the backlog before it makes late."""
+        wait_s = self.predicted_wait_s(group)
+        if self._queue.is_late(group, wait_s, self._timers.now()):
+            text = f"stage {group.stage} at {self._service}"
+            raise StageError(text, code="busy", retry_after_s=wait_s)
+
+    def predicted_wait_s(self, group: PieceGroup) -> float:
+        """Return the wait to expect for a group that would come now."""
+        now = self._timers.now()
+        working = [w for w in self._current_workers() if w.paused_until <= now]
+        wait_s = self._queue.predicted_wait_s(group, len(working), now)
+        return min(wait_s, MAX_WAIT_SECONDS)
+
     def reconfigure(self, capacity: StageCapacity) -> None:
         """Take over a changed configuration of the service."""
         if capacity == self._capacity:
--- a/camphorrun/gateway/stage_runner.py
+++ b/camphorrun/gateway/stage_runner.py
@@ -16,6 +16,7 @@
 from ..routing import WHOLE
 from .errors import PeerError, StageError
 from .messages import PieceOrder, PieceReply, ReleaseOrder
+from .owner_calls import BUSY, MOVED, OwnerCalls
 from .peers import Peers, member_address
 from .replicas import ReplicaPool
 from .stage_owner import StageOwner
@@ -23,16 +24,16 @@
 from .stage_shards import StageShards
 from .state import GatewayState
 
-# Owners that are asked before a gateway makes the pieces itself.
-MAX_OWNERS = 2
-# A daemon that is named as the new owner makes the pieces, because it may learn later
-# than the earlier owner that it is the new one.
-MAX_REDIRECTS = 1
 MAX_REMAKES = 2
-MOVED = "moved"
+# Shards that are asked before a stage is given up because all are overloaded.
+MAX_SHARDS = 3
 RELEASE_TIMEOUT_SECONDS = 1.0
 # Results of a stage from this size on are made where they will be needed.
 LARGE_RESULT_BYTES = 500_000
+# An owner is asked for its wait if the last one that it told is older.
+FRESH_SECONDS = 0.05
+# Bound of that question; owners are in the same zone as a rule.
+PROBE_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,19 +44,6 @@
     wait_s: float
 
 
-def _remaining(
-    order: PieceOrder, handles: dict[int, str], elapsed_s: float, forced: bool
-) -> PieceOrder:
-    """Return the order for the pieces that have no result yet."""
-    return msgspec.structs.replace(
-        order,
-        pieces=[piece for piece in order.pieces if piece not in handles],
-        objective_left_s=order.objective_left_s - elapsed_s,
-        deadline_left_s=order.deadline_left_s - elapsed_s,
-        forced=forced,
-    )
-
-
 def _longest(after: list[tuple[int, ...]], needs_s: list[float]) -> float:
     """Return the need of the longest chain of stages."""
     return max(
@@ -87,12 +75,22 @@
         self._metrics = metrics
         self._events = events
         self._zone = zone
+        self._own_address = member_address(state.member)
         self._shards = StageShards(state, replicas)
         # By service and shard; owners of shards that are gone finish their calls.
         self._owners: dict[tuple[str, str], StageOwner] = {}
-        self._own_address = member_address(state.member)
         self._retired = False
         self._forecasts = WaitForecasts()
+        self._calls = OwnerCalls(
+            peers,
+            self.owners_of,
+            self._own_address,
+            self.make_pieces,
+            self._release,
+            timers=timers,
+            metrics=metrics,
+            events=events,
+        )
         self._tasks: set[asyncio.Task] = set()
         state.subscribe(
             deployment=self._refresh, members=self._refresh, replicas=self._refresh
@@ -172,6 +170,50 @@
             self._release(route.stages[index].service, handles)
         results.held = {}
 
+    async def probe(
+        self, route: Route, counts: tuple[int, ...], priority: int, zone: str = ""
+    ) -> None:
+        """Learn the present waits of the stages that follow others.
+
+        The owner of a first stage decides itself, and at once, whether its pieces would
+        be late; what the first stage makes is lost if a later one has no time for it.
+        """
+        zone = zone or self._zone
+        asked = {
+            (stage.service, stage.result_bytes)
+            for index, stage in enumerate(route.stages)
+            if stage.after and counts[index : index + 1] != (0,)
+        }
+        await asyncio.gather(
+            *(self._probe(service, size, priority, zone) for service, size in asked)
+        )
+
+    async def _probe(
+        self, service: str, result_bytes: int, priority: int, zone: str
+    ) -> None:
+        now = self._timers.now()
+        shard = self._shard(service, result_bytes, priority, zone)
+        key = service, shard, result_bytes, priority
+        if self._forecasts.age_s(*key, now=now) < FRESH_SECONDS:
+            return
+        question = PieceOrder(
+            service,
+            "",
+            0,
+            [],
+            "",
+            None,
+            result_bytes,
+            priority,
+            PROBE_SECONDS,
+            PROBE_SECONDS,
+            0.0,
+            shard=shard,
+        )
+        reply = await self._calls.probe(question)
+        if reply is not None:
+            self._forecasts.note(*key, reply.wait_s, now=self._timers.now())
+
     def forecast(
         self, route: Route, counts: tuple[int, ...], priority: int, zone: str = ""
     ) -> StageForecast:
@@ -239,8 +281,8 @@
     ) -> list[str]:
         stage = route.stages[index]
         now = self._timers.now()
-        shard = self._shard(stage.service, stage.result_bytes, priority, zone)
-        is_placed = shard == WHOLE and count * stage.result_bytes >= LARGE_RESULT_BYTES
+        home = self._shards.of_zone(stage.service, zone)
+        is_placed = home == WHOLE and count * stage.result_bytes >= LARGE_RESULT_BYTES
         order = PieceOrder(
             stage.service,
             caller.attempt_id,
@@ -254,23 +296,14 @@
             deadline_at - now,
             downstream,
             zone if is_placed else "",
-            shard=shard,
-        )
-        reply = await self._ask_owners(order)
-        self._forecasts.note(
-            stage.service,
-            shard,
-            stage.result_bytes,
-            priority,
-            reply.wait_s,
-            now=self._timers.now(),
         )
+        reply = await self._ask_shards(order, home)
         self._events.request(
             "stage",
             caller.attempt_id,
             stage=index,
             service=stage.service,
-            shard=shard,
+            home=home,
             pieces=count,
             fault=reply.fault,
             seconds=round(self._timers.now() - now, 4),
@@ -284,70 +317,58 @@
             )
         return [reply.handles[piece] for piece in range(count)]
 
-    async def _ask_owners(self, order: PieceOrder) -> PieceReply:
-        """Ask the owner of the service, those that it names, and at last this daemon.
+    async def _ask_shards(self, order: PieceOrder, home: str) -> PieceReply:
+        """Ask the shard with the least wait, and others while it is overloaded.
 
-        Pieces that one of them made before the service moved are not made again.
+        A stage with inputs has cost calls already, so it waits in the end; one without
+        inputs is given up at once, and with it the request.
         """
         started_at = self._timers.now()
-        handles: dict[int, str] = {}
-        unreachable: set[str] = set()
-        owner = self._next_owner(order, unreachable)
-        redirects = 0
-        try:
-            while True:
-                elapsed_s = self._timers.now() - started_at
-                forced = bool(unreachable) or redirects >= MAX_REDIRECTS
-                part = _remaining(order, handles, elapsed_s, forced)
-                reply = await self._ask(owner, part)
-                if reply is None:
-                    unreachable.add(owner)
-                    owner = self._next_owner(order, unreachable)
-                    continue
-                handles.update(reply.handles)
-                if reply.fault != MOVED:
-                    break
-                redirects += 1
-                owner = reply.successor
-                self._metrics.retries.labels("stage_moved").inc()
-        except BaseException:
-            self._release(order.service, list(handles.values()))
-            raise
-        if reply.fault:
-            self._release(order.service, list(handles.values()))
-            return reply
-        return PieceReply(handles, "", reply.wait_s)
-
-    def _next_owner(self, order: PieceOrder, unreachable: set[str]) -> str:
-        """Return the address of the daemon to ask, empty for this one."""
-        if len(unreachable) >= MAX_OWNERS:
-            return ""
-        for address in self.owners_of(order.service, order.shard):
-            if address == self._own_address:
-                return ""
-            if address not in unreachable and not self._peers.link(address).suspect:
-                return address
-        return ""
+        left = self._shards.names(order.service)
+        busy: dict[str, PieceReply] = {}
+        while left and len(busy) < MAX_SHARDS:
+            shard = self._best(order, left, home)
+            left.remove(shard)
+            reply = await self._ask_shard(order, shard, started_at, patient=False)
+            if reply.fault != BUSY:
+                return reply
+            busy[shard] = reply
+        least = min(busy, key=lambda shard: busy[shard].wait_s)
+        if order.inputs is None:
+            return busy[least]
+        return await self._ask_shard(order, least, started_at, patient=True)
+
+    async def _ask_shard(
+        self, order: PieceOrder, shard: str, started_at: float, *, patient: bool
+    ) -> PieceReply:
+        elapsed_s = self._timers.now() - started_at
+        part = msgspec.structs.replace(
+            order,
+            shard=shard,
+            patient=patient,
+            objective_left_s=order.objective_left_s - elapsed_s,
+            deadline_left_s=order.deadline_left_s - elapsed_s,
+        )
+        reply = await self._calls.ask(part)
+        self._forecasts.note(
+            order.service,
+            shard,
+            order.result_bytes,
+            order.priority,
+            reply.wait_s,
+            now=self._timers.now(),
+        )
+        return reply
 
-    async def _ask(self, owner: str, order: PieceOrder) -> PieceReply | None:
-        """Return the reply of one daemon, None if it gave none."""
-        if owner in ("", self._own_address):
-            return await self.make_pieces(order)
-        try:
-            data = await self._peers.link(owner).call(
-                "/pieces", order, max(0.05, order.deadline_left_s)
-            )
-            return msgspec.msgpack.decode(data, type=PieceReply)
-        except (PeerError, msgspec.DecodeError) as exc:
-            self._metrics.retries.labels("stage_owner").inc()
-            self._events.request(
-                "owner_failed",
-                order.request_id,
-                owner=owner,
-                service=order.service,
-                error=str(exc),
-            )
-            return None
+    def _best(self, order: PieceOrder, shards: list[str], home: str) -> str:
+        return self._forecasts.best_shard(
+            order.service,
+            shards,
+            home,
+            order.result_bytes,
+            order.priority,
+            now=self._timers.now(),
+        )
 
     # Pieces for all gateways
 
@@ -360,15 +381,21 @@
         owner = self._owner(order.service, shard)
         if owner is None:
             return PieceReply({}, "failed")
+        if not order.pieces:
+            return PieceReply({}, "", owner.predicted_wait_s(self._group(order)))
         fault = ""
         handles: dict[int, str] = {}
         retry_after_s = 0.0
         try:
-            handles = await owner.make(self._group(order), order.forced)
+            handles = await owner.make(
+                self._group(order), order.forced, patient=order.patient
+            )
         except StageError as exc:
             fault = exc.code
             retry_after_s = exc.retry_after_s
         wait_s = owner.expected_wait_s(order.result_bytes, order.priority)
+        if fault == BUSY:
+            return PieceReply({}, fault, retry_after_s)
         if fault:
             return PieceReply({}, fault, wait_s, retry_after_s=retry_after_s)
         if len(handles) < len(order.pieces):
--- a/camphorrun/gateway/tests/test_readers.py
+++ b/camphorrun/gateway/tests/test_readers.py
@@ -109,9 +109,11 @@
         async def scenario(world):
             daemon = world.daemons[0]
             world.store.fault = "busy"
-            await asyncio.sleep(0.1)
+            # Ends the read that waits at the store; the next one fails.
+            world.store.put("keyed.op", "config", configuration(2))
+            await world.until(lambda: daemon.state.deployment.version == 2)
             tenants = [{"Name": "acc", "ApiKeys": ["other"], "Priority": 1}]
-            world.store.put("keyed.op", "config", configuration(2, Tenants=tenants))
+            world.store.put("keyed.op", "config", configuration(3, Tenants=tenants))
             assert (await world.ask("/safe/x")).status == 200
             daemon._on_pause(5.0)
             assert (await world.ask("/safe/x")).status == 503
--- a/camphorrun/pipeline/batches.py
+++ b/camphorrun/pipeline/batches.py
@@ -21,6 +21,11 @@
 ZONE_SLACK_SECONDS = 0.25
 # Share of the predicted need of what follows that a request needs in any case.
 CERTAIN_DOWNSTREAM = 0.7
+# A group is queued if it will be late by up to this much, because predictions are
+# uncertain.
+LATE_TOLERANCE_SECONDS = 0.05
+# Weight of the last call in the usual number of pieces of a call behind a backlog.
+FILL_WEIGHT = 0.1
 
 
 @dataclass(slots=True, eq=False)
@@ -83,6 +88,8 @@
         # Last wait by size of results, because large ones also wait for space, and by
         # priority, because less urgent ones wait longer behind a backlog.
         self._last_waits: dict[tuple[int, int], tuple[float, float]] = {}
+        # Usual pieces of a call while others wait: space may allow less than a batch.
+        self._usual_fill = float(capacity.batch)
 
     def __len__(self) -> int:
         return sum(len(group.waiting) for group in self._groups)
@@ -146,6 +153,36 @@
             group.waiting.popleft()
             self._note_wait(group, now)
         self._groups = [group for group in self._groups if group.waiting]
+        if self._groups:
+            self._usual_fill += FILL_WEIGHT * (len(chosen) - self._usual_fill)
+
+    def predicted_wait_s(self, group: PieceGroup, replicas: int, now: float) -> float:
+        """Return when the last piece of a group that comes now would be taken.
+
+        Groups that go before it count, late ones and less urgent ones don't. Where
+        space binds, the waits of groups with results of the same size tell more.
+        """
+        if not replicas:
+            return math.inf
+        call_s = self.capacity.call_time_s(self.capacity.batch)
+        is_long = self._is_long(replicas)
+        own = self._rank(group, is_long, now)
+        ahead = sum(
+            len(other.waiting)
+            for other in self._groups
+            if self._rank(other, is_long, now) <= own
+        )
+        fill = max(1.0, min(self._usual_fill, float(self.capacity.batch)))
+        calls_s = (ahead + len(group.waiting)) / fill * call_s / replicas
+        return max(
+            calls_s, self.expected_wait_s(group.result_bytes, group.priority, now)
+        )
+
+    def is_late(self, group: PieceGroup, wait_s: float, now: float) -> bool:
+        """Return whether a wait makes a group miss its objective."""
+        call_s = self.capacity.call_time_s(self.capacity.batch)
+        latest_at = group.latest_start(call_s) + LATE_TOLERANCE_SECONDS
+        return bool(self._groups) and now + wait_s > latest_at
 
     def expected_wait_s(self, result_bytes: int, priority: int, now: float) -> float:
         """Return the wait to expect for pieces with results of a size.
@@ -205,6 +242,12 @@
         call_s = self.capacity.call_time_s(self.capacity.batch)
         return self.backlog_s(replicas) > LONG_BACKLOG_CALLS * call_s
 
+    def _rank(
+        self, group: PieceGroup, is_long: bool, now: float
+    ) -> tuple[bool, int, float]:
+        start_at = group.latest_start(self.capacity.call_time_s(self.capacity.batch))
+        return start_at < now, group.priority if is_long else 0, start_at
+
     def _ordered(self, replicas: int, now: float, zone: str) -> list[PieceGroup]:
         call_s = self.capacity.call_time_s(self.capacity.batch)
         is_long = self._is_long(replicas)
@@ -213,9 +256,8 @@
             return bool(zone and group.zone) and group.zone != zone
 
         def rank(group: PieceGroup) -> tuple[bool, int, bool, float]:
-            start_at = group.latest_start(call_s)
-            urgency = group.priority if is_long else 0
-            return start_at < now, urgency, is_elsewhere(group), start_at
+            late, urgency, start_at = self._rank(group, is_long, now)
+            return late, urgency, is_elsewhere(group), start_at
 
         def may_wait(group: PieceGroup) -> bool:
             slack_s = group.latest_start(call_s) - now
--- a/camphorrun/pipeline/forecasts.py
+++ b/camphorrun/pipeline/forecasts.py
@@ -6,12 +6,16 @@
 own by more than the move is worth.
 """
 
+import math
 from collections.abc import Iterable
 
 # A forecast loses this much of its wait a second, because queues drain meanwhile.
 FORECAST_DECAY = 0.7
-# Wait that is accepted before results are made in another availability zone.
-HOME_WAIT_SECONDS = 0.3
+# Wait that is accepted before results are made in another availability zone, and what
+# each megabyte of a result adds: moving it costs as much as being late more often.
+HOME_WAIT_SECONDS = 0.05
+HOME_WAIT_SECONDS_PER_MEGABYTE = 0.2
+MEGABYTE = 1_000_000
 
 
 class WaitForecasts:
@@ -25,7 +29,7 @@
     (0.9, 0.0)
     >>> waits.best_shard("s", ["a", "b"], "a", 10, 1, now=0.0)
     'b'
-    >>> waits.best_shard("s", ["a", "b"], "a", 10, 1, now=1.0)
+    >>> waits.best_shard("s", ["a", "b"], "a", 10, 1, now=1.3)
     'a'
     """
 
@@ -50,6 +54,14 @@
         known = self._waits.setdefault((service, shard), {})
         known[result_bytes, rank] = wait_s, now
 
+    def age_s(
+        self, service: str, shard: str, result_bytes: int, rank: int, *, now: float
+    ) -> float:
+        """Return the time since a wait was told, infinite if it never was."""
+        known = self._waits.get((service, shard), {})
+        _, seen_at = known.get((result_bytes, rank), (0.0, -math.inf))
+        return now - seen_at
+
     def wait_s(
         self, service: str, shard: str, result_bytes: int, rank: int, *, now: float
     ) -> float:
@@ -74,8 +86,11 @@
     ) -> str:
         """Return the shard with the least wait, the home shard being preferred."""
 
+        move_s = HOME_WAIT_SECONDS
+        move_s += HOME_WAIT_SECONDS_PER_MEGABYTE * result_bytes / MEGABYTE
+
         def cost_s(shard: str) -> tuple[float, str]:
             wait_s = self.wait_s(service, shard, result_bytes, rank, now=now)
-            return wait_s + (0.0 if shard == home else HOME_WAIT_SECONDS), shard
+            return wait_s + (0.0 if shard == home else move_s), shard
 
         return min(shards, key=cost_s)
