--- a/camphorrun/gateway/owner_calls.py
+++ b/camphorrun/gateway/owner_calls.py
@@ -90,7 +90,7 @@
         return PieceReply(handles, "", reply.wait_s)
 
     async def probe(self, order: PieceOrder) -> PieceReply | None:
-        """Return the reply of the owner to an order without pieces; None if it has none."""
+        """Return the owner's reply to an order without pieces, None if it has none."""
         reply = await self._ask_one(self._next_owner(order, set()), order)
         return reply if reply is not None and not reply.fault else None
 
--- a/camphorrun/pipeline/forecasts.py
+++ b/camphorrun/pipeline/forecasts.py
@@ -11,11 +11,8 @@
 
 # A forecast loses this much of its wait a second, because queues drain meanwhile.
 FORECAST_DECAY = 0.7
-# Wait that is accepted before results are made in another availability zone, and what
-# each megabyte of a result adds: moving it costs as much as being late more often.
-HOME_WAIT_SECONDS = 0.05
-HOME_WAIT_SECONDS_PER_MEGABYTE = 0.2
-MEGABYTE = 1_000_000
+# Wait that is accepted before results are made in another availability zone.
+HOME_WAIT_SECONDS = 0.3
 
 
 class WaitForecasts:
@@ -86,11 +83,8 @@
     ) -> str:
         """Return the shard with the least wait, the home shard being preferred."""
 
-        move_s = HOME_WAIT_SECONDS
-        move_s += HOME_WAIT_SECONDS_PER_MEGABYTE * result_bytes / MEGABYTE
-
         def cost_s(shard: str) -> tuple[float, str]:
             wait_s = self.wait_s(service, shard, result_bytes, rank, now=now)
-            return wait_s + (0.0 if shard == home else move_s), shard
+            return wait_s + (0.0 if shard == home else HOME_WAIT_SECONDS), shard
 
         return min(shards, key=cost_s)
