Bound repeats by the callers who were turned away, ask several peers at a start

A deadline under 0.86 of the longest one alone made a caller a repeat: on a deployment with mixed deadlines the shortest class would pass the admission always. There are no more repeats now than callers who were turned away lately.

A process that starts while the store does not answer took the first peer's word; it asks five at once now and takes the newest of what they know. The test failed before: a key that one peer still had was in use again.

--- a/camphorrun/admission/starts.py
+++ b/camphorrun/admission/starts.py
@@ -6,6 +6,8 @@
 to come back when the backlog will have gone.
 """
 
+from collections import deque
+
 from .controller import DEADLINE_UNREACHABLE, OVERLOADED, Refused
 
 # A request is started if it would miss its objective by up to this share of it, because
@@ -17,6 +19,8 @@
 # A deadline below this share of the longest one is that of a repeat; callers of the
 # users' platform send first tries with 0.87 to 1.0 of it.
 RETURN_SHARE = 0.86
+# Callers of a route that may be expected back at one gateway.
+MAX_EXPECTED = 4096
 
 
 def judge_start(
@@ -60,20 +64,44 @@
 class ReturnDetector:
     """Recognises repeats: their deadline is what is left of that of the first try.
 
+    Load pattern: callers of one route wait for different times. A short deadline alone
+    would let the callers with the shortest one pass as repeats for ever, so there are
+    no more repeats than callers who were turned away lately. They come back at other
+    gateways, which turn as many away.
+
     Examples
     --------
     >>> detector = ReturnDetector()
-    >>> detector.is_return("route", 8.0), detector.is_return("route", 5.5)
-    (False, True)
+    >>> detector.is_return("route", 8.0, 0.0), detector.is_return("route", 5.5, 0.0)
+    (False, False)
+    >>> detector.expect("route", 0.0)
+    >>> detector.is_return("route", 5.5, 0.5), detector.is_return("route", 5.5, 0.5)
+    (True, False)
     """
 
-    __slots__ = ("_longest",)
+    __slots__ = ("_expected", "_longest")
 
     def __init__(self):
         self._longest: dict[str, float] = {}
+        # Times at which callers were turned away, by route.
+        self._expected: dict[str, deque[float]] = {}
+
+    def expect(self, route: str, now: float) -> None:
+        """Note that a caller was turned away and may come back."""
+        times = self._expected.setdefault(route, deque(maxlen=MAX_EXPECTED))
+        times.append(now)
 
-    def is_return(self, route: str, deadline_s: float) -> bool:
+    def is_return(self, route: str, deadline_s: float, now: float) -> bool:
         """Return whether a request with this deadline repeats an earlier one."""
         longest_s = max(deadline_s, self._longest.get(route, 0.0))
         self._longest[route] = longest_s
-        return deadline_s < longest_s * RETURN_SHARE
+        if deadline_s >= longest_s * RETURN_SHARE:
+            return False
+        expected = self._expected.get(route, ())
+        # Nobody comes back after the longest deadline.
+        while expected and expected[0] < now - longest_s:
+            expected.popleft()
+        if not expected:
+            return False
+        expected.popleft()
+        return True
--- a/camphorrun/gateway/front.py
+++ b/camphorrun/gateway/front.py
@@ -27,6 +27,8 @@
 # Least time after which a caller whose stages failed comes back.
 STAGE_RETRY_SECONDS = 0.5
 DRAINING = "draining"
+# Ends of requests whose callers don't come back.
+ENDED_CODES = frozenset({"ok", "left"})
 # A caller that comes back meets another gateway, so it need not wait.
 DRAIN_RETRY_SECONDS = 0.05
 # Assumed time from the call of a model replica to its first event.
@@ -97,6 +99,8 @@
             self._refuse(responder, attempt_id, status, code, retry_after_s)
         finally:
             del self._running[task]
+            if route_name and code not in ENDED_CODES:
+                self._returns.expect(route_name, self._timers.now())
             self._note_end(req, attempt_id, route_name, code)
 
     def refuse_new(self) -> None:
@@ -183,7 +187,8 @@
     ) -> RequestContext:
         received_at = caller.raw.first_byte_at
         deadline_s = caller.deadline_s or DEFAULT_DEADLINE_SECONDS
-        returned = self._returns.is_return(route.name, deadline_s)
+        now = self._timers.now()
+        returned = self._returns.is_return(route.name, deadline_s, now)
         objective_s = route.objective_s * (RETURN_OBJECTIVE_SHARE if returned else 1.0)
         point = xxhash.xxh32_intdigest(caller.attempt_id) / 2**32
         return RequestContext(
--- a/camphorrun/gateway/peers.py
+++ b/camphorrun/gateway/peers.py
@@ -29,6 +29,9 @@
 PING_SECONDS = 0.3
 PING_TIMEOUT_SECONDS = 0.5
 SUSPECT_SECONDS = 1.5
+# Peers that a new process asks at once if the store does not answer it: one alone may
+# know less than the process knew before its restart.
+BOOTSTRAP_PEERS = 5
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 MAX_RECORDS = 2000
 
@@ -193,6 +196,9 @@
             addresses = self.addresses()
             if not addresses:
                 continue
+            if not self._state.ready and self._is_urgent():
+                await self._bootstrap(addresses)
+                continue
             address = self._rng.choice(addresses)
             try:
                 await self._ask(address)
@@ -201,8 +207,28 @@
                 if urgent:
                     self._events.belief("peer_unavailable", error=str(exc))
 
+    async def _bootstrap(self, addresses: list[str]) -> None:
+        """Take over what several peers know, in one step."""
+        count = min(BOOTSTRAP_PEERS, len(addresses))
+        asked = self._rng.sample(addresses, count)
+        answers = await asyncio.gather(
+            *(self._fetch(address, SYNC_TIMEOUT_SECONDS) for address in asked),
+            return_exceptions=True,
+        )
+        for address, answer in zip(asked, answers, strict=True):
+            if isinstance(answer, PeerError):
+                self._events.belief("peer_unavailable", error=str(answer))
+            elif isinstance(answer, BaseException):
+                raise answer
+            else:
+                self._take(answer, address)
+                self._take_members(answer)
+
     async def _ask(self, address: str) -> None:
-        answer = await self.ask(address, SYNC_TIMEOUT_SECONDS)
+        self._take_members(await self.ask(address, SYNC_TIMEOUT_SECONDS))
+
+    def _take_members(self, answer: SyncMessage) -> None:
+        """Take over the members while the store tells this daemon of none."""
         if self._is_urgent() and len(self._state.members) == 1 and answer.members:
             self._state.set_members(tuple(answer.members))
 
@@ -214,21 +240,27 @@
         PeerError
             If there is no readable answer.
         """
+        answer = await self._fetch(address, timeout_s)
+        self._take(answer, address)
+        return answer
+
+    async def _fetch(self, address: str, timeout_s: float) -> SyncMessage:
         topics = {
             name: TopicMessage(view.end if view.known else -1)
             for name, view in self._state.views.items()
         }
         data = await self.link(address).call("/sync", SyncMessage(topics), timeout_s)
         try:
-            answer = msgspec.msgpack.decode(data, type=SyncMessage)
+            return msgspec.msgpack.decode(data, type=SyncMessage)
         except msgspec.DecodeError as exc:
             raise PeerError(f"{address}: unreadable answer: {exc}") from exc
+
+    def _take(self, answer: SyncMessage, address: str) -> None:
         for name, topic in answer.topics.items():
             if name in self._state.views and topic.end >= 0:
                 records = tuple(Record(r.key, r.offset, r.value) for r in topic.records)
                 page = RecordPage(records, topic.end, is_listing=topic.is_listing)
                 self._state.apply(name, page, address)
-        return answer
 
     def answer_sync(self, question: SyncMessage) -> SyncMessage:
         """Return what this daemon knows beyond what the asking one does."""
--- a/camphorrun/gateway/tests/test_state.py
+++ b/camphorrun/gateway/tests/test_state.py
@@ -2,6 +2,10 @@
 
 import asyncio
 
+import msgspec
+
+from ...catalog import Record, RecordPage
+from ..errors import PeerError
 from .world import configuration, play, route
 
 
@@ -93,6 +97,34 @@
 
         play(scenario)
 
+    def test_new_process_asks_several_peers(self):
+        """Guards against a withdrawn key in use again after a restart.
+
+        One of the peers knows less than the process did before.
+        """
+
+        async def scenario(world):
+            old, new = world.daemons
+            world.store.fault = "busy"
+            tenants = [{"Name": "acc", "ApiKeys": ["other"], "Priority": 1}]
+            changed = configuration(2, Tenants=tenants)
+            record = Record("config", 1, msgspec.json.encode(changed))
+            page = RecordPage((record,), 2)
+            new.state.apply("keyed.op", page, "test")
+            old._peers._fetch = _fail
+            assert old.state.deployment.version == 1
+            seeds = tuple(d.settings.host.peers for d in (old, new))
+            for _ in range(3):
+                late = world.add_gateway("late", seeds)
+                await world.until(lambda d=late: d.state.ready)
+                assert late.state.deployment.version == 2
+
+        play(scenario, gateways=2)
+
+
+async def _fail(_address: str, _timeout_s: float) -> None:
+    raise PeerError("cut off")
+
 
 class TestBudget:
     """The share of the common retry budget."""
