--- a/camphorrun/gateway/stage_owner.py
+++ b/camphorrun/gateway/stage_owner.py
@@ -182,7 +182,8 @@
         """Return the wait to expect for a group that would come now."""
         now = self._timers.now()
         working = [w for w in self._current_workers() if w.paused_until <= now]
-        wait_s = self._queue.predicted_wait_s(group, len(working), now)
+        speed = sum(1.0 / max(1.0, worker.ratio) for worker in working)
+        wait_s = self._queue.predicted_wait_s(group, speed, now)
         return min(wait_s, MAX_WAIT_SECONDS)
 
     def reconfigure(self, capacity: StageCapacity) -> None:
--- a/camphorrun/gateway/tests/test_stages.py
+++ b/camphorrun/gateway/tests/test_stages.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from ..messages import PieceReply
 from .world import STAGE, STAGES, configuration, play
 
 STAGED = ("X-Model: m", "X-Pieces: 2,3", "X-Piece-Key: pk")
@@ -106,6 +107,120 @@
         play(scenario, stage=2)
 
 
+class TestShards:
+    """Owners for each availability zone."""
+
+    @staticmethod
+    async def grow(world) -> None:
+        """Add three replicas in each of two zones, and a gateway in the second one."""
+        for zone in ("z1", "z2"):
+            for _ in range(3):
+                replica = await world.add_replica("stage", Zone=zone)
+                world.stage_replicas.append(replica)
+        world.add_gateway("far", zone="z2")
+        for daemon in world.daemons:
+            await world.until(lambda d=daemon: len(d.state.members) == 2)
+            shards = daemon._stages._shards
+            await world.until(lambda s=shards: s.names("stage") == ["z1", "z2"])
+
+    def test_results_stay_in_the_zone(self):
+        """Guards against results of megabytes that are moved between zones."""
+
+        async def scenario(world):
+            await self.grow(world)
+            near, far = world.stage_replicas[:3], world.stage_replicas[3:]
+            for _ in range(4):
+                assert (await world.ask("/staged/x", *STAGED)).status == 200
+            assert not any(replica.stage_calls for replica in far)
+            made = sum(len(replica.stage_calls) for replica in near)
+            for _ in range(4):
+                answer = await world.ask("/staged/x", *STAGED, gateway=1)
+                assert answer.status == 200
+            assert sum(len(replica.stage_calls) for replica in near) == made
+            assert any(replica.stage_calls for replica in far)
+
+        play(scenario)
+
+    def test_zone_without_a_working_replica_is_left(self):
+        """Guards against requests refused while another zone is idle."""
+
+        async def scenario(world):
+            await self.grow(world)
+            for replica in world.stage_replicas[:3]:
+                world.store.put("keyed.servers", replica.identifier, None)
+            state = world.daemons[0].state
+            await world.until(lambda: len(state.replicas) == 4)
+            for _ in range(4):
+                assert (await world.ask("/staged/x", *STAGED)).status == 200
+            assert any(replica.stage_calls for replica in world.stage_replicas[3:])
+
+        play(scenario)
+
+    def test_backlog_moves_to_another_zone(self):
+        """Guards against a burst in one zone while the others are idle."""
+
+        async def scenario(world):
+            await self.grow(world)
+            for replica in world.stage_replicas[:3]:
+                replica.script.work_s = 0.4
+            first = [world.ask("/staged/x", *STAGED) for _ in range(12)]
+            await asyncio.gather(*first)
+            assert not any(r.stage_calls for r in world.stage_replicas[3:])
+            asked = [world.ask("/staged/x", *STAGED) for _ in range(40)]
+            await asyncio.gather(*asked)
+            assert any(replica.stage_calls for replica in world.stage_replicas[3:])
+
+        play(scenario)
+
+    def test_results_are_freed_at_their_makers(self):
+        """Guards against results that are released at the owner of another shard."""
+
+        async def scenario(world):
+            await self.grow(world)
+            assert (await world.ask("/staged/x", *STAGED)).status == 200
+            made = {r for replica in world.stage_replicas for r in replica.results}
+            await world.until(
+                lambda: made == {r for s in world.stage_replicas for r in s.released}
+            )
+
+        play(scenario)
+
+
+class TestTurningAway:
+    """Requests that are refused before anything is made."""
+
+    def test_later_stage_without_time(self):
+        """Guards against first stages made for requests that end at the second one."""
+
+        async def scenario(world):
+            stages = world.daemons[0]._stages
+
+            async def probe(_order) -> PieceReply:
+                return PieceReply({}, "", 5.0)
+
+            stages._calls.probe = probe
+            started_at = world.timers.now()
+            answer = await world.ask("/staged/x", *STAGED)
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0
+            assert world.timers.now() - started_at < 0.2
+            assert not items(world)
+
+        play(scenario, stage=1)
+
+    def test_first_stage_behind_a_backlog(self):
+        """Guards against requests that wait for a refusal that is certain."""
+
+        async def scenario(world):
+            world.stage_replicas[0].script.work_s = 0.3
+            asked = [world.ask("/staged/x", *STAGED) for _ in range(40)]
+            answers = await asyncio.gather(*asked)
+            reasons = [a.headers.get("x-reason") for a in answers if a.status == 503]
+            assert "stages_busy" in reasons
+
+        play(scenario, stage=1)
+
+
 class TestOwners:
     """One owner for each stage service."""
 
--- a/camphorrun/pipeline/batches.py
+++ b/camphorrun/pipeline/batches.py
@@ -156,16 +156,17 @@
         if self._groups:
             self._usual_fill += FILL_WEIGHT * (len(chosen) - self._usual_fill)
 
-    def predicted_wait_s(self, group: PieceGroup, replicas: int, now: float) -> float:
+    def predicted_wait_s(self, group: PieceGroup, speed: float, now: float) -> float:
         """Return when the last piece of a group that comes now would be taken.
 
         Groups that go before it count, late ones and less urgent ones don't. Where
         space binds, the waits of groups with results of the same size tell more.
+        ``speed`` is that of all replicas together, 1 for each that is as fast as usual.
         """
-        if not replicas:
+        if speed <= 0.0:
             return math.inf
         call_s = self.capacity.call_time_s(self.capacity.batch)
-        is_long = self._is_long(replicas)
+        is_long = self._is_long(speed)
         own = self._rank(group, is_long, now)
         ahead = sum(
             len(other.waiting)
@@ -173,7 +174,9 @@
             if self._rank(other, is_long, now) <= own
         )
         fill = max(1.0, min(self._usual_fill, float(self.capacity.batch)))
-        calls_s = (ahead + len(group.waiting)) / fill * call_s / replicas
+        calls = (ahead + len(group.waiting)) / fill / speed
+        # The calls in progress are half done, and the last one need not end.
+        calls_s = max(0.0, calls - 0.5) * call_s
         return max(
             calls_s, self.expected_wait_s(group.result_bytes, group.priority, now)
         )
@@ -231,14 +234,14 @@
         key = group.result_bytes, group.priority
         self._last_waits[key] = now - group.arrived_at, now
 
-    def backlog_s(self, replicas: int) -> float:
+    def backlog_s(self, replicas: float) -> float:
         """Return how long the replicas need for what waits now."""
         if not replicas:
             return math.inf
         calls = len(self) / self.capacity.batch
         return calls * self.capacity.call_time_s(self.capacity.batch) / replicas
 
-    def _is_long(self, replicas: int) -> bool:
+    def _is_long(self, replicas: float) -> bool:
         call_s = self.capacity.call_time_s(self.capacity.batch)
         return self.backlog_s(replicas) > LONG_BACKLOG_CALLS * call_s
 
--- a/camphorrun/pipeline/tests/test_batches.py
+++ b/camphorrun/pipeline/tests/test_batches.py
@@ -204,3 +204,83 @@
         by_arrival = self._served_in_time(order_by_arrival=True)
         chosen = self._served_in_time(order_by_arrival=False)
         assert chosen > by_arrival * 1.5
+
+
+class TestTurningAway:
+    """A burst of more pieces than can be made in time."""
+
+    @staticmethod
+    def replay(turns_away: bool) -> tuple[int, list[float]]:
+        """Return the groups made in time, and the waits of those that were not.
+
+        200 groups of two pieces come within 0.4 s to two replicas; each has one call of
+        four pieces at a time, which takes 0.24 s. They must be taken within 0.76 s.
+        """
+        queue = BatchQueue(StageCapacity(1, 2, 4, 0.2, 0.01, 10**9, 4.0))
+        free_at = [0.0, 0.0]
+        arrivals = [(0.002 * i, f"r{i}") for i in range(200)]
+        in_time, waits = 0, []
+        for step in range(1500):
+            now = step * 0.002
+            while arrivals and arrivals[0][0] <= now:
+                _, name = arrivals.pop(0)
+                group = new_group(name, now)
+                wait_s = queue.predicted_wait_s(group, 2, now)
+                if turns_away and queue.is_late(group, wait_s, now):
+                    waits.append(0.0)
+                else:
+                    queue.add(group)
+            waits.extend(now - g.arrived_at for g in queue.expire(2, now))
+            for replica in range(2):
+                if free_at[replica] <= now:
+                    batch = queue.next_batch(10**9, 2, now)
+                    if batch:
+                        free_at[replica] = now + 0.24
+                        taken = {g for g, _ in batch if not g.waiting}
+                        in_time += sum(g.latest_start(0.24) >= now for g in taken)
+        return in_time, sorted(waits)
+
+    def test_callers_learn_it_at_once_and_no_fewer_are_served(self):
+        """Guards against callers who wait for their refusal until they are late."""
+        queued, waits_before = self.replay(turns_away=False)
+        served, waits = self.replay(turns_away=True)
+        assert served >= queued
+        assert waits[len(waits) // 2] == 0.0
+        assert waits_before[len(waits_before) // 2] > 0.3
+
+    def test_nothing_is_turned_away_without_a_backlog(self):
+        """Guards against refusals while replicas are free."""
+        queue = BatchQueue(StageCapacity(1, 2, 4, 0.2, 0.01, 10**9, 4.0))
+        group = new_group("r", 0.0)
+        assert not queue.is_late(group, queue.predicted_wait_s(group, 1, 0.0), 0.0)
+
+    def test_more_urgent_groups_pass_a_backlog(self):
+        """Guards against urgent requests turned away for less urgent ones."""
+        queue = BatchQueue(StageCapacity(1, 2, 4, 0.2, 0.01, 10**9, 4.0))
+        for number in range(40):
+            queue.add(new_group(f"r{number}", 0.0, priority=2))
+        urgent, other = new_group("u", 0.0, priority=1), new_group("o", 0.0, priority=2)
+        assert queue.predicted_wait_s(urgent, 1, 0.0) < 0.5
+        assert queue.predicted_wait_s(other, 1, 0.0) > 4.0
+
+    def test_waits_for_space_count(self):
+        """Guards against predictions that see free replicas but not their space."""
+        queue = BatchQueue(StageCapacity(1, 2, 4, 0.2, 0.01, 10**9, 4.0))
+        queue.add(new_group("first", 0.0))
+        assert queue.predicted_wait_s(new_group("r", 0.6), 8, 0.6) >= 0.6
+
+
+def new_group(name: str, now: float, priority: int = 1) -> PieceGroup:
+    return PieceGroup(
+        name,
+        0,
+        "k",
+        None,
+        10,
+        priority,
+        now + 1.0,
+        now + 8.0,
+        0.0,
+        now,
+        waiting=deque([0, 1]),
+    )
