Check the new mechanisms by 25 mutations

Four survived at first: a stage call that waited for a connection, outdated knowledge of a reader, several peers at a start and other zones after an overloaded owner got sharper tests; all are caught.

--- a/camphorrun/gateway/tests/test_notices.py
+++ b/camphorrun/gateway/tests/test_notices.py
@@ -6,7 +6,9 @@
 
 from ...catalog import RecordPage
 from ...http1 import Headers, ResponseHead
-from ...platform import REPLICA_TOPIC, replica_notice
+from ...platform import REPLICA_TOPIC, StageItem, replica_notice
+from ..errors import ReplicaBarredError
+from ..stage_calls import make_results, read_free_space
 from .world import events, play
 
 
@@ -146,6 +148,25 @@
 
         play(scenario, stage=2)
 
+    def test_call_of_a_stage_that_waited_checks_again(self):
+        """Guards against a report that is asked of a replica after its notice."""
+
+        async def scenario(world):
+            replica = world.stage_replicas[0]
+            handle = world.daemons[0]._replicas.get(replica.identifier)
+            handle.pool._slots = asyncio.Semaphore(1)
+            replica.script.leaving = True
+            replica.script.work_s = 0.2
+            item = StageItem("r", 0, 0, 1.0, "k", None)
+            call = make_results(handle, [item], world.timers, 1.0)
+            report = read_free_space(handle, world.timers)
+            made, error = await asyncio.gather(call, report, return_exceptions=True)
+            assert made[0].handle
+            assert isinstance(error, ReplicaBarredError)
+            assert replica.reports == 0
+
+        play(scenario, stage=1)
+
 
 class TestPause:
     """A replica that rejects a request and wants a pause."""
--- a/camphorrun/gateway/tests/test_readers.py
+++ b/camphorrun/gateway/tests/test_readers.py
@@ -79,7 +79,9 @@
 
             reader._store.read_records = reader._store.list_records = fail
             others = [d for d in world.daemons if d is not reader]
-            await asyncio.sleep(0.2)
+            # Ends the read that waits at the store; the next one fails.
+            world.store.put("keyed.op", "config", configuration(2))
+            await world.until(lambda: reader.state.deployment.version == 2)
             world.store.put("keyed.op", "config", configuration(7))
             for daemon in [*others, reader]:
                 await world.until(lambda d=daemon: d.state.deployment.version == 7, 8.0)
--- a/camphorrun/gateway/tests/test_stages.py
+++ b/camphorrun/gateway/tests/test_stages.py
@@ -1,7 +1,9 @@
 """Tests of stages, their owners and the results."""
 
 import asyncio
+from unittest.mock import Mock
 
+from ..errors import StageError
 from ..messages import PieceReply
 from .world import STAGE, STAGES, configuration, play
 
@@ -172,6 +174,22 @@
 
         play(scenario)
 
+    def test_overloaded_owner_is_left_for_another_zone(self):
+        """Guards against requests refused by the first owner that is asked."""
+
+        async def scenario(world):
+            await self.grow(world)
+            assert (await world.ask("/staged/x", *STAGED)).status == 200
+            busy = StageError("backlog", code="busy", retry_after_s=1.0)
+            for daemon in world.daemons:
+                owner = daemon._stages._owners.get(("stage", "z1"))
+                if owner is not None:
+                    owner._check_wait = Mock(side_effect=busy)
+            assert (await world.ask("/staged/x", *STAGED)).status == 200
+            assert any(replica.stage_calls for replica in world.stage_replicas[3:])
+
+        play(scenario)
+
     def test_results_are_freed_at_their_makers(self):
         """Guards against results that are released at the owner of another shard."""
 
--- a/camphorrun/gateway/tests/test_state.py
+++ b/camphorrun/gateway/tests/test_state.py
@@ -114,10 +114,10 @@
             old._peers._fetch = _fail
             assert old.state.deployment.version == 1
             seeds = tuple(d.settings.host.peers for d in (old, new))
-            for _ in range(3):
-                late = world.add_gateway("late", seeds)
+            started = [world.add_gateway(f"late{i}", seeds) for i in range(8)]
+            for late in started:
                 await world.until(lambda d=late: d.state.ready)
-                assert late.state.deployment.version == 2
+            assert {late.state.deployment.version for late in started} == {2}
 
         play(scenario, gateways=2)
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -12,24 +12,14 @@
 import subprocess
 import sys
 import tempfile
-from dataclasses import dataclass
 from pathlib import Path
 
+from .mutations_fleet import FLEET_MUTATIONS, Mutation
+
 ROOT = Path(__file__).resolve().parent.parent
 TIMEOUT_SECONDS = 120
 
 
-@dataclass(frozen=True, slots=True)
-class Mutation:
-    """A mechanism, the text that switches it off, and the tests that must fail."""
-
-    mechanism: str
-    path: str
-    old: str
-    new: str
-    tests: str
-
-
 AGENT = "camphorrun/agent/tests/test_worker.py"
 ENTRY = "camphorrun/entry/tests/test_stage_runner.py"
 CLAIMS = "camphorrun/claims/tests"
@@ -513,7 +503,9 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--only", default="", help="part of a mechanism's name")
     args = parser.parse_args()
-    chosen = [each for each in MUTATIONS if args.only in each.mechanism]
+    chosen = [
+        each for each in MUTATIONS + FLEET_MUTATIONS if args.only in each.mechanism
+    ]
     bad = 0
     with tempfile.TemporaryDirectory() as directory:
         tree = Path(directory)
--- /dev/null
+++ b/tools/mutations_fleet.py
@@ -0,0 +1,204 @@
+"""Mutations of what carries a large fleet and servers in trouble.
+
+Run by ``python -m tools.mutations`` with those of the other mechanisms.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Mutation:
+    """A mechanism, the text that switches it off, and the tests that must fail."""
+
+    mechanism: str
+    path: str
+    old: str
+    new: str
+    tests: str
+
+
+NOTICES = "camphorrun/gateway/tests/test_notices.py"
+READERS = "camphorrun/gateway/tests/test_readers.py"
+SLOW = "camphorrun/gateway/tests/test_slow_streams.py"
+STAGES = "camphorrun/gateway/tests/test_stages.py"
+ENDLESS = "camphorrun/http1/tests/test_endless.py"
+BATCHES = "camphorrun/pipeline/tests/test_batches.py"
+STARTS = "camphorrun/admission/tests/test_starts.py"
+
+FLEET_MUTATIONS = (
+    Mutation(
+        "fleet: a replica that leaves gets no request",
+        "camphorrun/gateway/replicas.py",
+        "            advice.leaving_since = now\n",
+        "            pass\n",
+        NOTICES,
+    ),
+    Mutation(
+        "fleet: a replica that wants a pause gets nothing",
+        "camphorrun/gateway/replicas.py",
+        "advice.rest_until = max(advice.rest_until, now + notice.rest_s)",
+        "pass",
+        NOTICES,
+    ),
+    Mutation(
+        "fleet: a notice outlives the registration",
+        "camphorrun/gateway/replicas.py",
+        "advice = self._advice.get(replica.boot) or ReplicaAdvice()",
+        "advice = ReplicaAdvice()",
+        NOTICES,
+    ),
+    Mutation(
+        "fleet: what waited for a connection is checked again",
+        "camphorrun/gateway/attempts.py",
+        "            self._check_again(ctx, handle)\n",
+        "            pass\n",
+        f"{NOTICES} {READERS}",
+    ),
+    Mutation(
+        "fleet: stage calls are checked again",
+        "camphorrun/gateway/stage_calls.py",
+        "        handle.check()\n",
+        "        pass\n",
+        NOTICES,
+    ),
+    Mutation(
+        "fleet: a rejection of another request is not believed",
+        "camphorrun/gateway/attempts.py",
+        "    return facts.own or (facts.anonymous and conn.requests == 1)",
+        "    return True",
+        NOTICES,
+    ),
+    Mutation(
+        "fleet: results of an earlier answer are not used",
+        "camphorrun/gateway/stage_calls.py",
+        "        if not handle.results.add(made):",
+        "        if False:",
+        NOTICES,
+    ),
+    Mutation(
+        "fleet: heads and framing of answers are bounded",
+        "camphorrun/http1/client.py",
+        "        if not self._complete and self._is_oversized():",
+        "        if False:",
+        f"{ENDLESS} -k connection_is_closed",
+    ),
+    Mutation(
+        "fleet: heads and framing of requests are bounded",
+        "camphorrun/http1/server.py",
+        "        if self._overhead > self.server.limits.header_bytes:",
+        "        if False:",
+        f"{ENDLESS} -k Callers",
+    ),
+    Mutation(
+        "fleet: what callers send ahead is bounded",
+        "camphorrun/http1/server.py",
+        "            self._transport.pause_reading()",
+        "            pass",
+        f"{ENDLESS} -k ahead",
+    ),
+    Mutation(
+        "fleet: events are bounded",
+        "camphorrun/gateway/events.py",
+        "        if len(self._pending) > MAX_EVENT_BYTES:",
+        "        if False:",
+        SLOW,
+    ),
+    Mutation(
+        "fleet: bytes without events are no progress",
+        "camphorrun/gateway/answers.py",
+        "            if any(event_id(event) for event in events):",
+        "            if True:",
+        SLOW,
+    ),
+    Mutation(
+        "fleet: a stalled stream is kept if nothing pays for another attempt",
+        "camphorrun/gateway/answers.py",
+        "            watch.may_move = False\n",
+        '            raise AttemptFailedError("stalled", not_run=False)\n',
+        SLOW,
+    ),
+    Mutation(
+        "fleet: a stream cut in the middle of an event is broken",
+        "camphorrun/gateway/answers.py",
+        "        if buffer.rest and not conn.framed:",
+        "        if False:",
+        SLOW,
+    ),
+    Mutation(
+        "fleet: a caller that reads nothing holds no replica",
+        "camphorrun/gateway/answers.py",
+        "            await bounded(self._timers, responder.drain(), left_s)",
+        "            await responder.drain()",
+        SLOW,
+    ),
+    Mutation(
+        "fleet: one gateway of a zone reads the store",
+        "camphorrun/gateway/zone_readers.py",
+        "            if await self._ask(address):",
+        "            if False:",
+        READERS,
+    ),
+    Mutation(
+        "fleet: knowledge that the store did not confirm lately is not taken",
+        "camphorrun/gateway/zone_readers.py",
+        "        if not _is_fresh(answer):",
+        "        if False:",
+        READERS,
+    ),
+    Mutation(
+        "fleet: members without a partition move to another topic",
+        "camphorrun/gateway/store_sync.py",
+        "        self._member_topics += 1\n",
+        "        pass\n",
+        READERS,
+    ),
+    Mutation(
+        "fleet: nothing is served after a pause before it is confirmed",
+        "camphorrun/gateway/store_sync.py",
+        "        self._state.doubt()\n",
+        "        pass\n",
+        READERS,
+    ),
+    Mutation(
+        "fleet: a new process asks several peers",
+        "camphorrun/gateway/peers.py",
+        "BOOTSTRAP_PEERS = 5",
+        "BOOTSTRAP_PEERS = 1",
+        "camphorrun/gateway/tests/test_state.py",
+    ),
+    Mutation(
+        "fleet: stages are made in the zone of the request",
+        "camphorrun/pipeline/forecasts.py",
+        "(0.0 if shard == home else HOME_WAIT_SECONDS)",
+        "0.0",
+        STAGES,
+    ),
+    Mutation(
+        "fleet: a backlog moves work to another zone",
+        "camphorrun/gateway/stage_runner.py",
+        "MAX_SHARDS = 3",
+        "MAX_SHARDS = 1",
+        STAGES,
+    ),
+    Mutation(
+        "fleet: what a backlog makes late is turned away",
+        "camphorrun/pipeline/batches.py",
+        "        return bool(self._groups) and now + wait_s > latest_at",
+        "        return False",
+        f"{BATCHES} {STAGES}",
+    ),
+    Mutation(
+        "fleet: waits of later stages are asked before a request starts",
+        "camphorrun/gateway/stage_runner.py",
+        "            self._forecasts.note(*key, reply.wait_s, now=self._timers.now())",
+        "            pass",
+        STAGES,
+    ),
+    Mutation(
+        "fleet: no more repeats than callers who were turned away",
+        "camphorrun/admission/starts.py",
+        "        expected.popleft()\n        return True",
+        "        return True",
+        STARTS,
+    ),
+)
