--- a/camphorrun/core/request_story.py
+++ b/camphorrun/core/request_story.py
@@ -6,9 +6,20 @@
 import msgspec
 
 # Beliefs without a subject of their own; the newest of each counts.
-_GENERAL = ("configuration", "members", "store_lost", "store_regained", "drain")
+_GENERAL = (
+    "configuration",
+    "members",
+    "store_lost",
+    "store_regained",
+    "store_reader",
+    "paused",
+    "drain",
+)
 # Fields by which beliefs about replicas and requests are joined.
 _REPLICA = "replica"
+_SERVICE = "service"
+# A notice of any replica of a service tells why a request found none.
+_NOTICE = "replica_notice"
 _OWN_FIELDS = ("at", "host", "event", "request", "requests", "dropped_lines")
 
 
@@ -107,13 +118,17 @@
 def _known(events: list[dict], decisions: list[dict]) -> list[dict]:
     """Return the newest belief of each subject before the first decision."""
     replicas = {event[_REPLICA] for event in decisions if _REPLICA in event}
+    services = {event[_SERVICE] for event in decisions if _SERVICE in event}
     newest: dict[tuple[str, str], dict] = {}
     for event in events:
         if event["at"] > decisions[0]["at"]:
             break
         replica = event.get(_REPLICA, "")
-        is_belief = event["event"] in ("replica", "replica_health")
-        if event["event"] in _GENERAL or (is_belief and replica in replicas):
+        concerns = replica in replicas
+        if event["event"] == _NOTICE:
+            concerns = event.get(_SERVICE) in services
+        is_belief = event["event"] in ("replica", "replica_health", _NOTICE)
+        if event["event"] in _GENERAL or (is_belief and concerns):
             newest[event["event"], replica] = event
     return list(newest.values())
 
--- a/camphorrun/core/tests/test_request_story.py
+++ b/camphorrun/core/tests/test_request_story.py
@@ -63,3 +63,18 @@
     def test_any_lines(self, lines):
         """Guards against a traceback for a log that is cut or foreign."""
         render_story("r1", tell_story("r1", lines))
+
+    def test_notices_of_replicas_of_the_service(self):
+        """Guards against a refusal whose reason is missing from its story."""
+        lines = [
+            line(
+                "edge", 1.0, "replica_notice", replica="i", service="s", says="resting"
+            ),
+            line(
+                "edge", 1.0, "replica_notice", replica="j", service="t", says="leaving"
+            ),
+            line("edge", 1.5, "accepted", request="r", service="s"),
+            line("edge", 1.6, "end", request="r", code="replicas_resting"),
+        ]
+        (story,) = tell_story("r", lines)
+        assert [belief["replica"] for belief in story.known] == ["i"]
