--- a/camphorrun/http1/tests/test_server.py
+++ b/camphorrun/http1/tests/test_server.py
@@ -188,3 +188,35 @@
 
         received = asyncio.run(scenario())
         assert b"0\r\n\r\n" not in received
+
+
+class TestUnsentAnswers:
+    """Answers that a caller has not read yet."""
+
+    def test_connection_with_unsent_bytes_is_in_use(self):
+        """Guards against a stop that cuts the end of an answer to a slow caller."""
+        body = b"b" * 8_000_000
+
+        async def scenario():
+            async def handle(_req, responder):
+                responder.respond(200, Headers(), body)
+
+            server = HttpServer(handle, LoopTimerService())
+            port = await server.start("127.0.0.1", 0)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            async with asyncio.timeout(2):
+                while not server.connections:
+                    await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            unsent = server.active
+            head = await reader.readuntil(b"\r\n\r\n")
+            read = await reader.readexactly(len(body))
+            async with asyncio.timeout(2):
+                while server.active:
+                    await asyncio.sleep(0.01)
+            writer.close()
+            server.close()
+            return unsent, head[:15], read == body
+
+        assert asyncio.run(scenario()) == (1, b"HTTP/1.1 200 OK", True)
--- a/tools/mutations_fleet.py
+++ b/tools/mutations_fleet.py
@@ -201,4 +201,11 @@
         "        return True",
         STARTS,
     ),
+    Mutation(
+        "fleet: a connection with unsent bytes is in use",
+        "camphorrun/http1/server.py",
+        "self._message_at is None and not self._unsent_bytes",
+        "self._message_at is None",
+        "camphorrun/http1/tests/test_server.py",
+    ),
 )
