Withhold releases from draining replicas without trying again

A release that was withheld because its replica drains was queued again every 10 ms until the registration was gone. The test failed before.

--- a/camphorrun/gateway/stage_owner.py
+++ b/camphorrun/gateway/stage_owner.py
@@ -524,11 +524,11 @@
         pending, self._to_release = self._to_release, {}
         for address, handles in pending.items():
             handle = self._replicas.at_address(address)
-            if handle is None or handle.barred_by == "leaving":
-                continue
-            if handle.barred_by == "resting":
+            barred_by = handle.barred_by if handle is not None else "gone"
+            if barred_by == "resting":
                 self._release_after_rest(handle, handles)
-            else:
+            elif not barred_by:
+                # Others end soon, and their results with them.
                 self._spawn(self._release_at(handle, handles))
 
     def _release_after_rest(self, handle: ReplicaHandle, handles: list[str]) -> None:
--- a/camphorrun/gateway/tests/test_stages.py
+++ b/camphorrun/gateway/tests/test_stages.py
@@ -204,6 +204,28 @@
         play(scenario)
 
 
+class TestReleases:
+    """Results that are not needed any more."""
+
+    def test_draining_replica_is_not_asked_for_ever(self):
+        """Guards against a release that is tried again each time it is withheld."""
+
+        async def scenario(world):
+            assert (await world.ask("/staged/x", *STAGED)).status == 200
+            replica = world.stage_replicas[0]
+            entry = replica.registration("stage", State="draining")
+            world.store.put("keyed.servers", replica.identifier, entry)
+            handle = world.daemons[0]._replicas.get(replica.identifier)
+            await world.until(lambda: not handle.takes_work)
+            owner = world.daemons[0]._stages._owners["stage", ""]
+            owner._send_releases = Mock(wraps=owner._send_releases)
+            owner.release([f"{replica.address}/1"])
+            await asyncio.sleep(0.2)
+            assert owner._send_releases.call_count <= 1
+
+        play(scenario, stage=1)
+
+
 class TestTurningAway:
     """Requests that are refused before anything is made."""
 
