--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -275,10 +275,10 @@
     Mutation(
         "gateway: only whole events reach the caller",
         "camphorrun/gateway/events.py",
-        "        *events, self._pending = (self._pending + data).split(EVENT_END)\n"
-        "        return [event + EVENT_END for event in events]",
-        "        return [data]",
-        f"{GATEWAY}/test_requests.py",
+        "        while (end := self._pending.find(EVENT_END, self._searched)) >= 0:\n"
+        "            end += len(EVENT_END)\n",
+        "        while end := len(self._pending):\n",
+        GATEWAY,
     ),
     Mutation(
         "gateway: a stream resumes after the caller's last event",
@@ -318,9 +318,9 @@
     Mutation(
         "gateway: draining replicas get no new work",
         "camphorrun/gateway/replicas.py",
-        "return self.replica.state is ReplicaState.READY",
-        "return True",
-        f"{GATEWAY}/test_state.py",
+        "if self.replica.state is not ReplicaState.READY or self.pool.closed:",
+        "if False:",
+        GATEWAY,
     ),
     Mutation(
         "gateway: a deleted history is replaced by a listing",
@@ -391,7 +391,7 @@
     Mutation(
         "late requests come after those in time",
         "camphorrun/pipeline/batches.py",
-        "return start_at < now, urgency, is_elsewhere(group), start_at",
+        "return late, urgency, is_elsewhere(group), start_at",
         "return False, urgency, is_elsewhere(group), start_at",
         "camphorrun/pipeline/tests/test_batches.py",
     ),
