--- a/camphorrun/gateway/tests/test_notices.py
+++ b/camphorrun/gateway/tests/test_notices.py
@@ -185,6 +185,10 @@
                 asks = [world.ask(path) for _ in range(6)]
                 assert {a.status for a in await asyncio.gather(*asks)} == {200}
                 await asyncio.sleep(0.3)
+            # The other one rejects as well, and does not ask for a pause.
+            world.replicas[1].script.answer = "full"
+            for _ in range(3):
+                assert (await world.ask(path)).status == 503
             assert resting.asked <= 1
 
         play(scenario, plain=2)
