--- a/tools/panel_report.py
+++ b/tools/panel_report.py
@@ -148,4 +148,5 @@
     data = io.BytesIO()
     figure.savefig(data, format="png", bbox_inches="tight")
     plt.close(figure)
-    return f'<img src="data:image/png;base64,{base64.b64encode(data.getvalue()).decode()}">'
+    encoded = base64.b64encode(data.getvalue()).decode()
+    return f'<img src="data:image/png;base64,{encoded}">'
