--- a/camphorrun/catalog/records.py
+++ b/camphorrun/catalog/records.py
@@ -1,19 +1,58 @@
 """Newest records by key, from the store or from peers, that never go back.
 
-Every record carries the offset that the store gave it. A record replaces only one with
-a lower offset, whatever way it came, so stale replies and late peers do no harm.
+Every record carries the position that the store gave it: an era, which rises each time
+the store comes back from an older copy of itself, and an offset within the era. Within
+an era the higher offset is newer. A new era gives offsets out again and may hold older
+records than those already known, so across eras the writer's own rank decides: the
+version of a configuration, start and sequence of a replica. A record without a rank,
+and one of equal rank, yields to the higher era.
+
+What a copy of the store lost is written again by its writers. Until then the records of
+earlier eras stay in force; those that are not written again are dropped by `forget`.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 
 @dataclass(frozen=True, slots=True)
 class Record:
-    """The newest known record of a key; an empty value means that it was removed."""
+    """The newest known record of a key; an empty value means that it was removed.
+
+    Attributes
+    ----------
+    era : int
+        Era of the store in which the record was read; 0 if the store has none.
+    rank : tuple of int
+        Order that the writer itself gives its records, empty if unknown; that of a
+        removal is the rank of the record that was removed.
+    """
 
     key: str
     offset: int
     value: bytes
+    era: int = 0
+    rank: tuple[int, ...] = ()
+
+    def supersedes(self, known: "Record") -> bool:
+        """Return whether this record takes the place of a known one of its key.
+
+        Examples
+        --------
+        >>> lost = Record("k", 9, b"v7", era=1, rank=(7,))
+        >>> copy = Record("k", 4, b"v5", era=2, rank=(5,))
+        >>> copy.supersedes(lost), lost.supersedes(copy)
+        (False, True)
+        >>> Record("k", 5, b"v7", era=2, rank=(7,)).supersedes(lost)
+        True
+        """
+        if self.era == known.era:
+            return self.offset > known.offset
+        if self.rank and known.rank and self.rank != known.rank:
+            return self.rank > known.rank
+        if self.rank and self.rank == known.rank and not known.value:
+            # A copy lists again what had been removed.
+            return not self.value and self.era > known.era
+        return self.era > known.era
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,13 +60,15 @@
     """Records with the offset up to which they are complete.
 
     ``complete`` means that the reader has reached the end; ``is_listing`` that the page
-    holds all keys, so that a key it lacks was removed.
+    holds all keys, so that a key it lacks was removed, unless it is known from an
+    earlier ``era``.
     """
 
     records: tuple[Record, ...]
     end: int
     complete: bool = True
     is_listing: bool = False
+    era: int = 0
 
 
 class RecordView:
@@ -35,8 +76,10 @@
 
     Attributes
     ----------
-    end : int
-        Offset up to which all records are known; 0 if nothing is.
+    era, end : int
+        Position up to which all records are known; 0 if nothing is.
+    unwritten : set of str
+        Keys in force of which the present era of the store has no record yet.
 
     Examples
     --------
@@ -49,14 +92,16 @@
     (b'x', 4)
     """
 
-    __slots__ = ("_listed_at", "_records", "end", "known")
+    __slots__ = ("_listed_at", "_records", "end", "era", "known", "unwritten")
 
     def __init__(self):
         self._records: dict[str, Record] = {}
         # Removals before the last listing are not known.
         self._listed_at = 0
+        self.era = 0
         self.end = 0
         self.known = False
+        self.unwritten: set[str] = set()
 
     def get(self, key: str) -> Record | None:
         """Return the newest record of a key; None if it was removed or never was."""
@@ -68,39 +113,102 @@
         return [record for record in self._records.values() if record.value]
 
     def apply(self, page: RecordPage) -> list[str]:
-        """Take over newer records; return the keys that changed."""
+        """Take over newer records; return the keys that changed.
+
+        The first page of a new era must be a listing: no other one says what the era
+        holds, so it is left out until a listing has come.
+        """
+        if self.known and page.era > self.era and not page.is_listing:
+            return []
+        if page.era < self.era:
+            return self._merge(page)
+        if page.era > self.era:
+            self._enter(page.era)
         records = self._completed(page) if page.is_listing else page.records
         changed = [record.key for record in records if self._store(record)]
         self.known = True
         self.end = max(self.end, page.end)
         return changed
 
+    def forget(self, key: str) -> bool:
+        """Remove a key that was not written again; return whether it was in force."""
+        self.unwritten.discard(key)
+        known = self.get(key)
+        if known is None or known.era == self.era:
+            return False
+        # Whatever the present era still brings is newer, and nothing earlier is.
+        self._records[key] = Record(key, -1, b"", self.era)
+        return True
+
+    def since(self, end: int, limit: int, era: int = 0) -> RecordPage:
+        """Return records at or after a position, oldest first, for a peer.
+
+        Records that the present era lacks are always among them. A peer at another era
+        gets everything, removals too, because it can't tell what it misses.
+        """
+        if era != self.era:
+            records = tuple(self._records.values())
+            return RecordPage(records, self.end, is_listing=True, era=self.era)
+        if end < self._listed_at:
+            live = tuple(self.live())
+            return RecordPage(live, self.end, is_listing=True, era=self.era)
+        records = self._records.values()
+        held = tuple(record for record in records if record.era != self.era)
+        newer = sorted(
+            (r for r in records if r.era == self.era and r.offset >= end),
+            key=lambda record: record.offset,
+        )
+        if len(newer) <= limit:
+            return RecordPage((*held, *newer), self.end, era=self.era)
+        end = newer[limit - 1].offset + 1
+        return RecordPage((*held, *newer[:limit]), end, False, era=self.era)
+
+    def _enter(self, era: int) -> None:
+        """Begin a new era: what is in force has no record there yet."""
+        self.era = era
+        self.end = self._listed_at = 0
+        self.unwritten = {record.key for record in self.live()}
+
+    def _merge(self, page: RecordPage) -> list[str]:
+        """Take over what a page of an earlier era knows better.
+
+        Its end and the keys that it lacks say nothing about the present era.
+        """
+        changed = []
+        for record in page.records:
+            is_unknown = record.key not in self._records
+            if is_unknown and not (record.rank and record.value):
+                continue
+            if self._store(record):
+                changed.append(record.key)
+        return changed
+
     def _completed(self, page: RecordPage) -> tuple[Record, ...]:
         """Add removals of the keys that a listing lacks, unless they are newer."""
         self._listed_at = max(self._listed_at, page.end)
         listed = {record.key for record in page.records}
         missing = [
-            Record(key, page.end - 1, b"")
+            replace(record, offset=page.end - 1, value=b"")
             for key, record in self._records.items()
-            if key not in listed and record.value and record.offset < page.end
+            if key not in listed
+            and record.value
+            and record.era == page.era
+            and record.offset < page.end
         ]
         return (*page.records, *missing)
 
-    def since(self, end: int, limit: int) -> RecordPage:
-        """Return records at or after an offset, oldest first, for a peer."""
-        if end < self._listed_at:
-            return RecordPage(tuple(self.live()), self.end, is_listing=True)
-        newer = sorted(
-            (record for record in self._records.values() if record.offset >= end),
-            key=lambda record: record.offset,
-        )
-        if len(newer) <= limit:
-            return RecordPage(tuple(newer), self.end)
-        return RecordPage(tuple(newer[:limit]), newer[limit - 1].offset + 1, False)
-
     def _store(self, record: Record) -> bool:
+        """Take over a record if it is newer; return whether its value changed."""
+        is_present = record.era == self.era
+        if is_present:
+            self.unwritten.discard(record.key)
         known = self._records.get(record.key)
-        if known is not None and known.offset >= record.offset:
-            return False
+        if known is not None:
+            if not record.supersedes(known):
+                return False
+            if not record.value and not record.rank:
+                record = replace(record, rank=known.rank)
         self._records[record.key] = record
-        return known is None or known.value != record.value
+        if record.value and not is_present:
+            self.unwritten.add(record.key)
+        return (known.value if known is not None else b"") != record.value
--- /dev/null
+++ b/camphorrun/catalog/tests/test_eras.py
@@ -0,0 +1,263 @@
+"""State machine of a store that comes back from copies, its readers and their peers."""
+
+from unittest.mock import patch
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from .. import Record, RecordPage, RecordView
+
+CONFIG = "config"
+REPLICAS = ("r0", "r1", "r2")
+# Two readers of the store, and a follower that only hears its peers.
+VIEWS = 3
+READERS = 2
+# Distinct states below which the machine does not explore enough to prove anything.
+LEAST_STATES = 500
+SETTINGS = settings(
+    max_examples=250,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    report_multiple_bugs=False,
+    # A shrunk example is worth minutes by hand only.
+    phases=[Phase.explicit, Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+
+replica_names = st.sampled_from(REPLICAS)
+reader_numbers = st.integers(0, READERS - 1)
+view_numbers = st.integers(0, VIEWS - 1)
+
+
+class _Store:
+    """One keyed topic whose writers are the operator and the replicas."""
+
+    def __init__(self):
+        self.era = 1
+        self.log: list[tuple[str, bytes, tuple[int, ...]]] = []
+
+    def write(self, key: str, value: bytes, rank: tuple[int, ...]) -> None:
+        self.log.append((key, value, rank))
+
+    def records(self, start: int) -> list[Record]:
+        return [
+            Record(key, offset, value, self.era, rank if value else ())
+            for offset, (key, value, rank) in enumerate(self.log)
+            if offset >= start
+        ]
+
+    def listing(self) -> RecordPage:
+        newest = {record.key: record for record in self.records(0)}
+        live = tuple(record for record in newest.values() if record.value)
+        return RecordPage(live, len(self.log), is_listing=True, era=self.era)
+
+    def read(self, start: int) -> RecordPage:
+        return RecordPage(tuple(self.records(start)), len(self.log), era=self.era)
+
+
+class EraMachine(RuleBasedStateMachine):
+    """Nothing reverts, nothing withdrawn returns, what is rewritten takes effect."""
+
+    states: set = set()
+
+    @initialize()
+    def begin(self):
+        self.store = _Store()
+        self.copy = []
+        self.version = 0
+        # Boot and sequence of each replica; whether it is in service, drains or left.
+        self.written = dict.fromkeys(REPLICAS, (1, 0))
+        self.status = dict.fromkeys(REPLICAS, b"ready")
+        self.lost = set()
+        self.views = [RecordView() for _ in range(VIEWS)]
+        self.seen = [{} for _ in range(VIEWS)]
+        self.late: list[RecordPage] = []
+        self.publish()
+        for name in REPLICAS:
+            self.report(name)
+
+    # Writers
+
+    @rule()
+    def publish(self):
+        self.version += 1
+        self._write_config()
+
+    @rule(name=replica_names)
+    def report(self, name):
+        boot, sequence = self.written[name]
+        if self.status[name]:
+            self.written[name] = boot, sequence + 1
+            self._write_replica(name)
+
+    @rule(name=replica_names)
+    def drain(self, name):
+        if self.status[name]:
+            self.status[name] = b"draining"
+            self.report(name)
+
+    @rule(name=replica_names)
+    def leave(self, name):
+        if self.status[name]:
+            self.status[name] = b""
+            self._write_replica(name)
+
+    @rule(name=replica_names)
+    def restart(self, name):
+        boot, _ = self.written[name]
+        self.written[name] = boot + 1, 0
+        self.status[name] = b"ready"
+        self.report(name)
+
+    def _write_config(self):
+        self.lost.discard(CONFIG)
+        self.store.write(CONFIG, b"v%d" % self.version, (self.version,))
+
+    def _write_replica(self, name):
+        self.lost.discard(name)
+        self.store.write(name, self.status[name], self.written[name])
+
+    # The store
+
+    @rule()
+    def take_copy(self):
+        self.copy = list(self.store.log)
+
+    @rule()
+    def restore(self):
+        if len(self.store.log) - len(self.copy) > 0:
+            self.lost |= {key for key, _, _ in self.store.log[len(self.copy) :]}
+        self.store.log = list(self.copy)
+        self.store.era += 1
+
+    @rule()
+    def write_again(self):
+        for key in sorted(self.lost):
+            self._write_config() if key == CONFIG else self._write_replica(key)
+
+    # Readers and peers
+
+    @rule(number=reader_numbers)
+    def poll(self, number):
+        view = self.views[number]
+        if not view.known or view.era < self.store.era:
+            self._apply(number, self.store.listing())
+        else:
+            self._apply(number, self.store.read(view.end))
+
+    @rule(listing=st.booleans())
+    def delay_answer(self, listing):
+        page = self.store.listing() if listing else self.store.read(0)
+        self.late = [*self.late[-2:], page]
+
+    @rule(number=reader_numbers)
+    def deliver_late(self, number):
+        if self.late:
+            self._apply(number, self.late.pop())
+
+    @rule(asked=view_numbers, asking=view_numbers)
+    def ask_peer(self, asked, asking):
+        view, peer = self.views[asking], self.views[asked]
+        if peer.known:
+            start = view.end if view.known else 0
+            self._apply(asking, peer.since(start, 100, view.era))
+
+    @rule(number=view_numbers)
+    def restart_process(self, number):
+        """Start a process that asks its peers before it serves."""
+        self.views[number] = RecordView()
+        self.seen[number] = {}
+        for other in range(VIEWS):
+            if other != number:
+                self.ask_peer(other, number)
+
+    def _apply(self, number: int, page: RecordPage) -> None:
+        self.views[number].apply(page)
+
+    # Promises
+
+    @invariant()
+    def nothing_reverts(self):
+        for view, seen in zip(self.views, self.seen, strict=True):
+            for key in (CONFIG, *REPLICAS):
+                record = view._records.get(key)
+                if record is None:
+                    continue
+                known = seen.get(key, ((), True))
+                now = record.rank, bool(record.value)
+                assert not now[0] or now[0] >= known[0], (key, known, now)
+                if known[0] == now[0] and not known[1]:
+                    assert not record.value, f"{key} is used after it was removed"
+                seen[key] = max(known[0], now[0]), now[1]
+        summary = tuple(
+            (view.era, tuple((r.key, r.era, r.value) for r in view.live()))
+            for view in self.views
+        )
+        EraMachine.states.add((self.store.era, self.version, summary))
+
+    def teardown(self):
+        """Check that what is written again takes effect, and that the rest ends."""
+        self.write_again()
+        for name in REPLICAS:
+            self.report(name)
+        for number in range(READERS):
+            self.poll(number)
+            self.poll(number)
+        self.ask_peer(0, 2)
+        for view in self.views:
+            for name in REPLICAS:
+                if name in view.unwritten:
+                    view.forget(name)
+            assert view.get(CONFIG).value == b"v%d" % self.version
+            for name in REPLICAS:
+                record = view.get(name)
+                assert (record.value if record else b"") == self.status[name], name
+
+
+def _by_offset(self: Record, known: Record) -> bool:
+    return self.offset > known.offset
+
+
+def _believe_late(self: RecordView, page: RecordPage) -> list[str]:
+    changed = [record.key for record in page.records]
+    self._records.update({record.key: record for record in page.records})
+    return changed
+
+
+def _believe_listing(self: RecordView, era: int) -> None:
+    self.era = era
+    self.end = self._listed_at = 0
+    self._records.clear()
+
+
+class TestEras:
+    """The machine, and faults that it must find."""
+
+    def test_promises(self):
+        """Guards against knowledge that goes back with the store."""
+        EraMachine.states.clear()
+        run_state_machine_as_test(EraMachine, settings=SETTINGS)
+        print(f"{len(EraMachine.states)} distinct states")
+        assert len(EraMachine.states) >= LEAST_STATES
+
+    @pytest.mark.parametrize(
+        ("owner", "name", "fault"),
+        [
+            (Record, "supersedes", _by_offset),
+            (RecordView, "_merge", _believe_late),
+            (RecordView, "_enter", _believe_listing),
+        ],
+    )
+    def test_fault_is_found(self, owner, name, fault):
+        """Guards against a machine that would pass whatever the view does."""
+        with patch.object(owner, name, fault), pytest.raises(AssertionError):
+            run_state_machine_as_test(EraMachine, settings=SETTINGS)
--- a/camphorrun/gateway/front.py
+++ b/camphorrun/gateway/front.py
@@ -98,10 +98,10 @@
             status, retry_after_s = (502, 0.0) if sent else (503, DRAIN_RETRY_SECONDS)
             self._refuse(responder, attempt_id, status, code, retry_after_s)
         finally:
-            del self._running[task]
+            ctx = self._running.pop(task)
             if route_name and code not in ENDED_CODES:
                 self._returns.expect(route_name, self._timers.now())
-            self._note_end(req, attempt_id, route_name, code)
+            self._note_end(req, attempt_id, route_name, code, ctx)
 
     def refuse_new(self) -> None:
         """Refuse further requests, because they might not end before the process."""
@@ -114,13 +114,25 @@
             task.cancel()
 
     def _note_end(
-        self, req: ServerRequest, attempt_id: str, route: str, code: str
+        self,
+        req: ServerRequest,
+        attempt_id: str,
+        route: str,
+        code: str,
+        ctx: RequestContext | None,
     ) -> None:
+        begun_at = ctx.begun_at if ctx is not None else 0.0
         seconds = self._timers.now() - req.received_at
         self._metrics.outcomes.labels("gateway", code, "").inc()
         self._metrics.request_seconds.labels("").observe(seconds)
         self._events.request(
-            "end", attempt_id, route=route, code=code, seconds=round(seconds, 4)
+            "end",
+            attempt_id,
+            route=route,
+            code=code,
+            seconds=round(seconds, 4),
+            # Time of the first event of the answer, 0 if there was none.
+            begun_s=round(begun_at - req.received_at, 4) if begun_at else 0.0,
         )
 
     def _refuse(
@@ -169,6 +181,7 @@
             service=ctx.service,
             account=ctx.account,
             version=deployment.version,
+            era=self._state.era,
             deadline_s=caller.deadline_s,
             pieces=list(caller.pieces),
         )
--- a/camphorrun/gateway/messages.py
+++ b/camphorrun/gateway/messages.py
@@ -2,23 +2,29 @@
 
 import msgspec
 
-SCHEMA_VERSION = 2
+SCHEMA_VERSION = 3
 
 
 class RecordMessage(msgspec.Struct, array_like=True):
-    """One record of the store."""
+    """One record of the store; daemons before schema 3 send neither era nor rank."""
 
     key: str
     offset: int
     value: bytes
+    era: int = 0
+    rank: tuple[int, ...] = ()
 
 
 class TopicMessage(msgspec.Struct):
-    """Records of a topic up to an offset; without records a question for newer ones."""
+    """Records of a topic up to a position; without records a question for newer ones.
+
+    ``era`` is 0 from daemons before schema 3.
+    """
 
     end: int
     records: list[RecordMessage] = []
     is_listing: bool = False
+    era: int = 0
 
 
 class SyncMessage(msgspec.Struct):
--- a/camphorrun/gateway/peers.py
+++ b/camphorrun/gateway/peers.py
@@ -189,7 +189,13 @@
         return others or list(self._seeds)
 
     async def exchange_records(self) -> None:
-        """Ask a random peer for newer records, for ever."""
+        """Ask several peers at the start, then a random one at a time, for ever.
+
+        After a return from an older copy the store may lack what peers still know, so
+        a new process serves nothing before it has asked.
+        """
+        await self._bootstrap(self.addresses())
+        self._state.peers_asked = True
         while True:
             urgent = self._is_urgent()
             await self._timers.sleep(URGENT_SYNC_SECONDS if urgent else SYNC_SECONDS)
@@ -246,7 +252,7 @@
 
     async def _fetch(self, address: str, timeout_s: float) -> SyncMessage:
         topics = {
-            name: TopicMessage(view.end if view.known else -1)
+            name: TopicMessage(view.end if view.known else -1, era=view.era)
             for name, view in self._state.views.items()
         }
         data = await self.link(address).call("/sync", SyncMessage(topics), timeout_s)
@@ -258,9 +264,7 @@
     def _take(self, answer: SyncMessage, address: str) -> None:
         for name, topic in answer.topics.items():
             if name in self._state.views and topic.end >= 0:
-                records = tuple(Record(r.key, r.offset, r.value) for r in topic.records)
-                page = RecordPage(records, topic.end, is_listing=topic.is_listing)
-                self._state.apply(name, page, address)
+                self._state.apply(name, _page(topic), address)
 
     def answer_sync(self, question: SyncMessage) -> SyncMessage:
         """Return what this daemon knows beyond what the asking one does."""
@@ -269,9 +273,12 @@
             view = self._state.views.get(name)
             if view is None or not view.known:
                 continue
-            page = view.since(max(0, asked.end), MAX_RECORDS)
-            records = [RecordMessage(r.key, r.offset, r.value) for r in page.records]
-            topics[name] = TopicMessage(page.end, records, page.is_listing)
+            page = view.since(max(0, asked.end), MAX_RECORDS, asked.era)
+            records = [
+                RecordMessage(r.key, r.offset, r.value, r.era, r.rank)
+                for r in page.records
+            ]
+            topics[name] = TopicMessage(page.end, records, page.is_listing, page.era)
         ages_s = self._state.ages_s(self._timers.now())
         return SyncMessage(topics, list(self._state.members), ages_s)
 
@@ -287,6 +294,13 @@
                 self._links.pop(address).close()
 
 
+def _page(topic: TopicMessage) -> RecordPage:
+    records = tuple(
+        Record(r.key, r.offset, r.value, r.era, r.rank) for r in topic.records
+    )
+    return RecordPage(records, topic.end, is_listing=topic.is_listing, era=topic.era)
+
+
 class PeerService:
     """Answers the calls of other gateways."""
 
--- a/camphorrun/gateway/state.py
+++ b/camphorrun/gateway/state.py
@@ -18,6 +18,9 @@
 
 Listener = Callable[[], None]
 
+# A replica whose entry the store lost writes it again within two seconds of the store's
+# return, if it lives and reaches it; polls of the store take up to another second.
+REWRITE_SECONDS = 3.0
 # Bounds a line of the log; the count tells the rest.
 MAX_NAMED_MEMBERS = 8
 
@@ -33,6 +36,8 @@
         Registered replicas by identifier.
     members : tuple of str
         Daemons that share the work, sorted, this one included.
+    peers_asked : bool
+        Whether the peers that are known at the start were asked for their records.
     """
 
     def __init__(self, member: str, metrics: Metrics, events: EventLog):
@@ -40,9 +45,12 @@
         self.deployment: Deployment | None = None
         self.replicas: dict[str, Replica] = {}
         self.members: tuple[str, ...] = (member,)
+        self.peers_asked = False
         self.views = {CONFIGURATION_TOPIC: RecordView(), REPLICA_TOPIC: RecordView()}
         # When the store last confirmed what is known of a topic.
         self._confirmed_at: dict[str, float] = {}
+        # When a replica was first missing from the present era of the store.
+        self._missing_since: dict[str, float] = {}
         self._doubted: set[str] = set()
         self._metrics = metrics
         self._events = events
@@ -54,7 +62,7 @@
     def ready(self) -> bool:
         """Whether requests can be served."""
         known = self.deployment is not None and self.views[REPLICA_TOPIC].known
-        return known and not self.doubted
+        return known and self.peers_asked and not self.doubted
 
     @property
     def doubted(self) -> bool:
@@ -69,6 +77,11 @@
         """Serve with what is known."""
         self._doubted.clear()
 
+    @property
+    def era(self) -> int:
+        """Era of the store from which the registrations are known."""
+        return self.views[REPLICA_TOPIC].era
+
     def subscribe(
         self,
         *,
@@ -86,12 +99,51 @@
 
     def apply(self, topic: str, page: RecordPage, source: str) -> None:
         """Take over records that were read from the store or from a peer."""
-        self._changed(topic, self.views[topic].apply(page), source)
+        view = self.views[topic]
+        era, was_known = view.era, view.known
+        if page.era < era:
+            self._metrics.drops.labels("old_era").inc()
+        changed = view.apply(page)
+        if view.era != era and was_known:
+            self._note_era(topic, era, source)
+        self._changed(topic, changed, source)
+
+    def _note_era(self, topic: str, earlier: int, source: str) -> None:
+        view = self.views[topic]
+        self._metrics.store_returns.inc()
+        self._events.belief(
+            "store_era",
+            topic=topic,
+            era=view.era,
+            earlier=earlier,
+            unwritten=len(view.unwritten),
+            source=source,
+        )
 
     def confirm(self, topic: str, at: float) -> None:
         """Note that what is known of a topic was the store's at a time."""
         self._confirmed_at[topic] = max(at, self._confirmed_at.get(topic, at))
         self._doubted.discard(topic)
+        if topic == REPLICA_TOPIC:
+            self._forget_missing(self._confirmed_at[topic])
+
+    def _forget_missing(self, confirmed_at: float) -> None:
+        """Drop replicas that did not register again after the store lost their entry.
+
+        The time is that of the store's answers, so it stands still while the store is
+        away once more. Configurations stay in force until there is a newer one.
+        """
+        view = self.views[REPLICA_TOPIC]
+        since = self._missing_since
+        self._missing_since = {
+            key: since.get(key, confirmed_at) for key in view.unwritten
+        }
+        gone = [
+            key
+            for key, at in self._missing_since.items()
+            if confirmed_at - at >= REWRITE_SECONDS and view.forget(key)
+        ]
+        self._changed(REPLICA_TOPIC, gone, "not registered again")
 
     def ages_s(self, now: float) -> dict[str, float]:
         """Return the seconds since the store confirmed each topic."""
--- a/camphorrun/gateway/store_sync.py
+++ b/camphorrun/gateway/store_sync.py
@@ -31,6 +31,12 @@
 # The lease grows with the group, so that the joins of a large one stay few; a member
 # that is gone is noticed sooner by those who call it.
 LEASE_SECONDS_PER_MEMBER = 0.1
+# Codes after which the positions that are known say nothing, and a topic is listed.
+VOID_CODES = frozenset({"trimmed", "new_era"})
+# Codes of answers that are dropped because of their era.
+ERA_FAULTS = frozenset({"old_era", "bad_era"})
+# Members join again within this time of the store's return, each at its own moment.
+REJOIN_SECONDS = 0.5
 # How long after a pause requests wait at most for knowledge that is confirmed anew.
 DOUBT_SECONDS = 1.0
 
@@ -66,6 +72,8 @@
         self._rng = Random(seed)
         self._generation = 0
         self._members_generation = 0
+        self._joined_era = 0
+        self._keep_members_until = float("-inf")
         self._empty_joins = 0
         self._member_topics = 1
         self.failing_since: dict[str, float] = {}
@@ -115,7 +123,27 @@
                 self._regained("members")
             except StoreError as exc:
                 self._lost("members", exc)
-            await self._timers.sleep(self._lease_s / JOINS_PER_TTL)
+            await self._wait_for_next_join()
+
+    async def _wait_for_next_join(self) -> None:
+        """Wait for a share of the lease, or until shortly after the store's return."""
+        next_at = self._timers.now() + self._lease_s / JOINS_PER_TTL
+        while self._timers.now() < next_at:
+            if self._store.era > self._joined_era:
+                self._rejoin()
+                next_at = self._timers.now() + REJOIN_SECONDS * self._rng.random()
+            left_s = next_at - self._timers.now()
+            await self._timers.sleep(min(REJOIN_SECONDS, max(0.0, left_s)))
+
+    def _rejoin(self) -> None:
+        """Begin anew: the store may have lost the group and its members.
+
+        Members that are missing now are kept for a lease, in which they join again.
+        """
+        self._joined_era = self._store.era
+        self._generation = 0
+        self._members_generation = -1
+        self._keep_members_until = self._timers.now() + self._lease_s
 
     async def leave(self) -> None:
         """Leave the group, so that others take over the work at once."""
@@ -140,7 +168,10 @@
         if self._readers.following or joined.generation == self._members_generation:
             return
         members = await self._store.members(GROUP)
-        self._members_generation = joined.generation
+        if self._timers.now() < self._keep_members_until:
+            members = (*members, *self._state.members)
+        else:
+            self._members_generation = joined.generation
         self._state.set_members(members)
 
     def _note_partitions(self, count: int) -> None:
@@ -156,14 +187,14 @@
         """Read one page; return whether the reader is up to date."""
         view = self._state.views[topic]
         try:
-            if not view.known:
+            if not view.known or view.era < self._store.era:
                 await self._list(topic)
                 return True
             asked_at = self._timers.now()
-            page = await self._store.read_records(topic, view.end, wait_s)
+            page = await self._store.read_records(topic, view.era, view.end, wait_s)
         except StoreError as exc:
-            if exc.code == "trimmed":
-                return await self._list_after_trim(topic)
+            if exc.code in VOID_CODES:
+                return await self._list_again(topic)
             await self._after_failure(topic, exc)
             return False
         self._regained(topic)
@@ -173,7 +204,7 @@
             self._state.confirm(topic, self._timers.now() if wait_s else asked_at)
         return page.complete
 
-    async def _list_after_trim(self, topic: str) -> bool:
+    async def _list_again(self, topic: str) -> bool:
         try:
             await self._list(topic)
         except StoreError as exc:
@@ -184,6 +215,8 @@
     async def _list(self, topic: str) -> None:
         asked_at = self._timers.now()
         page = await self._store.list_records(topic)
+        if page.era < self._state.views[topic].era:
+            raise StoreError(f"{topic}: listing of era {page.era}", code="old_era")
         self._regained(topic)
         self._state.apply(topic, page, "store")
         self._state.confirm(topic, asked_at)
@@ -194,6 +227,8 @@
 
     def _lost(self, topic: str, exc: StoreError) -> None:
         self._metrics.retries.labels("store").inc()
+        if exc.code in ERA_FAULTS:
+            self._metrics.drops.labels(exc.code).inc()
         if topic not in self.failing_since:
             self.failing_since[topic] = self._timers.now()
             self._events.belief(
--- /dev/null
+++ b/camphorrun/gateway/tests/test_eras.py
@@ -0,0 +1,259 @@
+"""Tests of a store that comes back from an older copy of itself."""
+
+import asyncio
+
+import pytest
+
+from ...platform import CONFIGURATION_TOPIC, REPLICA_TOPIC
+from ..store_sync import CONFIGURATION_WAIT_SECONDS
+from .world import configuration, play
+
+OLD_KEY = "Api-Key: key-1"
+NEW_KEY = "Api-Key: key-2"
+# Longer than a poll of the registrations and the exchange with a peer.
+SETTLE_SECONDS = 1.3
+
+
+def with_key(version: int, key: str) -> dict:
+    return configuration(
+        version, Tenants=[{"Name": "acc", "ApiKeys": [key], "Priority": 1}]
+    )
+
+
+async def write_again(world, lost) -> None:
+    for topic, key, value in lost:
+        world.store.put(topic, key, value or None)
+
+
+async def era_known(world, era: int) -> None:
+    for daemon in world.daemons:
+        views = daemon.state.views.values()
+        await world.until(lambda v=views: all(view.era == era for view in v))
+
+
+class TestConfiguration:
+    """Configurations that the copy of the store lacks."""
+
+    def test_withdrawn_key_stays_withdrawn(self):
+        """Guards against a key in use again because a copy has the old configuration.
+
+        The copy gives the offset of the lost configuration out again, to an entry that
+        says nothing of it.
+        """
+
+        async def scenario(world):
+            copied_at = world.timers.now()
+            world.store.put(CONFIGURATION_TOPIC, "config", with_key(2, "key-2"))
+            for daemon in world.daemons:
+                await world.until(lambda d=daemon: d.state.deployment.version == 2)
+            lost = world.store.restore(copied_at)
+            world.store.put(CONFIGURATION_TOPIC, "other", b"{}")
+            await era_known(world, 2)
+            for gateway in range(2):
+                asked = [
+                    world.ask("/safe/x", key, gateway=gateway)
+                    for key in (OLD_KEY, NEW_KEY)
+                ]
+                answers = await asyncio.gather(*asked)
+                assert [a.status for a in answers] == [401, 200]
+            await write_again(world, lost)
+            world.store.put(CONFIGURATION_TOPIC, "config", with_key(3, "key-1"))
+            for daemon in world.daemons:
+                await world.until(lambda d=daemon: d.state.deployment.version == 3)
+            assert (await world.ask("/safe/x", OLD_KEY)).status == 200
+
+        play(scenario, gateways=2)
+
+    def test_rewritten_configuration_takes_effect(self):
+        """Guards against a newer version taken for old because its offset is lower."""
+
+        async def scenario(world):
+            for version in range(2, 12):
+                world.store.put(CONFIGURATION_TOPIC, "config", configuration(version))
+            state = world.daemons[0].state
+            await world.until(lambda: state.deployment.version == 11)
+            world.store.restore(0.0)
+            world.store.put(CONFIGURATION_TOPIC, "config", configuration(12))
+            await world.until(lambda: state.deployment.version == 12, 2.0)
+
+        play(scenario)
+
+    def test_new_process_believes_its_peers(self):
+        """Guards against a withdrawn key in use at a process that starts in the gap."""
+
+        async def scenario(world):
+            copied_at = world.timers.now()
+            world.store.put(CONFIGURATION_TOPIC, "config", with_key(2, "key-2"))
+            await world.until(lambda: world.daemons[0].state.deployment.version == 2)
+            world.store.restore(copied_at)
+            await era_known(world, 2)
+            seed = world.daemons[0].settings.host.peers
+            late = world.add_gateway("late", (seed,))
+            await world.until(lambda: late.state.ready)
+            answer = await world.ask("/safe/x", OLD_KEY, gateway=1)
+            assert answer.status == 401
+
+        play(scenario)
+
+
+class TestReplicas:
+    """Registrations that the copy of the store lacks, or has once more."""
+
+    def test_lost_registration_stays_in_use_until_it_is_written_again(self):
+        """Guards against requests refused because a copy lacks a working replica."""
+
+        async def scenario(world):
+            copied_at = world.timers.now()
+            second = await world.add_replica("plain")
+            state = world.daemons[0].state
+            await world.until(lambda: second.identifier in state.replicas)
+            lost = world.store.restore(copied_at)
+            await era_known(world, 2)
+            assert second.identifier in state.replicas
+            await write_again(world, lost)
+            await asyncio.sleep(SETTLE_SECONDS)
+            assert state.views[REPLICA_TOPIC].unwritten == set()
+            assert second.identifier in state.replicas
+
+        play(scenario)
+
+    def test_registration_that_is_not_written_again_ends(self):
+        """Guards against a replica in use for ever that the store does not know."""
+
+        async def scenario(world):
+            copied_at = world.timers.now()
+            second = await world.add_replica("plain")
+            state = world.daemons[0].state
+            await world.until(lambda: second.identifier in state.replicas)
+            world.store.restore(copied_at)
+            await era_known(world, 2)
+            await world.until(lambda: second.identifier not in state.replicas)
+            assert (await world.ask("/safe/x")).status == 200
+
+        play(scenario)
+
+    def test_replica_that_left_is_not_used_again(self):
+        """Guards against a replica in use again because a copy still lists it."""
+
+        async def scenario(world):
+            gone = world.replicas[0]
+            copied_at = world.timers.now()
+            world.store.put(REPLICA_TOPIC, gone.identifier, None)
+            state = world.daemons[0].state
+            await world.until(lambda: gone.identifier not in state.replicas)
+            world.store.restore(copied_at)
+            await era_known(world, 2)
+            assert gone.identifier not in state.replicas
+            for _ in range(4):
+                assert (await world.ask("/safe/x")).status == 200
+            assert not gone.asked
+            # It lives after all: it writes what the copy can't have.
+            entry = gone.registration("plain", Sequence=9)
+            world.store.put(REPLICA_TOPIC, gone.identifier, entry)
+            await world.until(lambda: gone.identifier in state.replicas)
+
+        play(scenario, plain=2)
+
+    def test_draining_replica_gets_nothing(self):
+        """Guards against work for a replica that was draining before the return."""
+
+        async def scenario(world):
+            leaving = world.replicas[0]
+            copied_at = world.timers.now()
+            entry = leaving.registration("plain", State="draining", Sequence=5)
+            world.store.put(REPLICA_TOPIC, leaving.identifier, entry)
+            state = world.daemons[0].state
+            await world.until(
+                lambda: state.replicas[leaving.identifier].state.value == "draining"
+            )
+            world.store.restore(copied_at)
+            await era_known(world, 2)
+            for _ in range(4):
+                assert (await world.ask("/safe/x")).status == 200
+            assert not leaving.asked
+
+        play(scenario, plain=2)
+
+
+class TestAnswers:
+    """Eras that can't be true."""
+
+    @pytest.mark.parametrize("text", ["", "two", "-1", "1", "99999", "9" * 30])
+    def test_answer_with_a_wrong_era_is_dropped(self, text):
+        """Guards against positions taken from an answer of another store."""
+
+        async def scenario(world):
+            world.store.restore(world.timers.now())
+            await era_known(world, 2)
+            daemon = world.daemons[0]
+            world.store.era_field = text
+            world.store.put(CONFIGURATION_TOPIC, "config", configuration(9))
+            await world.until(lambda: daemon._sync.failing_since)
+            assert daemon.state.deployment.version == 1
+            assert (await world.ask("/safe/x")).status == 200
+            world.store.era_field = None
+            await world.until(lambda: daemon.state.deployment.version == 9)
+            codes = {"old_era", "bad_era"}
+            drops = {
+                sample.labels["reason"]
+                for metric in daemon.metrics.registry.collect()
+                for sample in metric.samples
+                if sample.value and sample.name.endswith("drops_total")
+            }
+            assert drops & codes
+
+        play(scenario)
+
+
+class TestGroup:
+    """Members that the copy of the store lacks."""
+
+    def test_members_are_kept_and_join_again(self):
+        """Guards against owners that change while the group joins again."""
+
+        async def scenario(world):
+            before = [daemon.state.members for daemon in world.daemons]
+            seen = set()
+            for daemon in world.daemons:
+                daemon.state.subscribe(members=lambda d=daemon: seen.add(d))
+            world.store.restore(0.0)
+            world.store.put(CONFIGURATION_TOPIC, "config", configuration())
+            await era_known(world, 2)
+            await world.until(lambda: len(world.store._members) == 3, 2.0)
+            await asyncio.sleep(SETTLE_SECONDS)
+            assert [daemon.state.members for daemon in world.daemons] == before
+            assert not seen
+
+        play(scenario, gateways=3)
+
+    def test_one_reader_of_the_zone_lists(self):
+        """Guards against a fleet that lists the store at the same moment."""
+
+        async def scenario(world):
+            # The reads that all gateways began before they knew each other must end.
+            await asyncio.sleep(CONFIGURATION_WAIT_SECONDS + 0.2)
+            world.store.calls.clear()
+            world.store.restore(world.timers.now())
+            await era_known(world, 2)
+            await asyncio.sleep(SETTLE_SECONDS)
+            # Six gateways would list two topics each.
+            assert world.store.calls["/log-newest"] <= 4
+
+        play(scenario, gateways=6)
+
+    def test_returns_in_a_row(self):
+        """Guards against knowledge of one return that is lost by the next one."""
+
+        async def scenario(world):
+            copied_at = world.timers.now()
+            world.store.put(CONFIGURATION_TOPIC, "config", with_key(2, "key-2"))
+            for daemon in world.daemons:
+                await world.until(lambda d=daemon: d.state.deployment.version == 2)
+            for era in (2, 3, 4):
+                world.store.restore(copied_at)
+                await era_known(world, era)
+            for gateway in range(2):
+                answer = await world.ask("/safe/x", OLD_KEY, gateway=gateway)
+                assert answer.status == 401
+
+        play(scenario, gateways=2)
--- a/camphorrun/gateway/tests/test_notices.py
+++ b/camphorrun/gateway/tests/test_notices.py
@@ -302,7 +302,7 @@
     async def scenario(world):
         daemon = world.daemons[0]
         handle = daemon._replicas.get(world.replicas[0].identifier)
-        page = RecordPage((), 1_000_000, is_listing=True)
+        page = RecordPage((), 1_000_000, is_listing=True, era=1)
         daemon.state.apply(REPLICA_TOPIC, page, "test")
         assert daemon._replicas.get(world.replicas[0].identifier) is None
         handle.hear(ResponseHead(200, b"", Headers([(b"Server-Leaving", b"1")])))
--- a/camphorrun/gateway/tests/test_state.py
+++ b/camphorrun/gateway/tests/test_state.py
@@ -108,8 +108,8 @@
             world.store.fault = "busy"
             tenants = [{"Name": "acc", "ApiKeys": ["other"], "Priority": 1}]
             changed = configuration(2, Tenants=tenants)
-            record = Record("config", 1, msgspec.json.encode(changed))
-            page = RecordPage((record,), 2)
+            record = Record("config", 1, msgspec.json.encode(changed), era=1)
+            page = RecordPage((record,), 2, era=1)
             new.state.apply("keyed.op", page, "test")
             old._peers._fetch = _fail
             assert old.state.deployment.version == 1
--- a/camphorrun/gateway/tests/world.py
+++ b/camphorrun/gateway/tests/world.py
@@ -1,6 +1,7 @@
 """A small deployment on loopback: store, replicas and gateways in one loop."""
 
 import asyncio
+import random
 import socket
 from dataclasses import dataclass, field
 
@@ -19,6 +20,7 @@
 HOST = "a.example"
 KEY = "key-1"
 READY_SECONDS = 5.0
+FREE_PORTS = (20_000, 32_000)
 
 
 def route(name: str, prefix: str, kind: str, service: str, **fields) -> dict:
@@ -162,6 +164,9 @@
     async def until(self, condition, seconds: float = READY_SECONDS) -> None:
         async with asyncio.timeout(seconds):
             while not _holds(condition):
+                for task in self.tasks:
+                    if task.done():
+                        task.result()
                 await asyncio.sleep(0.01)
 
     async def connect(self, gateway: int = 0) -> ClientConnection:
@@ -225,10 +230,19 @@
 
 
 def _free_addresses(count: int) -> list[str]:
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    found = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return addresses that are free, below the ports of outgoing connections.
+
+    Another port could be taken by a connection before the gateway listens there.
+    """
+    found: list[str] = []
+    while len(found) < count:
+        port = random.randint(*FREE_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        address = f"127.0.0.1:{port}"
+        if address not in found:
+            found.append(address)
     return found
--- a/camphorrun/gateway/zone_readers.py
+++ b/camphorrun/gateway/zone_readers.py
@@ -85,6 +85,10 @@
         if not _is_fresh(answer):
             self._metrics.drops.labels("reader_outdated").inc()
             return False
+        if self._is_behind(answer):
+            # It polls the store as often as this gateway asks, so it learns it next.
+            self._metrics.drops.labels("reader_behind").inc()
+            return True
         now = self._timers.now()
         for topic, age_s in answer.ages_s.items():
             self._state.confirm(topic, now - max(0.0, age_s))
@@ -92,6 +96,14 @@
             self._state.set_members(tuple(answer.members))
         return True
 
+    def _is_behind(self, answer: SyncMessage) -> bool:
+        """Return whether a reader has not noticed yet that the store came back."""
+        return any(
+            answer.topics[topic].era < view.era
+            for topic, view in self._state.views.items()
+            if topic in answer.topics
+        )
+
     def _set_reader(self, address: str) -> None:
         if address != self._reader:
             self._reader = address
--- a/camphorrun/metrics/registry.py
+++ b/camphorrun/metrics/registry.py
@@ -67,6 +67,11 @@
         self.reconnects = self._counter(
             "reconnects", "Links replaced, by reason.", ("reason",)
         )
+        self.store_returns = self._counter(
+            "store_returns",
+            "Returns of the store from an older copy, by topic read.",
+            (),
+        )
         self.config_records = self._counter(
             "config_records", "Configuration records read, by result.", ("result",)
         )
--- a/camphorrun/platform/__init__.py
+++ b/camphorrun/platform/__init__.py
@@ -33,12 +33,8 @@
     encode_space_question,
     encode_stage_call,
 )
-from .store import (
-    CONFIGURATION_KEY,
-    CONFIGURATION_TOPIC,
-    REPLICA_TOPIC,
-    StoreClient,
-)
+from .store import StoreClient
+from .topics import CONFIGURATION_KEY, CONFIGURATION_TOPIC, REPLICA_TOPIC
 
 __all__ = [
     "CONFIGURATION_KEY",
--- a/camphorrun/platform/errors.py
+++ b/camphorrun/platform/errors.py
@@ -7,7 +7,10 @@
     """A call to the store gave no usable answer.
 
     Codes: ``unavailable`` (nothing was done), ``uncertain`` (the call may have been
-    executed, or may be later), ``trimmed`` (the records asked for were deleted).
+    executed, or may be later), ``trimmed`` (the records asked for were deleted),
+    ``new_era`` (the store came back from a copy, earlier positions are void),
+    ``old_era`` (an answer from before that), ``bad_era`` (an answer whose era is
+    missing or can't be true).
     """
 
     default_code = "unavailable"
--- /dev/null
+++ b/camphorrun/platform/ranks.py
@@ -0,0 +1,38 @@
+"""Order that the writers of records give them, apart from the store's offsets."""
+
+import msgspec
+
+from .topics import CONFIGURATION_KEY, CONFIGURATION_TOPIC, REPLICA_TOPIC
+
+
+class _Version(msgspec.Struct):
+    version: int = msgspec.field(name="Version")
+
+
+class _Sequence(msgspec.Struct):
+    sequence: int = msgspec.field(name="Sequence", default=0)
+    # Start of this boot in Unix milliseconds.
+    born: int = 0
+
+
+def record_rank(topic: str, key: str, value: bytes) -> tuple[int, ...]:
+    """Return the rank of a record, empty if it has none or can't be read.
+
+    Examples
+    --------
+    >>> record_rank("keyed.op", "config", b'{"Version": 7}')
+    (7,)
+    >>> record_rank("keyed.servers", "i-1", b'{"Sequence": 4, "born": 99}')
+    (99, 4)
+    >>> record_rank("keyed.servers", "i-1", b"")
+    ()
+    """
+    try:
+        if topic == CONFIGURATION_TOPIC and key == CONFIGURATION_KEY:
+            return (msgspec.json.decode(value, type=_Version).version,)
+        if topic == REPLICA_TOPIC:
+            entry = msgspec.json.decode(value, type=_Sequence)
+            return entry.born, entry.sequence
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return ()
+    return ()
--- a/camphorrun/platform/store.py
+++ b/camphorrun/platform/store.py
@@ -14,11 +14,9 @@
 from ..catalog import Record, RecordPage
 from ..core import TimerService, bounded
 from ..http1 import ClientConnection, ConnectionPool, HttpError
+from .eras import StoreEra
 from .errors import StoreError
-
-CONFIGURATION_TOPIC = "keyed.op"
-REPLICA_TOPIC = "keyed.servers"
-CONFIGURATION_KEY = "config"
+from .ranks import record_rank
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 CALL_TIMEOUT_SECONDS = 1.5
@@ -83,26 +81,39 @@
         self._address = address
         self._pool = ConnectionPool(host, int(port), timers)
         self._timers = timers
+        self._era = StoreEra()
+        # Connections with a call in progress.
+        self._waiting: set[ClientConnection] = set()
         self.calls = 0
 
+    @property
+    def era(self) -> int:
+        """Highest era of the store's answers, 0 if they have none."""
+        return self._era.number
+
     async def read_records(
-        self, topic: str, offset: int, wait_s: float = 0.0
+        self, topic: str, era: int, offset: int, wait_s: float = 0.0
     ) -> RecordPage:
-        """Return the records of a keyed topic from ``offset`` on.
+        """Return the records of a keyed topic from a position on.
 
         Raises
         ------
         StoreError
-            With code ``trimmed`` if the records were deleted; list the topic instead.
+            With code ``trimmed`` if the records were deleted, or ``new_era`` if the
+            store came back from a copy; list the topic instead.
         """
         query = {"Topic": topic, "part": 0, "From": offset}
         if wait_s > 0:
             query["WaitMs"] = int(wait_s * 1000)
-        status, body = await self._call("GET", "/log-read", query, wait_s=wait_s)
+        status, body, found = await self._call("GET", "/log-read", query, wait_s=wait_s)
+        if found < era:
+            raise StoreError(f"store: era {found} < {era}", code="old_era")
+        if found > era:
+            raise StoreError(f"{topic}: positions are void", code="new_era")
         if status == 410:
             raise StoreError(f"{topic}: records deleted", code="trimmed")
         self._check(status, body)
-        return _decode_records(body, offset)
+        return _decode_records(topic, era, body, offset)
 
     async def list_records(self, topic: str) -> RecordPage:
         """Return the newest record of each key.
@@ -111,22 +122,21 @@
         meanwhile is read again from there.
         """
         records: list[Record] = []
-        end = None
+        end = era = None
         after = ""
         for _ in range(MAX_PAGES):
             query = {"Topic": topic, "part": 0}
             if after:
                 query["After"] = after
-            status, body = await self._call("GET", "/log-newest", query)
+            status, body, found = await self._call("GET", "/log-newest", query)
             self._check(status, body)
+            if era not in (None, found):
+                raise StoreError(f"{topic}: pages of two eras", code="new_era")
             page = _decode(body, _Newest)
-            end = page.end if end is None else end
-            records.extend(
-                Record(item.key, item.offset, base64.b64decode(item.value))
-                for item in page.items
-            )
+            end, era = page.end if end is None else end, found
+            records.extend(_listed(topic, era, item) for item in page.items)
             if not page.has_more or not page.items:
-                return RecordPage(tuple(records), end, is_listing=True)
+                return RecordPage(tuple(records), end, is_listing=True, era=era)
             after = page.items[-1].key
         raise StoreError(f"{topic}: more than {MAX_PAGES} pages")
 
@@ -141,7 +151,7 @@
             "TtlMs": int(ttl_s * 1000),
             "Generation": generation,
         }
-        status, answer = await self._call("POST", "/log-join", {}, body)
+        status, answer, _ = await self._call("POST", "/log-join", {}, body)
         self._check(status, answer)
         joined = _decode(answer, _Joined)
         return Membership(joined.generation, len(joined.parts))
@@ -149,12 +159,12 @@
     async def leave(self, group: str, member: str) -> None:
         """Leave a group."""
         body = {"group": group, "Member": member}
-        status, answer = await self._call("POST", "/log-leave", {}, body)
+        status, answer, _ = await self._call("POST", "/log-leave", {}, body)
         self._check(status, answer)
 
     async def members(self, group: str) -> tuple[str, ...]:
         """Return the members that own a partition of the group's topics, sorted."""
-        status, body = await self._call("GET", "/log-owners", {"group": group})
+        status, body, _ = await self._call("GET", "/log-owners", {"group": group})
         self._check(status, body)
         # Rows are topic, partition, member and offset.
         rows = _owner_rows(_decode(body, object))
@@ -167,7 +177,7 @@
         query: dict[str, object],
         body: object = None,
         wait_s: float = 0.0,
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, bytes, int]:
         target = f"{path}?{urlencode(query)}" if query else path
         data = b"" if body is None else msgspec.json.encode(body)
         head = f"{method} {target} HTTP/1.1\r\nHost: {self._address}\r\n"
@@ -178,6 +188,8 @@
             conn = await self._pool.acquire(CONNECT_TIMEOUT_SECONDS)
         except HttpError as exc:
             raise StoreError(f"store: {exc}") from exc
+        era = self.era
+        self._waiting.add(conn)
         try:
             # A connection that lost one answer returns nothing further, so any
             # failure closes it.
@@ -186,22 +198,35 @@
             )
         except (HttpError, TimeoutError) as exc:
             conn.abort()
-            raise StoreError(f"store: {path}: {exc!r}", code="uncertain") from exc
+            code = "new_era" if self.era > era > 0 else "uncertain"
+            raise StoreError(f"store: {path}: {exc!r}", code=code) from exc
         except BaseException:
             conn.abort()
             raise
         finally:
+            self._waiting.discard(conn)
             self._pool.release(conn)
 
     async def _exchange(
         self, conn: ClientConnection, data: bytes, timeout_s: float
-    ) -> tuple[int, bytes]:
-        async def exchange() -> tuple[int, bytes]:
+    ) -> tuple[int, bytes, int]:
+        """Return status, body and era of an answer."""
+
+        async def exchange() -> tuple[int, bytes, int]:
             head = await conn.request(data)
-            return head.status, await conn.read_all(MAX_ANSWER_BYTES)
+            known = self.era
+            era = self._era.take(head)
+            if era > known > 0:
+                self._abandon(conn)
+            return head.status, await conn.read_all(MAX_ANSWER_BYTES), era
 
         return await bounded(self._timers, exchange(), timeout_s)
 
+    def _abandon(self, conn: ClientConnection) -> None:
+        """End the other calls: they wait for a store that is gone."""
+        for other in self._waiting - {conn}:
+            other.abort()
+
     @staticmethod
     def _check(status: int, body: bytes) -> None:
         if status != 200:
@@ -225,7 +250,13 @@
     return [row for row in answer if isinstance(row, list)]
 
 
-def _decode_records(body: bytes, offset: int) -> RecordPage:
+def _listed(topic: str, era: int, item: _Item) -> Record:
+    value = base64.b64decode(item.value)
+    rank = record_rank(topic, item.key, value)
+    return Record(item.key, item.offset, value, era, rank)
+
+
+def _decode_records(topic: str, era: int, body: bytes, offset: int) -> RecordPage:
     """Return the records of a read: positions, then length, key and value of each."""
     if len(body) < _POSITIONS.size:
         raise StoreError("store: short read", code="uncertain")
@@ -239,19 +270,20 @@
         if len(content) < size:
             raise StoreError("store: record cut off", code="uncertain")
         position += size
-        record = _decode_record(content, offset)
+        record = _decode_record(topic, era, content, offset)
         if record is not None:
             records.append(record)
         offset += 1
-    return RecordPage(tuple(records), offset, offset >= end)
+    return RecordPage(tuple(records), offset, offset >= end, era=era)
 
 
-def _decode_record(content: bytes, offset: int) -> Record | None:
+def _decode_record(topic: str, era: int, content: bytes, offset: int) -> Record | None:
     """Return the keyed record; None if its bytes have no readable key."""
     if not content or len(content) < 1 + content[0]:
         return None
-    key = content[1 : 1 + content[0]]
     try:
-        return Record(key.decode(), offset, content[1 + content[0] :])
+        key = content[1 : 1 + content[0]].decode()
     except UnicodeDecodeError:
         return None
+    value = content[1 + content[0] :]
+    return Record(key, offset, value, era, record_rank(topic, key, value))
--- a/camphorrun/platform/tests/test_store.py
+++ b/camphorrun/platform/tests/test_store.py
@@ -36,7 +36,7 @@
             store.put(REPLICA_TOPIC, "a", {"x": 1})
             store.put(REPLICA_TOPIC, "b", {"x": 2})
             store.put(REPLICA_TOPIC, "a", None)
-            read = await client.read_records(REPLICA_TOPIC, 0)
+            read = await client.read_records(REPLICA_TOPIC, 1, 0)
             listed = await client.list_records(REPLICA_TOPIC)
             return read, listed
 
@@ -51,7 +51,7 @@
         """Guards against a change that waits for the next poll."""
 
         async def scenario(store, client):
-            task = asyncio.ensure_future(client.read_records("keyed.op", 0, 3.0))
+            task = asyncio.ensure_future(client.read_records("keyed.op", 1, 0, 3.0))
             await asyncio.sleep(0.05)
             store.put("keyed.op", "config", {"Version": 1})
             return await task
@@ -64,7 +64,7 @@
         async def scenario(store, client):
             store.put("keyed.op", "config", {})
             store.drop_history("keyed.op")
-            await client.read_records("keyed.op", 0)
+            await client.read_records("keyed.op", 1, 0)
 
         with pytest.raises(StoreError) as caught:
             play(scenario)
@@ -114,7 +114,7 @@
 
         async def scenario(store, client):
             store.fault = fault
-            await client.read_records("keyed.op", 0)
+            await client.read_records("keyed.op", 1, 0)
 
         with pytest.raises(StoreError) as caught:
             play(scenario)
--- a/camphorrun/standins/platform_store.py
+++ b/camphorrun/standins/platform_store.py
@@ -25,18 +25,25 @@
         Partitions of each topic of the group; a member may have none.
     calls : dict of str to int
         Calls by path.
+    era : int
+        Returns of the store from an older copy.
+    era_field : str or None
+        Sent in place of the era; None for the era itself.
     """
 
     def __init__(self, timers: TimerService):
         self._timers = timers
         self._server = HttpServer(self._handle, timers)
         self._logs: dict[str, list[tuple[str, bytes]]] = {}
+        self._written_at: dict[str, list[float]] = {}
         self._first: dict[str, int] = {}
         self._members: dict[str, float] = {}
         self._topics: dict[str, list[str]] = {}
         self._generation = 0
         self.partitions = PARTITIONS
         self.fault = ""
+        self.era = 1
+        self.era_field: str | None = None
         self.calls: dict[str, int] = {}
         self.address = ""
 
@@ -55,8 +62,27 @@
         data = b"" if value is None else _encode(value)
         log = self._logs.setdefault(topic, [])
         log.append((key, data))
+        self._written_at.setdefault(topic, []).append(self._timers.now())
         return len(log) - 1
 
+    def restore(self, copied_at: float) -> list[tuple[str, str, bytes]]:
+        """Come back from a copy; return what it lacks, in order of topics and offsets.
+
+        ``copied_at`` is the time of the copy on the timer service. The group
+        and its members are lost, and offsets are given out again.
+        """
+        lost = []
+        for topic, log in self._logs.items():
+            times = self._written_at[topic]
+            kept = sum(at <= copied_at for at in times)
+            lost.extend((topic, key, value) for key, value in log[kept:])
+            del log[kept:], times[kept:]
+            self._first[topic] = min(self._first.get(topic, 0), kept)
+        self._members.clear()
+        self._generation = 0
+        self.era += 1
+        return lost
+
     def drop_history(self, topic: str) -> None:
         """Delete all records but the newest of each key."""
         self._first[topic] = len(self._logs.get(topic, ()))
@@ -70,11 +96,15 @@
             responder.abort()
             return
         if self.fault == "busy":
-            responder.respond(503, Headers())
+            responder.respond(503, self._headers())
             return
         args = {name: values[0] for name, values in parse_qs(query).items()}
         status, body = await self._answer(path, args, req.body)
-        responder.respond(status, Headers(), body)
+        responder.respond(status, self._headers(), body)
+
+    def _headers(self) -> Headers:
+        text = str(self.era) if self.era_field is None else self.era_field
+        return Headers([(b"Store-Era", text.encode())] if text else [])
 
     async def _answer(self, path: str, args: dict, body: bytes) -> tuple[int, bytes]:
         if path == "/log-read":
@@ -99,7 +129,7 @@
         while offset >= len(log) and self._timers.now() < end_at:
             await self._timers.sleep(POLL_SECONDS)
         first = self._first.get(topic, 0)
-        if offset < first:
+        if offset < first or offset > len(log):
             return 410, _encode({"First": first})
         records = b"".join(_record(key, value) for key, value in log[offset:])
         return 200, struct.pack(">QQ", len(log), first) + records
