Report only daemons that failed in the tests' small deployment

A test that cancels a daemon on purpose, test_restarted_host_owns_what_it_owned, failed since the check of ended daemons counted cancelled ones.

--- a/camphorrun/gateway/tests/world.py
+++ b/camphorrun/gateway/tests/world.py
@@ -165,7 +165,7 @@
         async with asyncio.timeout(seconds):
             while not _holds(condition):
                 for task in self.tasks:
-                    if task.done():
+                    if task.done() and not task.cancelled():
                         task.result()
                 await asyncio.sleep(0.01)
 
