--- a/camphorrun/core/request_story.py
+++ b/camphorrun/core/request_story.py
@@ -12,6 +12,7 @@
     "store_lost",
     "store_regained",
     "store_reader",
+    "store_era",
     "paused",
     "drain",
 )
