--- a/camphorrun/gateway/stage_owner.py
+++ b/camphorrun/gateway/stage_owner.py
@@ -380,8 +380,10 @@
             "stage_call",
             service=self._service,
             replica=worker.name,
+            zone=worker.zone,
             pieces=len(batch),
             requests=sorted({group.request_id for group, _ in batch}),
+            moved_bytes=_moved_bytes(batch, worker.zone),
             made=sum(bool(result.handle) for result in results),
             seconds=round(elapsed_s, 4),
             ratio=round(worker.ratio, 2),
@@ -482,3 +484,8 @@
             job.fut.set_exception(error)
         group.waiting = deque()
         self._queue.remove(group)
+
+
+def _moved_bytes(batch: list[tuple[PieceGroup, int]], zone: str) -> int:
+    """Return the bytes that cross zones for the groups of a call."""
+    return sum(group.transfers.get(zone, 0) for group in {group for group, _ in batch})
--- a/camphorrun/gateway/state.py
+++ b/camphorrun/gateway/state.py
@@ -227,6 +227,7 @@
                 "replica",
                 replica=key,
                 service=(new or old).service,
+                zone=(new or old).availability_zone,
                 state=new.state.value if new else "gone",
                 offset=record.offset if record else 0,
                 source=source,
