Begin the calls of a stage service at even intervals

Change: pipeline.pacing holds a call back for at most an even share of a call's time, less if replicas would be idle anyway, and not at all for a full call.

--- a/camphorrun/gateway/stage_owner.py
+++ b/camphorrun/gateway/stage_owner.py
@@ -11,7 +11,7 @@
 from ..core import EventLog, TimerService
 from ..http1 import HttpError
 from ..metrics import Metrics
-from ..pipeline import BatchQueue, PieceGroup
+from ..pipeline import BatchQueue, CallPacer, PieceGroup
 from ..platform import DecodeError, StageFault, StageItem, StageItemResult
 from ..retries import RetryBudget
 from .errors import ReplicaBarredError, StageError
@@ -91,6 +91,7 @@
         self._service = service
         self._capacity = capacity
         self._queue = BatchQueue(capacity)
+        self._pacer = CallPacer()
         self._replicas = replicas
         self._budget = budget
         self._timers = timers
@@ -140,6 +141,7 @@
         jobs[group] = job
         self._budget.deposit(self._timers.now())
         self._queue.add(group)
+        self._pacer.on_arrival(self._timers.now())
         self._dispatch()
         try:
             await job.fut
@@ -222,6 +224,8 @@
         for worker in free:
             if not len(self._queue):
                 return
+            if self._hold_s(workers, now) > 0.0:
+                break
             if not self._is_worth(worker, workers, now):
                 continue
             space = worker.ledger.free_bytes(now)
@@ -240,6 +244,12 @@
         if len(self._queue):
             self._schedule_dispatch()
 
+    def _hold_s(self, workers: list[StageWorker], now: float) -> float:
+        """Return how long no call begins, so that later pieces find a free replica."""
+        speed = speed_of(workers, now)
+        pieces = len(self._queue)
+        return self._pacer.hold_s(self._capacity, speed, pieces=pieces, now=now)
+
     def _refuse_during_rest(self, now: float) -> None:
         """Give up what can't be in time once the first replica takes work again."""
         rest_s = self._replicas.rest_left_s(self._service, self.zones)
@@ -282,6 +292,7 @@
         worker.busy += 1
         call_s = self._capacity.call_time_s(len(batch)) * max(1.0, worker.ratio)
         worker.busy_until = self._timers.now() + call_s
+        self._pacer.on_call(self._timers.now())
         self._spawn(self._call(worker, batch))
 
     def _spawn(self, coroutine: Coroutine) -> None:
--- a/camphorrun/pipeline/__init__.py
+++ b/camphorrun/pipeline/__init__.py
@@ -10,6 +10,7 @@
     PipelineError,
     StageTrace,
 )
+from .pacing import CallPacer
 from .plan import PlannedStage, RequestPlan, prompt_prefix, stage_input
 from .stage_graph import (
     check_dependencies,
@@ -24,6 +25,7 @@
     "transfer_bytes",
     "transfer_wait_s",
     "BatchQueue",
+    "CallPacer",
     "PieceGroup",
     "SpaceLedger",
     "WaitForecasts",
