Expect the time to the first event that was observed for prompts of the same size

Short ones were refused or given up with 0.2 s to spare, long ones were started though they would be late.

Change: pipeline.first_events keeps a mean by service and power of two of the tokens.

--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -12,6 +12,7 @@
     ServerResponder,
 )
 from ..metrics import Metrics
+from ..pipeline import FirstEventTimes
 from ..platform import (
     ReplyFacts,
     encode_request,
@@ -104,6 +105,7 @@
         self._timers = timers
         self._metrics = metrics
         self._events = events
+        self._first_events = FirstEventTimes()
         rng = Random(seed)
         self._plain = Router(None, availability_zone, rng.getrandbits(32))
         self._engine = Router(AffinityPolicy(), availability_zone, rng.getrandbits(32))
@@ -166,6 +168,10 @@
             return self._refusal(ctx, "replicas_resting", rest_s)
         return self._refusal(ctx, reason or "no_endpoint")
 
+    def first_event_s(self, ctx: RequestContext) -> float:
+        """Return the time to expect from the start of an attempt to its first event."""
+        return self._first_events.expected_s(ctx.service, ctx.prompt_tokens)
+
     def preferred_zone(self, ctx: RequestContext) -> str:
         """Return the zone of the engine that holds a request's prefix.
 
@@ -300,6 +306,9 @@
                 handle.pool.release(conn)
             # The length of a stream says nothing about the speed of its replica.
             elapsed_s = (ctx.begun_at or self._timers.now()) - started_at
+            if ctx.begun_at and ctx.route.uses_engine:
+                tokens = ctx.prompt_tokens
+                self._first_events.note(ctx.service, tokens, elapsed_s)
             if ok is None:
                 handle.endpoint.on_cancel()
             else:
--- a/camphorrun/gateway/context.py
+++ b/camphorrun/gateway/context.py
@@ -66,6 +66,11 @@
         """Identifier of the caller's attempt."""
         return self.caller.attempt_id
 
+    @property
+    def prompt_tokens(self) -> int:
+        """Tokens of the prompt, whether an endpoint holds parts of it or not."""
+        return sum(part.tokens for part in self.caller.prompt)
+
     @property
     def first_event_at(self) -> float:
         """When a stream must have begun: its caller leaves after that."""
--- a/camphorrun/gateway/front.py
+++ b/camphorrun/gateway/front.py
@@ -31,8 +31,6 @@
 ENDED_CODES = frozenset({"ok", "left"})
 # A caller that comes back meets another gateway, so it need not wait.
 DRAIN_RETRY_SECONDS = 0.05
-# Assumed time from the call of a model replica to its first event.
-FIRST_EVENT_SECONDS = 0.25
 DEFAULT_DEADLINE_SECONDS = 30.0
 MAX_INPUT_REMAKES = 2
 # A request that comes back after a refusal is ordered before newcomers of its rank.
@@ -251,7 +249,7 @@
             ctx.route, ctx.caller.pieces, ctx.rank, ctx.zone
         )
         verdict = judge_start(
-            forecast.total_s + FIRST_EVENT_SECONDS,
+            forecast.total_s + self._attempts.first_event_s(ctx),
             forecast.wait_s,
             objective_left_s=ctx.objective_at - self._timers.now(),
             left_s=ctx.end_at - self._timers.now(),
@@ -283,7 +281,7 @@
                 priority=ctx.rank,
                 objective_at=ctx.objective_at,
                 deadline_at=ctx.first_event_at,
-                final_s=FIRST_EVENT_SECONDS,
+                final_s=self._attempts.first_event_s(ctx),
                 zone=ctx.zone,
             )
         except StageError as exc:
--- a/camphorrun/pipeline/__init__.py
+++ b/camphorrun/pipeline/__init__.py
@@ -2,6 +2,7 @@
 
 from .batches import BatchQueue, PieceGroup, SpaceLedger
 from .executor import PartHandler, PipelineExecutor, StageCall, StageDispatcher
+from .first_events import FirstEventTimes
 from .forecasts import WaitForecasts
 from .outcomes import (
     AttemptTrace,
@@ -28,6 +29,7 @@
     "CallPacer",
     "PieceGroup",
     "SpaceLedger",
+    "FirstEventTimes",
     "WaitForecasts",
     "check_dependencies",
     "downstream_s",
