Sharpen two tests of eras by the mutations that they missed

Without the wait for peers a new process still passed, because peers answered before the store did; they answer later now. A falling era was caught by a second check as well; the decision has a test of its own.

--- a/camphorrun/gateway/tests/test_eras.py
+++ b/camphorrun/gateway/tests/test_eras.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ...platform import CONFIGURATION_TOPIC, REPLICA_TOPIC
+from ..peers import Peers
 from ..store_sync import CONFIGURATION_WAIT_SECONDS
 from .world import configuration, play
 
@@ -12,6 +13,7 @@
 NEW_KEY = "Api-Key: key-2"
 # Longer than a poll of the registrations and the exchange with a peer.
 SETTLE_SECONDS = 1.3
+PEER_DELAY_SECONDS = 0.3
 
 
 def with_key(version: int, key: str) -> dict:
@@ -78,8 +80,16 @@
 
         play(scenario)
 
-    def test_new_process_believes_its_peers(self):
-        """Guards against a withdrawn key in use at a process that starts in the gap."""
+    def test_new_process_believes_its_peers(self, monkeypatch):
+        """Guards against a withdrawn key in use at a process that starts in the gap.
+
+        Its peers answer later than the store.
+        """
+        fetch = Peers._fetch
+
+        async def fetch_later(peers, address, timeout_s):
+            await asyncio.sleep(PEER_DELAY_SECONDS)
+            return await fetch(peers, address, timeout_s)
 
         async def scenario(world):
             copied_at = world.timers.now()
@@ -88,6 +98,7 @@
             world.store.restore(copied_at)
             await era_known(world, 2)
             seed = world.daemons[0].settings.host.peers
+            monkeypatch.setattr(Peers, "_fetch", fetch_later)
             late = world.add_gateway("late", (seed,))
             await world.until(lambda: late.state.ready)
             answer = await world.ask("/safe/x", OLD_KEY, gateway=1)
--- a/camphorrun/platform/tests/test_store.py
+++ b/camphorrun/platform/tests/test_store.py
@@ -6,9 +6,11 @@
 import pytest
 
 from ...core import LoopTimerService
+from ...http1 import Headers, ResponseHead
 from ...standins.platform_store import PlatformStore
 from .. import REPLICA_TOPIC, StoreClient, StoreError
 from .. import store as store_module
+from ..eras import StoreEra
 
 Scenario = Callable[[PlatformStore, StoreClient], Awaitable[object]]
 
@@ -119,3 +121,36 @@
         with pytest.raises(StoreError) as caught:
             play(scenario)
         assert caught.value.code == code
+
+
+class TestEra:
+    """The era that answers bear."""
+
+    @pytest.mark.parametrize(
+        ("text", "code"),
+        [
+            ("6", "old_era"),
+            ("", "bad_era"),
+            ("seven", "bad_era"),
+            ("-7", "bad_era"),
+            ("5000", "bad_era"),
+            ("9" * 40, "bad_era"),
+        ],
+    )
+    def test_answer_that_is_dropped_changes_nothing(self, text, code):
+        """Guards against a wrong era that makes all later answers look old."""
+        era = StoreEra()
+        era.take(answer("7"))
+        with pytest.raises(StoreError) as caught:
+            era.take(answer(text))
+        assert caught.value.code == code
+        assert era.take(answer("8")) == 8
+
+    def test_store_without_eras(self):
+        """Guards against answers that are dropped because a store has no eras."""
+        assert StoreEra().take(answer("")) == 0
+
+
+def answer(text: str) -> ResponseHead:
+    fields = [(b"Store-Era", text.encode())] if text else []
+    return ResponseHead(200, b"", Headers(fields))
--- a/tools/mutations_fleet.py
+++ b/tools/mutations_fleet.py
@@ -244,6 +244,13 @@
         "camphorrun/platform/eras.py",
         "        if era < self.number:",
         "        if False:",
+        "camphorrun/platform/tests/test_store.py",
+    ),
+    Mutation(
+        "eras: an absurd era is dropped",
+        "camphorrun/platform/eras.py",
+        "        if self.number and era > self.number + MAX_ERA_STEP:",
+        "        if False:",
         ERAS,
     ),
     Mutation(
