--- a/camphorrun/gateway/tests/test_eras.py
+++ b/camphorrun/gateway/tests/test_eras.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from ...platform import CONFIGURATION_TOPIC, REPLICA_TOPIC
+from ..messages import SyncMessage
 from ..peers import Peers
 from ..store_sync import CONFIGURATION_WAIT_SECONDS
 from .world import configuration, play
@@ -268,3 +270,40 @@
                 assert answer.status == 401
 
         play(scenario, gateways=2)
+
+
+class TestOlderPeers:
+    """Peers of schema 2, whose messages have no era."""
+
+    def test_word_without_an_era_takes_nothing_back(self):
+        """Guards against an old gateway that brings back what the store replaced."""
+
+        async def scenario(world):
+            world.store.put(CONFIGURATION_TOPIC, "config", configuration(2))
+            daemon = world.daemons[0]
+            await world.until(lambda: daemon.state.deployment.version == 2)
+            record = ["config", 49, msgspec.json.encode(with_key(1, "key-2"))]
+            entry = [
+                "i-old",
+                48,
+                msgspec.json.encode(world.replicas[0].registration("x")),
+            ]
+            old = {
+                "topics": {
+                    CONFIGURATION_TOPIC: {"end": 50, "records": [record]},
+                    REPLICA_TOPIC: {
+                        "end": 50,
+                        "records": [entry],
+                        "is_listing": True,
+                    },
+                },
+                "version": 2,
+            }
+            data = msgspec.msgpack.encode(old)
+            answer = msgspec.msgpack.decode(data, type=SyncMessage)
+            daemon._peers._take(answer, "old peer")
+            assert daemon.state.deployment.version == 2
+            assert list(daemon.state.replicas) == [world.replicas[0].identifier]
+            assert daemon.state.era == 1
+
+        play(scenario)
