--- a/camphorrun/gateway/stage_owner.py
+++ b/camphorrun/gateway/stage_owner.py
@@ -74,7 +74,6 @@
         Replicas of all services.
     budget : RetryBudget
         Bounds pieces that are sent once more.
-
     """
 
     def __init__(
