--- a/camphorrun/catalog/records.py
+++ b/camphorrun/catalog/records.py
@@ -124,7 +124,9 @@
             return self._merge(page)
         if page.era > self.era:
             self._enter(page.era)
-        records = self._completed(page) if page.is_listing else page.records
+        records = self._without_removed(page)
+        if page.is_listing:
+            records = (*records, *self._removed_by(page))
         changed = [record.key for record in records if self._store(record)]
         self.known = True
         self.end = max(self.end, page.end)
@@ -183,11 +185,27 @@
                 changed.append(record.key)
         return changed
 
-    def _completed(self, page: RecordPage) -> tuple[Record, ...]:
-        """Add removals of the keys that a listing lacks, unless they are newer."""
+    def _without_removed(self, page: RecordPage) -> tuple[Record, ...]:
+        """Return the records of a page but those that were removed before a listing.
+
+        A listing names all keys. A record from before it, of a key that it lacks, is
+        late: the key had been removed by then, which is not recorded here.
+        """
+        if page.is_listing and page.end >= self._listed_at:
+            return page.records
+        return tuple(
+            record
+            for record in page.records
+            if record.key in self._records
+            or record.era != self.era
+            or record.offset >= self._listed_at
+        )
+
+    def _removed_by(self, page: RecordPage) -> list[Record]:
+        """Return removals of the keys that a listing lacks, unless they are newer."""
         self._listed_at = max(self._listed_at, page.end)
         listed = {record.key for record in page.records}
-        missing = [
+        return [
             replace(record, offset=page.end - 1, value=b"")
             for key, record in self._records.items()
             if key not in listed
@@ -195,7 +213,6 @@
             and record.era == page.era
             and record.offset < page.end
         ]
-        return (*page.records, *missing)
 
     def _store(self, record: Record) -> bool:
         """Take over a record if it is newer; return whether its value changed."""
--- a/camphorrun/catalog/tests/test_records.py
+++ b/camphorrun/catalog/tests/test_records.py
@@ -42,6 +42,20 @@
         assert view.apply(page(end=9, listing=True)) == []
         assert view.get("a") is not None
 
+    def test_late_record_of_a_removed_key_is_dropped(self):
+        """Guards against a replica that left, in use again at a new process.
+
+        The process listed the store after the removal, so it knows neither the replica
+        nor its removal when the answer of a peer, asked before, comes late.
+        """
+        view = RecordView()
+        view.apply(page(Record("b", 2, b"x"), end=9, listing=True))
+        assert view.apply(page(Record("a", 4, b"x"), end=5)) == []
+        late = page(Record("a", 4, b"x"), Record("b", 2, b"x"), end=5, listing=True)
+        assert view.apply(late) == []
+        assert view.get("a") is None
+        assert view.apply(page(Record("a", 9, b"x"), end=10)) == ["a"]
+
     def test_peer_that_cannot_know_removals_sends_a_listing(self):
         """Guards against a replica that stays known because a peer started late."""
         late = RecordView()
