--- a/camphorrun/gateway/tests/test_stages.py
+++ b/camphorrun/gateway/tests/test_stages.py
@@ -269,6 +269,8 @@
         """Guards against gateways that compete with small calls."""
 
         async def scenario(world):
+            # Late requests would be given up, and with them the pieces of full calls.
+            await configure(world, objective_ms=20_000)
             replica = world.stage_replicas[0]
             replica.script.work_s = 0.1
             await asyncio.gather(
