--- a/camphorrun/gateway/tests/world.py
+++ b/camphorrun/gateway/tests/world.py
@@ -21,6 +21,8 @@
 KEY = "key-1"
 READY_SECONDS = 5.0
 FREE_PORTS = (20_000, 32_000)
+# Ports that were given to gateways, which may not listen there yet.
+_given_ports: set[int] = set()
 
 
 def route(name: str, prefix: str, kind: str, service: str, **fields) -> dict:
@@ -237,12 +239,13 @@
     found: list[str] = []
     while len(found) < count:
         port = random.randint(*FREE_PORTS)
+        if port in _given_ports:
+            continue
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        address = f"127.0.0.1:{port}"
-        if address not in found:
-            found.append(address)
+        _given_ports.add(port)
+        found.append(f"127.0.0.1:{port}")
     return found
