--- a/tools/panel.py
+++ b/tools/panel.py
@@ -113,20 +113,19 @@
     return trees
 
 
-def _parse() -> argparse.Namespace:
-    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of a panel, all but its trees."""
     parser.add_argument("--bench", type=Path, required=True, help="fleetbench program")
     parser.add_argument("--site", type=Path, action="append", required=True)
-    parser.add_argument("--tree", action="append", required=True, help="NAME=PATH")
     parser.add_argument("--days", default=DEFAULT_DAYS, help="names, with commas")
     parser.add_argument("--seeds", default="1,2,3", help="numbers, with commas")
     parser.add_argument("--jobs", type=int, default=3, help="days played at a time")
     parser.add_argument("--out", type=Path, default=Path("out/panel"))
     parser.add_argument("--why", required=True, help="line for the journal")
-    return parser.parse_args()
 
 
-async def _main(args: argparse.Namespace) -> None:
+async def play(args: argparse.Namespace) -> None:
+    """Play the panel of ``args.tree`` and write its report."""
     args.out.mkdir(parents=True, exist_ok=True)
     trees = await _trees(args.tree)
     jobs = [
@@ -140,5 +139,13 @@
     write_report(plays, [tree.name for tree in trees], args.out)
 
 
+def main() -> None:
+    """Run from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    parser.add_argument("--tree", action="append", required=True, help="NAME=PATH")
+    add_arguments(parser)
+    asyncio.run(play(parser.parse_args()))
+
+
 if __name__ == "__main__":
-    asyncio.run(_main(_parse()))
+    main()
