Log the rate limit that a replica names in its answers

The notice is decoded (malformed values are counted), written as replica_notice with says=limited or unlimited and counted by kind. Nothing acts on it yet.

--- a/camphorrun/gateway/replicas.py
+++ b/camphorrun/gateway/replicas.py
@@ -21,6 +21,7 @@
 # Bound of the notices that are kept, one per start of a replica. The oldest belong to
 # processes that ended long ago.
 MAX_NOTICE_STATES = 4096
+NO_NOTICE = ReplicaNotice()
 # Exceeds the results that a replica makes while a duplicate answer may still arrive.
 MAX_RECENT_RESULTS = 512
 
@@ -54,7 +55,7 @@
 
 
 class NoticeState:
-    """Notices from one start of a replica: that it shuts down, or asks for a pause.
+    """Notices from one start of a replica: shutdown, pause and rate limit.
 
     The state is kept when the registration is removed, because a store failure may
     remove a registration and restore it later.
@@ -65,13 +66,17 @@
         When the replica first announced that it shuts down.
     paused_until : float
         End of the pause that the replica asked for.
+    rate_limit : float or None
+        Requests per second that the replica accepts, as its latest answer said; None
+        without a limit.
     """
 
-    __slots__ = ("leaving_since", "paused_until")
+    __slots__ = ("leaving_since", "paused_until", "rate_limit")
 
     def __init__(self):
         self.leaving_since: float | None = None
         self.paused_until = float("-inf")
+        self.rate_limit: float | None = None
 
     def unavailable_reason(self, now: float) -> str:
         """Return why no request may be sent now, empty if one may."""
@@ -159,7 +164,7 @@
             )
 
     def apply_notice(self, head: ResponseHead, request_id: str = "") -> None:
-        """Apply the shutdown or pause notice in a response head, if it has one."""
+        """Apply what a response head says about the replica."""
         notice = decode_replica_notice(head)
         if notice is not None:
             self._on_notice(self, notice, request_id)
@@ -249,7 +254,8 @@
     ) -> None:
         now = self._timers.now()
         notice_state = handle.notice_state
-        self._notice_states[handle.replica.boot] = notice_state
+        if notice != NO_NOTICE:
+            self._notice_states[handle.replica.boot] = notice_state
         while len(self._notice_states) > MAX_NOTICE_STATES:
             self._notice_states.popitem(last=False)
         if notice.invalid_pause:
@@ -268,6 +274,21 @@
                 seconds=notice.pause_s,
                 unusual=notice.invalid_pause[:40],
             )
+        self._apply_rate_limit(handle, notice, request_id)
+
+    def _apply_rate_limit(
+        self, handle: ReplicaHandle, notice: ReplicaNotice, request_id: str
+    ) -> None:
+        """Record a rate limit that differs from the one in the previous answer."""
+        notice_state = handle.notice_state
+        if notice.is_rate_limit_malformed:
+            self._metrics.drops.labels("rate_limit").inc()
+            return
+        if notice.rate_limit == notice_state.rate_limit:
+            return
+        notice_state.rate_limit = notice.rate_limit
+        kind = "unlimited" if notice.rate_limit is None else "limited"
+        self._record_notice(handle, kind, request_id, per_s=notice.rate_limit)
 
     def _record_notice(
         self, handle: ReplicaHandle, kind: str, request_id: str, **fields: object
--- a/camphorrun/metrics/registry.py
+++ b/camphorrun/metrics/registry.py
@@ -58,7 +58,7 @@
         )
         self.replica_notices = self._counter(
             "replica_notices",
-            "Replicas that announced their shutdown or asked for a pause.",
+            "Replicas that announced a shutdown, a pause or a rate limit.",
             ("service", "kind"),
         )
         self.drops = self._counter(
--- a/camphorrun/platform/notices.py
+++ b/camphorrun/platform/notices.py
@@ -1,7 +1,7 @@
-"""Decodes response fields in which a replica announces a drain or asks for a pause.
+"""Decodes response fields in which a replica limits or refuses further work.
 
-Misleading name on the wire: ``Server-Leaving`` is sent by replicas; no other field of
-the platform calls a replica a server.
+Misleading names on the wire: ``Server-Leaving`` and ``Server-Limit`` are sent by
+replicas; no other field of the platform calls a replica a server.
 """
 
 import math
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaNotice:
-    """Drain announcement and requested pause of a replica.
+    """Drain announcement, requested pause and rate limit of a replica.
 
     Attributes
     ----------
@@ -27,18 +27,26 @@
         pause.
     invalid_pause : str
         Text of the requested pause if it is malformed or out of range, else empty.
+    rate_limit : float or None
+        Requests per second that the replica accepts from all gateways together; None
+        if it names no limit.
+    is_rate_limit_malformed : bool
+        True if the response has a rate limit that is no number of 0 or more.
     """
 
     leaving: bool = False
     pause_s: float = 0.0
     invalid_pause: str = ""
+    rate_limit: float | None = None
+    is_rate_limit_malformed: bool = False
 
 
 def decode_replica_notice(head: ResponseHead) -> ReplicaNotice | None:
-    """Return the notice in a response, None if there is none.
+    """Return the notice in a response, None if it says nothing about the replica.
 
     Status 421 means that another replica now has the address, so the response says
-    nothing about the replica that the request was meant for.
+    nothing about the replica that the request was meant for. Any other response without
+    a rate limit says that the replica needs none.
 
     Examples
     --------
@@ -46,15 +54,17 @@
     >>> full = ResponseHead(503, b"", Headers([(b"Retry-After", b"0.5")]))
     >>> decode_replica_notice(full).pause_s
     0.5
+    >>> limited = ResponseHead(200, b"", Headers([(b"Server-Limit", b"2.5")]))
+    >>> decode_replica_notice(limited).rate_limit
+    2.5
     """
     if head.status == 421:
         return None
     leaving = head.headers.get("server-leaving") not in ("", "0")
     text = head.headers.get("retry-after") if head.status == 503 else ""
     pause_s, invalid_pause = _decode_pause(text) if text else (0.0, "")
-    if not leaving and not pause_s and not invalid_pause:
-        return None
-    return ReplicaNotice(leaving, pause_s, invalid_pause)
+    rate_limit, is_malformed = _decode_rate_limit(head.headers.get_all("server-limit"))
+    return ReplicaNotice(leaving, pause_s, invalid_pause, rate_limit, is_malformed)
 
 
 def _decode_pause(text: str) -> tuple[float, str]:
@@ -68,3 +78,14 @@
     if seconds > MAX_PAUSE_SECONDS:
         return MAX_PAUSE_SECONDS, text
     return seconds, ""
+
+
+def _decode_rate_limit(values: list[str]) -> tuple[float | None, bool]:
+    """Return the lowest of the limits, and whether one of them is malformed."""
+    try:
+        limits = [float(text) for text in values]
+    except ValueError:
+        return None, True
+    if not all(math.isfinite(limit) and limit >= 0 for limit in limits):
+        return None, True
+    return min(limits, default=None), False
