--- a/camphorrun/standins/platform_replica.py
+++ b/camphorrun/standins/platform_replica.py
@@ -29,7 +29,8 @@
     ``foreign`` (an answer to another request), ``stale_rejection`` (runs, and answers
     with the rejection of another request), ``repeat`` (answers a stage call with its
     last answer, once) or ``misdirected`` (421). ``leaving`` adds
-    ``Server-Leaving`` to all answers, ``retry_after`` a pause to those of ``full``.
+    ``Server-Leaving`` to all answers, ``rate_limit`` a limit to all answers, and
+    ``retry_after`` a pause to those of ``full``.
     After ``trickle_after`` events a stream sends a byte now and then and no event.
     """
 
@@ -41,6 +42,7 @@
     stage_fault: str = ""
     leaving: bool = False
     retry_after: str = ""
+    rate_limit: str = ""
     trickle_after: int = -1
     lost_handles: set[str] = field(default_factory=set)
 
@@ -59,13 +61,18 @@
         self.cancelled = 0
         self.free_bytes = 1_000_000
         self.reports = 0
-        # Requests of any kind, rejected ones too.
-        self.asked = 0
+        # Arrival times of requests of any kind, rejected ones too.
+        self.arrivals: list[float] = []
         self.address = ""
         self._timers = timers
         self._handles = itertools.count()
         self._server = HttpServer(self._handle, timers)
 
+    @property
+    def asked(self) -> int:
+        """Number of requests of any kind, rejected ones too."""
+        return len(self.arrivals)
+
     async def start(self) -> str:
         """Listen on loopback and return ``ip:port``."""
         port = await self._server.start("127.0.0.1", 0)
@@ -91,12 +98,12 @@
         }
 
     async def _handle(self, req: ServerRequest, responder: ServerResponder) -> None:
+        self.arrivals.append(self._timers.now())
         if req.target == b"/stage-run":
             await self._run_stage(req, responder)
         elif req.target == b"/stage-free":
-            self.asked += 1
             self.released.extend(msgspec.json.decode(req.body)["Handles"])
-            responder.respond(200, Headers())
+            responder.respond(200, Headers(self._notices()))
         elif req.target == b"/report":
             self._report(responder)
         else:
@@ -107,7 +114,6 @@
     async def _run(self, req: ServerRequest, responder: ServerResponder) -> None:
         script = self.script
         attempt_id = req.headers.get("x-attempt-id")
-        self.asked += 1
         if script.answer == "stale_rejection":
             self.runs.append(ReplicaRun(attempt_id, req.target, req.headers, req.body))
             responder.respond(503, self._not_run("another"))
@@ -167,6 +173,8 @@
         fields = []
         if self.script.leaving:
             fields.append((b"Server-Leaving", b"1"))
+        if self.script.rate_limit:
+            fields.append((b"Server-Limit", self.script.rate_limit.encode()))
         if self.script.retry_after and self.script.answer == "full":
             fields.append((b"Retry-After", self.script.retry_after.encode()))
         return fields
@@ -196,7 +204,6 @@
 
     async def _run_stage(self, req: ServerRequest, responder: ServerResponder) -> None:
         items = msgspec.json.decode(req.body)["Items"]
-        self.asked += 1
         if self.script.answer == "full":
             fields = [(b"X-Not-Executed", b"1"), *self._notices()]
             responder.respond(503, Headers(fields))
@@ -208,7 +215,7 @@
             return
         if self.script.answer == "repeat":
             self.script.answer = "ok"
-            responder.respond(200, Headers(), self._last_results)
+            responder.respond(200, Headers(self._notices()), self._last_results)
             return
         results = [self._result() for _ in items]
         self.results.extend(r["Handle"] for r in results if "Handle" in r)
@@ -217,9 +224,9 @@
 
     def _report(self, responder: ServerResponder) -> None:
         self.reports += 1
-        self.asked += 1
         report = {"Queued": 0, "Busy": False, "FreeMb": self.free_bytes // 1_000_000}
-        responder.respond(200, Headers(), msgspec.json.encode(report))
+        fields = Headers(self._notices())
+        responder.respond(200, fields, msgspec.json.encode(report))
 
     def _result(self) -> dict:
         if self.script.stage_fault:
