Grant permits for the rate limit that a replica names for all gateways

Callers saw nothing; a replica in need got more requests than it had asked for.

Cause: no part of a gateway acted on the limit. Ruled out: retries, hedges and calls beside the requests (all 13 were first attempts), and a limit that each gateway keeps alone (one gateway by itself sent five in 1.93 s). Dividing the limit by the number of gateways would not hold either: at 1 a second the bursts of 5 to 68 gateways decide, and unequal load leaves shares unused.

Change: each gateway owns an equal share of a limit and lends it, by a lease, to the limit's owner, which the members derive alike by rendezvous hashing. The owner grants permits from a token bucket at the rate of the shares that it has been lent. A share is lent to one owner at a time, also by a gateway that sees other members than the rest, so two owners together grant no more than the limit. Requests, hedges, resumed streams, stage calls, space reports and releases need a permit, which expires after 0.25 s and is checked immediately before the send. A request whose replica has none free goes to another one; if all are used up it waits for half of its time at most, or is refused at once with the time of the next permit. A limit is stated when an answer arrives, its absence when the request was sent, so a late answer doesn't withdraw it; gateways tell each other both, new ones learn them before they are ready. Released results are no longer retried beyond their lifetime.

--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -34,6 +34,7 @@
     RefusedError,
     ReplicaUnavailableError,
 )
+from .permits import Permit
 from .replicas import ReplicaHandle, ReplicaPool, endpoints
 from .response_relay import MAX_BUFFERED_RESPONSE_BYTES, ResponseRelay
 
@@ -57,6 +58,9 @@
 REJECTION_BACKOFF_SECONDS = 0.25
 # No attempt starts if less time than this is left.
 MIN_ATTEMPT_SECONDS = 0.02
+# Share of the remaining time that a request waits for a permit if the rate limits of
+# all replicas are used up. It is rejected at once if it would have to wait longer.
+MAX_PERMIT_WAIT_SHARE = 0.5
 # Failures before anything was sent: another attempt is not charged as a retry.
 UNSENT_CODES = frozenset(
     {
@@ -64,6 +68,7 @@
         "connect_timeout",
         "replica_draining",
         "replica_leaving",
+        "replica_limited",
         "replica_resting",
     }
 )
@@ -75,6 +80,7 @@
         "rejected",
         "replica_draining",
         "replica_leaving",
+        "replica_limited",
         "replica_resting",
     }
 )
@@ -137,9 +143,9 @@
         rejections = 0
         reason = ""
         while True:
-            handle = self._choose_replica(ctx, reason)
+            handle, permit = await self._reserve_replica(ctx, reason)
             try:
-                await self._attempt(ctx, handle, responder)
+                await self._attempt(ctx, handle, permit, responder)
                 return
             except AttemptFailedError as exc:
                 reason = exc.code
@@ -152,12 +158,62 @@
                 self._abort_or_refuse(ctx, responder, reason)
                 return
 
-    def _choose_replica(self, ctx: RequestContext, reason: str) -> ReplicaHandle:
+    async def _reserve_replica(
+        self, ctx: RequestContext, reason: str
+    ) -> tuple[ReplicaHandle, Permit | None]:
+        """Choose a replica and acquire a permit if it has a rate limit.
+
+        A replica without a free permit is passed over. Only if no other replica is
+        available, the request waits for a permit.
+
+        Raises
+        ------
+        RefusedError
+            If no replica may get the request in time.
+        """
+        while True:
+            handle = self._choose_replica(ctx, reason)
+            if handle is None:
+                return await self._wait_for_permit(ctx)
+            try:
+                return handle, await handle.acquire_permit()
+            except ReplicaUnavailableError:
+                self._log_permit_refusal(ctx, handle)
+
+    async def _wait_for_permit(
+        self, ctx: RequestContext
+    ) -> tuple[ReplicaHandle, Permit | None]:
+        """Wait for the first permit of any replica, or refuse the request at once."""
+        now = self._timers.now()
+        # The stages of a request are wasted if it is refused.
+        wait_until = ctx.objective_at if ctx.stage_results is None else ctx.end_at
+        max_wait_s = max(0.0, wait_until - now) * MAX_PERMIT_WAIT_SHARE
+        handle = self._replicas.next_permitted(ctx.service)
+        if handle is not None and handle.available_at - now <= max_wait_s:
+            try:
+                return handle, await handle.acquire_permit(max_wait_s)
+            except ReplicaUnavailableError:
+                self._log_permit_refusal(ctx, handle)
+        raise self._unavailable_refusal(ctx, "replicas_limited")
+
+    def _log_permit_refusal(self, ctx: RequestContext, handle: ReplicaHandle) -> None:
+        wait_s = handle.available_at - self._timers.now()
+        self._events.log_decision(
+            "permit_refused",
+            ctx.request_id,
+            replica=handle.replica.identifier,
+            wait_s=round(wait_s, 3),
+        )
+
+    def _choose_replica(self, ctx: RequestContext, reason: str) -> ReplicaHandle | None:
+        """Return a replica, None if only replicas without a permit are left."""
         now = self._timers.now()
         if ctx.end_at - now < MIN_ATTEMPT_SECONDS:
             raise self._refusal_error(ctx, reason or "deadline")
         handles = self._replicas.available(ctx.service)
         if not handles:
+            if self._replicas.next_permitted(ctx.service) is not None:
+                return None
             raise self._unavailable_refusal(ctx, reason)
         avoided = {
             h.replica.identifier for h in handles if now < h.rejection_backoff_until
@@ -176,9 +232,9 @@
 
     def _unavailable_refusal(self, ctx: RequestContext, reason: str) -> RefusedError:
         """Return the error for a request while no replica accepts work."""
-        pause_s = self._replicas.pause_left_s(ctx.service)
-        if pause_s:
-            return self._refusal_error(ctx, "replicas_resting", pause_s)
+        pause = self._replicas.pause(ctx.service)
+        if pause is not None:
+            return self._refusal_error(ctx, f"replicas_{pause.reason}", pause.seconds)
         return self._refusal_error(ctx, reason or "no_endpoint")
 
     def expected_first_event_s(self, ctx: RequestContext) -> float:
@@ -318,7 +374,11 @@
     # One attempt
 
     async def _attempt(
-        self, ctx: RequestContext, handle: ReplicaHandle, responder: ServerResponder
+        self,
+        ctx: RequestContext,
+        handle: ReplicaHandle,
+        permit: Permit | None,
+        responder: ServerResponder,
     ) -> None:
         started_at = self._timers.now()
         ctx.stream_started_at = 0.0
@@ -326,7 +386,7 @@
         succeeded = None
         conn = None
         try:
-            conn = await self._connect(ctx, handle)
+            conn = await self._connect(ctx, handle, permit)
             await self._exchange(ctx, handle, conn, responder)
             succeeded = True
         except AttemptFailedError as exc:
@@ -352,7 +412,7 @@
                 handle.endpoint.on_result(succeeded, elapsed_s, self._timers.now())
 
     async def _connect(
-        self, ctx: RequestContext, handle: ReplicaHandle
+        self, ctx: RequestContext, handle: ReplicaHandle, permit: Permit | None
     ) -> ClientConnection:
         repeatable = ctx.route.repeatable
         idle_s = float("inf") if repeatable else MAX_UNSAFE_IDLE_SECONDS
@@ -368,16 +428,18 @@
         except TimeoutError as exc:
             raise AttemptFailedError("connect_timeout", not_run=True) from exc
         try:
-            self._check_after_wait(ctx, handle)
+            self._check_after_wait(ctx, handle, permit)
         except AttemptFailedError:
             handle.pool.release(conn)
             raise
         return conn
 
-    def _check_after_wait(self, ctx: RequestContext, handle: ReplicaHandle) -> None:
-        """Check deadline and replica again after the wait for a connection.
+    def _check_after_wait(
+        self, ctx: RequestContext, handle: ReplicaHandle, permit: Permit | None
+    ) -> None:
+        """Check deadline, replica and permit again after the wait for a connection.
 
-        Both checks may be outdated, also because the process was paused.
+        All of them may be outdated, also because the process was paused.
 
         Raises
         ------
@@ -387,7 +449,7 @@
         if ctx.end_at - self._timers.now() < MIN_ATTEMPT_SECONDS:
             raise AttemptFailedError("deadline", not_run=True)
         try:
-            handle.ensure_available()
+            handle.ensure_available(permit)
         except ReplicaUnavailableError as exc:
             raise AttemptFailedError(exc.code, not_run=True) from exc
 
@@ -415,8 +477,9 @@
         ctx.possible_runs += 1
         try:
             head = await self._send_request(ctx, conn, data)
-            handle.apply_notice(head, ctx.request_id)
             info = decode_response_info(head, ctx.caller)
+            sent_at = now if info.id_matches else None
+            handle.apply_notice(head, ctx.request_id, sent_at=sent_at)
             if info.not_run and _is_attributable(info, conn):
                 await self._discard_body(conn)
                 ctx.may_have_run = could_have_run
--- a/camphorrun/gateway/daemon.py
+++ b/camphorrun/gateway/daemon.py
@@ -19,6 +19,8 @@
 from ..settings import GatewaySettings
 from .attempts import Attempts
 from .peers import Peers, PeerService, member_name
+from .permit_owner import PermitOwner
+from .permits import Permits
 from .replicas import ReplicaPool
 from .request_handler import RequestHandler
 from .stage_runner import StageRunner
@@ -138,9 +140,9 @@
             seed=self._rng.getrandbits(32),
             **shared,
         )
-        self._replica_pool = ReplicaPool(
-            self.state, self.timers, self.metrics, self.events
-        )
+        self._permit_owner = PermitOwner(self.state, self.timers, self.events)
+        permits = Permits(self.state, self._peers, self._permit_owner, **shared)
+        self._replica_pool = ReplicaPool(self.state, permits, **shared)
         self._stage_runner = StageRunner(
             self.state,
             self._replica_pool,
@@ -163,6 +165,7 @@
         self._supervisor.add("replicas", self._store_sync.follow_replicas)
         self._supervisor.add("membership", self._store_sync.keep_membership)
         self._supervisor.add("peer-records", self._peers.exchange_records)
+        self._supervisor.add("permit-leases", permits.keep_leases)
         # The share of the common retry budget depends on the number of members.
         self.state.subscribe(deployment=self._apply_limits, members=self._budgets.clear)
 
@@ -182,6 +185,7 @@
             self._peers,
             self._stage_runner.make_pieces,
             self._stage_runner.release,
+            self._permit_owner.answer,
             self.metrics.render,
             self.metrics,
         )
--- a/camphorrun/gateway/errors.py
+++ b/camphorrun/gateway/errors.py
@@ -30,7 +30,8 @@
 
     Codes: ``late`` (not done in time), ``busy`` (rejected before it was queued, because
     it would miss its objective), ``input_gone`` (a replica no longer has an input),
-    ``failed``, ``resting`` (all replicas asked for a pause).
+    ``failed``, ``resting`` (all replicas asked for a pause), ``limited`` (the replicas
+    named rate limits, and no permit is available in time).
 
     Parameters
     ----------
@@ -50,17 +51,44 @@
 
     Codes: ``replica_draining`` (its registration is not in the ready state, or it was
     removed), ``replica_leaving`` (an answer announced that it shuts down),
-    ``replica_resting`` (it asked for a pause that has not ended).
+    ``replica_resting`` (it asked for a pause that has not ended), ``replica_limited``
+    (it named a rate limit, and there is no valid permit).
     """
 
     default_code = "replica_draining"
 
 
 class PeerError(CamphorrunError):
-    """Another gateway daemon did not answer, or its answer can't be used."""
+    """Another gateway daemon did not answer, or its answer can't be used.
+
+    Attributes
+    ----------
+    not_accepted : bool
+        Whether the other daemon certainly did not carry out the call.
+    """
 
     default_code = "peer_unavailable"
 
+    def __init__(self, message: str, *, not_accepted: bool = False):
+        super().__init__(message)
+        self.not_accepted = not_accepted
+
+
+class PermitRefusedError(CamphorrunError):
+    """No permit for a replica with a rate limit is available.
+
+    Attributes
+    ----------
+    retry_after_s : float
+        Time after which another permit may be requested.
+    """
+
+    default_code = "permit_refused"
+
+    def __init__(self, message: str, *, retry_after_s: float):
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
 
 class AttemptFailedError(CamphorrunError):
     """An attempt ended without a complete answer; the code is the reason.
--- a/camphorrun/gateway/messages.py
+++ b/camphorrun/gateway/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-SCHEMA_VERSION = 3
+SCHEMA_VERSION = 4
 
 
 class RecordMessage(msgspec.Struct, array_like=True):
@@ -28,16 +28,29 @@
     era: int = 0
 
 
+class RateLimitMessage(msgspec.Struct, array_like=True):
+    """What one start of a replica last said about its rate limit, ``age_s`` ago.
+
+    ``per_s`` is the limit in requests per second, None if the replica needs none.
+    """
+
+    replica: str
+    started_ms: int
+    per_s: float | None
+    age_s: float
+
+
 class SyncMessage(msgspec.Struct):
     """Records of the store and members of the group that a gateway knows.
 
     ``ages_s`` gives for each topic the seconds since the store last confirmed its
-    records.
+    records. Gateways before schema 4 send no ``rate_limits``.
     """
 
     topics: dict[str, TopicMessage]
     members: list[str] = []
     ages_s: dict[str, float] = {}
+    rate_limits: list[RateLimitMessage] = []
     version: int = SCHEMA_VERSION
 
 
@@ -92,3 +105,37 @@
     service: str
     handles: list[str]
     version: int = SCHEMA_VERSION
+
+
+class PermitOrder(msgspec.Struct):
+    """Lends shares of rate limits to a gateway, and may ask it for a permit.
+
+    ``sender`` is the peer address of the sender, ``group_size`` the number of gateways
+    that it knows. If ``lends`` is set, its shares of all ``rate_limits`` that are in
+    force belong to the receiver for ``lease_s``. ``replica`` and ``started_ms`` name
+    the start of a replica for which it asks a permit, an empty name none; it uses the
+    permit within ``max_wait_s``.
+    """
+
+    sender: str
+    group_size: int
+    lease_s: float
+    rate_limits: list[RateLimitMessage]
+    lends: bool = True
+    replica: str = ""
+    started_ms: int = 0
+    max_wait_s: float = 0.0
+    version: int = SCHEMA_VERSION
+
+
+class PermitReply(msgspec.Struct):
+    """Answer to a permit order.
+
+    ``rate_limits`` has what the owner knows otherwise than the sender. ``wait_s`` is
+    the time until the request may be sent; if refused, until a permit is expected.
+    """
+
+    granted: bool
+    wait_s: float
+    rate_limits: list[RateLimitMessage] = []
+    version: int = SCHEMA_VERSION
--- a/camphorrun/gateway/peers.py
+++ b/camphorrun/gateway/peers.py
@@ -12,6 +12,8 @@
 from ..metrics import Metrics
 from .errors import PeerError
 from .messages import (
+    PermitOrder,
+    PermitReply,
     PieceOrder,
     PieceReply,
     RecordMessage,
@@ -92,7 +94,10 @@
         except (HttpError, TimeoutError) as exc:
             if isinstance(exc, HttpError):
                 self._mark_suspect()
-            raise PeerError(f"{self.address}: {exc!r}") from exc
+            not_accepted = isinstance(exc, HttpError) and exc.request_not_sent
+            raise PeerError(
+                f"{self.address}: {exc!r}", not_accepted=not_accepted
+            ) from exc
         except asyncio.CancelledError:
             if not asyncio.current_task().cancelling():
                 raise PeerError(
@@ -129,7 +134,10 @@
         finally:
             self._pool.release(conn)
         if answer.status != 200:
-            raise PeerError(f"{self.address}: expected status 200, got {answer.status}")
+            raise PeerError(
+                f"{self.address}: expected status 200, got {answer.status}",
+                not_accepted=True,
+            )
         return data
 
     async def _ping(self) -> None:
@@ -274,6 +282,7 @@
             raise PeerError(f"{address}: cannot decode the answer: {exc}") from exc
 
     def _apply_records(self, answer: SyncMessage, address: str) -> None:
+        self._state.merge_rate_limits(answer.rate_limits, self._timers.now(), address)
         for name, topic in answer.topics.items():
             if name in self._state.views and topic.end >= 0:
                 self._state.apply(name, _decode_page(topic), address)
@@ -291,8 +300,10 @@
                 for r in page.records
             ]
             topics[name] = TopicMessage(page.end, records, page.is_listing, page.era)
-        ages_s = self._state.ages_s(self._timers.now())
-        return SyncMessage(topics, list(self._state.members), ages_s)
+        now = self._timers.now()
+        ages_s = self._state.ages_s(now)
+        rate_limits = self._state.rate_limits.current_messages(now)
+        return SyncMessage(topics, list(self._state.members), ages_s, rate_limits)
 
     def close(self) -> None:
         """Close all links."""
@@ -321,12 +332,14 @@
         peers: Peers,
         make_pieces: Callable,
         release: Callable[[ReleaseOrder], None],
+        answer_permit: Callable[[PermitOrder], PermitReply],
         render_metrics: Callable[[], bytes],
         metrics: Metrics,
     ):
         self._peers = peers
         self._make_pieces = make_pieces
         self._release = release
+        self._answer_permit = answer_permit
         self._render_metrics = render_metrics
         self._metrics = metrics
 
@@ -357,6 +370,9 @@
             order = msgspec.msgpack.decode(body, type=PieceOrder)
             reply: PieceReply = await self._make_pieces(order)
             return encode(reply)
+        if path == "/permits":
+            permit_order = msgspec.msgpack.decode(body, type=PermitOrder)
+            return encode(self._answer_permit(permit_order))
         if path == "/release":
             self._release(msgspec.msgpack.decode(body, type=ReleaseOrder))
             return b""
--- /dev/null
+++ b/camphorrun/gateway/permits.py
@@ -0,0 +1,314 @@
+"""Permits to send to replicas that limit the requests of all gateways together."""
+
+import asyncio
+from dataclasses import dataclass
+
+import msgspec
+
+from ..core import EventLog, TimerService
+from ..metrics import Metrics
+from ..routing import rendezvous_order
+from .errors import PeerError, PermitRefusedError
+from .messages import PermitOrder, PermitReply
+from .peers import Peers, member_address
+from .permit_owner import PermitOwner
+from .rate_limits import Boot
+from .state import GatewayState
+
+PERMIT_TIMEOUT_SECONDS = 0.25
+# A permit that was not used within this time after its start has expired. The process
+# may have been paused, or the connection may have taken long.
+PERMIT_LIFETIME_SECONDS = 0.25
+# Leases are longer in a large group, which bounds the rate of renewals at an owner.
+MIN_LEASE_SECONDS = 1.5
+LEASE_SECONDS_PER_MEMBER = 0.03
+RENEWALS_PER_LEASE = 3.0
+# Shortest time between two rounds of renewals, also while limits change often.
+MIN_RENEWAL_SECONDS = 0.05
+# Shortest time until a permit is requested again.
+MIN_REFUSAL_SECONDS = 0.02
+# The same after an owner gave no answer. After several in a row the next owner is used.
+FAILED_OWNER_SECONDS = 0.1
+MAX_OWNER_FAILURES = 2
+# An owner without answers is avoided for this many leases, so that the share can be
+# lent to the next one.
+AVOIDED_LEASES = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """Right to send one request to a replica until ``valid_until``."""
+
+    valid_until: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Lease:
+    """The gateway to which this one lends its share of a limit, at most ``until``."""
+
+    address: str
+    until: float
+
+
+class Permits:
+    """Requests permits for this gateway, and lends its shares of the rate limits.
+
+    The owner of a limit is derived from the group members by rendezvous hashing. A
+    share that is lent to a former owner is lent to the next one only after its lease
+    has ended, so that it is never granted twice.
+
+    Parameters
+    ----------
+    state : GatewayState
+        Source of the rate limits and the group members.
+    peers : Peers
+        Connections to the other gateways.
+    owner : PermitOwner
+        Pools of the limits that this gateway owns.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        peers: Peers,
+        owner: PermitOwner,
+        *,
+        timers: TimerService,
+        metrics: Metrics,
+        events: EventLog,
+    ):
+        self._state = state
+        self._limits = state.rate_limits
+        self._peers = peers
+        self._owner = owner
+        self._own_address = member_address(state.member)
+        self._timers = timers
+        self._metrics = metrics
+        self._events = events
+        self._leases: dict[Boot, _Lease] = {}
+        self._owner_orders: dict[Boot, list[str]] = {}
+        self._failures: dict[str, int] = {}
+        self._avoided_until: dict[str, float] = {}
+        self._changed: set[Boot] = set()
+        self._wakeup = asyncio.Event()
+        self._limits.subscribe(self._on_limit_change)
+        state.subscribe(members=self._on_member_change)
+
+    def is_required(self, boot: Boot) -> bool:
+        """Return whether a replica has a rate limit."""
+        return self._limits.get(boot) is not None
+
+    async def acquire(self, boot: Boot, max_wait_s: float = 0.0) -> Permit | None:
+        """Return a permit for one request to a replica, None if it has no limit.
+
+        Waits up to ``max_wait_s`` for the time at which the request may be sent.
+
+        Raises
+        ------
+        PermitRefusedError
+            If no permit is available in this time.
+        """
+        if not self.is_required(boot):
+            return None
+        address = self._lender_target(boot)
+        reply = None
+        if address is not None:
+            order = self._order([boot], address == self._preferred_owner(boot))
+            order.replica, order.started_ms = boot
+            order.max_wait_s = max_wait_s
+            reply = await self._send(address, order)
+        if reply is None:
+            raise self._refusal("no_owner", FAILED_OWNER_SECONDS)
+        if not reply.granted:
+            raise self._refusal("refused", max(MIN_REFUSAL_SECONDS, reply.wait_s))
+        self._metrics.permits.labels("granted").inc()
+        valid_until = self._timers.now() + reply.wait_s + PERMIT_LIFETIME_SECONDS
+        if reply.wait_s > 0.0:
+            await self._timers.sleep(reply.wait_s)
+        return Permit(valid_until)
+
+    async def keep_leases(self) -> None:
+        """Renew the leases of all shares until cancelled.
+
+        The owner of a limit that has changed is told at once, and tells the others.
+        """
+        while True:
+            self._wakeup.clear()
+            await self.renew_leases()
+            await self._timers.sleep(MIN_RENEWAL_SECONDS)
+            await self._wait_for_change(self._lease_s / RENEWALS_PER_LEASE)
+
+    async def renew_leases(self) -> None:
+        """Renew the leases of all shares once, and send the limits that changed."""
+        changed, self._changed = self._changed, set()
+        limited = {
+            boot for boot in self._limits.in_force() if boot[0] in self._state.replicas
+        }
+        self._remove_old_leases(limited)
+        await self._lend(limited | changed)
+        await self._announce(changed)
+        self._owner.remove_unused_pools()
+
+    async def _wait_for_change(self, timeout_s: float) -> None:
+        timer = self._timers.call_after(timeout_s, self._wakeup.set)
+        await self._wakeup.wait()
+        timer.cancel()
+
+    def _remove_old_leases(self, limited: set[Boot]) -> None:
+        now = self._timers.now()
+        for boot, lease in list(self._leases.items()):
+            if boot not in limited and lease.until < now:
+                del self._leases[boot]
+
+    async def _lend(self, boots: set[Boot]) -> None:
+        """Send the shares and statements of some limits to their owners."""
+        batches: dict[tuple[str, bool], list[Boot]] = {}
+        for boot in boots:
+            address = self._lender_target(boot)
+            if address is not None:
+                lends = address == self._preferred_owner(boot)
+                batches.setdefault((address, lends), []).append(boot)
+        await asyncio.gather(
+            *(
+                self._send(address, self._order(batch, lends))
+                for (address, lends), batch in batches.items()
+            )
+        )
+
+    async def _announce(self, boots: set[Boot]) -> None:
+        """Tell all members the limits that changed, if this gateway owns them."""
+        owned = [b for b in boots if self._preferred_owner(b) == self._own_address]
+        if owned:
+            order = self._order(owned, lends=False)
+            await asyncio.gather(
+                *(self._send(address, order) for address in self._peers.addresses())
+            )
+
+    # Owners
+
+    def _preferred_owner(self, boot: Boot) -> str:
+        """Return the first member, in rendezvous order, that answers."""
+        if boot not in self._owner_orders:
+            members = map(member_address, self._state.members)
+            key = f"{boot[0]}|{boot[1]}"
+            self._owner_orders[boot] = rendezvous_order(key, set(filter(None, members)))
+        for address in self._owner_orders[boot]:
+            if self._is_reachable(address):
+                return address
+        return self._own_address
+
+    def _is_reachable(self, address: str) -> bool:
+        if address == self._own_address:
+            return True
+        if self._timers.now() < self._avoided_until.get(address, 0.0):
+            return False
+        return not self._peers.link(address).is_suspect
+
+    def _lender_target(self, boot: Boot) -> str | None:
+        """Return the gateway that has or gets this gateway's share of a limit.
+
+        None while a former owner that does not answer still has the share, and before
+        the members are known, because then the share is not known either. The lease of
+        a former owner that answers is not renewed, but its permits are used until then.
+        """
+        if not self._state.members_known:
+            return None
+        preferred = self._preferred_owner(boot)
+        lease = self._leases.get(boot)
+        if lease is None or self._timers.now() >= lease.until:
+            return preferred
+        return lease.address if self._is_reachable(lease.address) else None
+
+    @property
+    def _lease_s(self) -> float:
+        members = len(self._state.members)
+        return max(MIN_LEASE_SECONDS, LEASE_SECONDS_PER_MEMBER * members)
+
+    def _order(self, boots: list[Boot], lends: bool) -> PermitOrder:
+        return PermitOrder(
+            self._own_address,
+            len(self._state.members),
+            self._lease_s,
+            self._limits.messages(boots, self._timers.now()),
+            lends,
+        )
+
+    async def _send(self, address: str, order: PermitOrder) -> PermitReply | None:
+        """Return the reply of a gateway and record the leases, None without a reply."""
+        earlier_leases = dict(self._leases)
+        if order.lends:
+            # Without a reply, the order may still have arrived until its time-out.
+            self._record_leases(address, order, PERMIT_TIMEOUT_SECONDS)
+        try:
+            reply = await self._call(address, order)
+        except PeerError as exc:
+            if order.lends and exc.not_accepted:
+                self._restore_leases(order, earlier_leases)
+            self._record_failure(address, exc)
+            return None
+        self._failures.pop(address, None)
+        if order.lends:
+            self._record_leases(address, order, 0.0)
+        now = self._timers.now()
+        self._state.merge_rate_limits(reply.rate_limits, now, address)
+        return reply
+
+    async def _call(self, address: str, order: PermitOrder) -> PermitReply:
+        """Return the reply of a gateway.
+
+        Raises
+        ------
+        PeerError
+            If there is no reply, or if it can't be decoded.
+        """
+        if address == self._own_address:
+            return self._owner.answer(order)
+        link = self._peers.link(address)
+        data = await link.call("/permits", order, PERMIT_TIMEOUT_SECONDS)
+        try:
+            return msgspec.msgpack.decode(data, type=PermitReply)
+        except msgspec.DecodeError as exc:
+            raise PeerError(f"{address}: cannot decode the reply: {exc}") from exc
+
+    def _record_leases(self, address: str, order: PermitOrder, delay_s: float) -> None:
+        lease = _Lease(address, self._timers.now() + order.lease_s + delay_s)
+        for message in order.rate_limits:
+            self._leases[message.replica, message.started_ms] = lease
+
+    def _restore_leases(self, order: PermitOrder, earlier: dict[Boot, _Lease]) -> None:
+        """Undo the leases of an order that was not accepted."""
+        for message in order.rate_limits:
+            boot = (message.replica, message.started_ms)
+            self._leases.pop(boot, None)
+            if boot in earlier:
+                self._leases[boot] = earlier[boot]
+
+    def _record_failure(self, address: str, exc: PeerError) -> None:
+        self._metrics.drops.labels("permit_call").inc()
+        failures = self._failures[address] = self._failures.get(address, 0) + 1
+        if not exc.not_accepted and failures < MAX_OWNER_FAILURES:
+            return
+        avoidance_s = self._lease_s * AVOIDED_LEASES
+        self._avoided_until[address] = self._timers.now() + avoidance_s
+        self._events.log_state_change(
+            "permit_call_failed",
+            gateway=address,
+            failures=failures,
+            avoided_s=round(avoidance_s, 3),
+            error=str(exc),
+        )
+
+    def _on_limit_change(self, boot: Boot) -> None:
+        self._changed.add(boot)
+        self._wakeup.set()
+
+    def _on_member_change(self) -> None:
+        self._owner_orders.clear()
+        self._failures.clear()
+        self._avoided_until.clear()
+
+    def _refusal(self, result: str, retry_after_s: float) -> PermitRefusedError:
+        self._metrics.permits.labels(result).inc()
+        return PermitRefusedError(
+            f"no permit within {retry_after_s:.3f} s", retry_after_s=retry_after_s
+        )
--- a/camphorrun/gateway/replicas.py
+++ b/camphorrun/gateway/replicas.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Container, Iterable
+from dataclasses import dataclass
 
 from ..catalog import Replica, ReplicaState
 from ..core import EventLog, TimerService
@@ -9,7 +10,8 @@
 from ..metrics import Metrics
 from ..platform import ReplicaNotice, decode_replica_notice
 from ..routing import EndpointState, OutlierDetector
-from .errors import ReplicaUnavailableError
+from .errors import PermitRefusedError, ReplicaUnavailableError
+from .permits import Permit, Permits
 from .state import GatewayState
 
 OUTLIER_INTERVAL_SECONDS = 0.25
@@ -17,11 +19,13 @@
 MAX_EJECTION_SECONDS = 12.0
 # Share of a replica's connection limit that all gateways together use.
 CONNECTION_SHARE = 0.8
+# A permit is requested again after this time, although it may be expected later: the
+# rate of the owner grows when more gateways lend their shares.
+MAX_REFUSAL_SECONDS = 0.5
 MIN_CONNECTIONS = 2
 # Bound of the notices that are kept, one per start of a replica. The oldest belong to
 # processes that ended long ago.
 MAX_NOTICE_STATES = 4096
-NO_NOTICE = ReplicaNotice()
 # Exceeds the results that a replica makes while a duplicate answer may still arrive.
 MAX_RECENT_RESULTS = 512
 
@@ -55,7 +59,7 @@
 
 
 class NoticeState:
-    """Notices from one start of a replica: shutdown, pause and rate limit.
+    """Notices from one start of a replica: that it shuts down, or asks for a pause.
 
     The state is kept when the registration is removed, because a store failure may
     remove a registration and restore it later.
@@ -66,17 +70,13 @@
         When the replica first announced that it shuts down.
     paused_until : float
         End of the pause that the replica asked for.
-    rate_limit : float or None
-        Requests per second that the replica accepts, as its latest answer said; None
-        without a limit.
     """
 
-    __slots__ = ("leaving_since", "paused_until", "rate_limit")
+    __slots__ = ("leaving_since", "paused_until")
 
     def __init__(self):
         self.leaving_since: float | None = None
         self.paused_until = float("-inf")
-        self.rate_limit: float | None = None
 
     def unavailable_reason(self, now: float) -> str:
         """Return why no request may be sent now, empty if one may."""
@@ -85,6 +85,17 @@
         return "resting" if now < self.paused_until else ""
 
 
+@dataclass(frozen=True, slots=True)
+class ServicePause:
+    """Time until a replica of a service may get a request again, and why not now.
+
+    ``reason`` is ``resting`` or ``limited``, that of the replica which is first.
+    """
+
+    seconds: float
+    reason: str
+
+
 class ReplicaHandle:
     """Connections and state of one start of a replica.
 
@@ -103,13 +114,20 @@
     rejection_backoff_until : float
         End of the back-off after the replica rejected a request. Without it, its low
         load would attract all further requests.
+    permit_refused_until : float
+        Until when no permit is requested, if the replica has a rate limit.
+    permit_expected_at : float
+        When a permit is expected after the last refusal.
     """
 
     __slots__ = (
         "_on_notice",
+        "_permits",
         "_timers",
         "notice_state",
         "endpoint",
+        "permit_expected_at",
+        "permit_refused_until",
         "pool",
         "rejection_backoff_until",
         "replica",
@@ -122,13 +140,17 @@
         timers: TimerService,
         connections: int,
         notice_state: NoticeState,
-        on_notice: Callable[["ReplicaHandle", ReplicaNotice, str], None],
+        permits: Permits,
+        on_notice: Callable[["ReplicaHandle", ReplicaNotice, str, float | None], None],
     ):
         self.replica = replica
         self.notice_state = notice_state
         self.recent_results = RecentResults()
         self._timers = timers
+        self._permits = permits
         self._on_notice = on_notice
+        self.permit_refused_until = float("-inf")
+        self.permit_expected_at = float("-inf")
         self.rejection_backoff_until = float("-inf")
         self.endpoint = EndpointState(
             replica.identifier, replica.availability_zone, replica.service
@@ -145,29 +167,84 @@
         """Why no new request may be sent now, empty if one may."""
         if self.replica.state is not ReplicaState.READY or self.pool.closed:
             return "draining"
-        return self.notice_state.unavailable_reason(self._timers.now())
+        now = self._timers.now()
+        reason = self.notice_state.unavailable_reason(now)
+        if not reason and self.is_limited and now < self.permit_refused_until:
+            return "limited"
+        return reason
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether the replica has a rate limit, so that requests need a permit."""
+        return self._permits.is_required(self.replica.boot)
+
+    @property
+    def available_at(self) -> float:
+        """When the pause of the replica ends and a permit is expected."""
+        permitted_at = self.permit_expected_at if self.is_limited else float("-inf")
+        return max(self.notice_state.paused_until, permitted_at)
+
+    async def acquire_permit(self, max_wait_s: float = 0.0) -> Permit | None:
+        """Return a permit to send one request, None if the replica has no rate limit.
+
+        Raises
+        ------
+        ReplicaUnavailableError
+            If no permit is available within ``max_wait_s``.
+        """
+        try:
+            return await self._permits.acquire(self.replica.boot, max_wait_s)
+        except PermitRefusedError as exc:
+            now = self._timers.now()
+            refused_s = min(exc.retry_after_s, MAX_REFUSAL_SECONDS)
+            self.permit_refused_until = now + refused_s
+            self.permit_expected_at = now + exc.retry_after_s
+            raise self._unavailable_error("limited") from exc
 
-    def ensure_available(self) -> None:
-        """Check that the replica still accepts requests, after a wait.
+    def ensure_available(self, permit: Permit | None = None) -> None:
+        """Check immediately before a request is sent that the replica accepts it.
+
+        The process may have waited or been paused since the replica was chosen or the
+        permit was granted.
 
         Raises
         ------
         ReplicaUnavailableError
-            If it accepts none.
+            If it accepts no request, or none without a valid permit.
         """
         reason = self.unavailable_reason
+        if reason in ("", "limited"):
+            reason = "" if self._is_permitted(permit) else "limited"
         if reason:
-            name = self.replica.identifier
-            raise ReplicaUnavailableError(
-                f"replica {name} accepts no requests: {reason}",
-                code=f"replica_{reason}",
-            )
+            raise self._unavailable_error(reason)
+
+    def _is_permitted(self, permit: Permit | None) -> bool:
+        if not self.is_limited:
+            return True
+        return permit is not None and self._timers.now() <= permit.valid_until
+
+    def _unavailable_error(self, reason: str) -> ReplicaUnavailableError:
+        name = self.replica.identifier
+        return ReplicaUnavailableError(
+            f"replica {name} accepts no requests: {reason}", code=f"replica_{reason}"
+        )
 
-    def apply_notice(self, head: ResponseHead, request_id: str = "") -> None:
-        """Apply what a response head says about the replica."""
+    def apply_notice(
+        self,
+        head: ResponseHead,
+        request_id: str = "",
+        *,
+        sent_at: float | None = None,
+    ) -> None:
+        """Apply what a response head says about the replica.
+
+        An answer without a rate limit withdraws an earlier one only if the time at
+        which its request was sent is given. It must not be given for an answer that may
+        be a duplicate of an earlier one.
+        """
         notice = decode_replica_notice(head)
         if notice is not None:
-            self._on_notice(self, notice, request_id)
+            self._on_notice(self, notice, request_id, sent_at)
 
 
 class ReplicaPool:
@@ -176,11 +253,13 @@
     def __init__(
         self,
         state: GatewayState,
+        permits: Permits,
         timers: TimerService,
         metrics: Metrics,
         events: EventLog,
     ):
         self._state = state
+        self._permits = permits
         self._timers = timers
         self._metrics = metrics
         self._events = events
@@ -201,7 +280,12 @@
                 limit = self._connection_limit(replica.service)
                 notice_state = self._notice_states.get(replica.boot) or NoticeState()
                 handle = ReplicaHandle(
-                    replica, self._timers, limit, notice_state, self._process_notice
+                    replica,
+                    self._timers,
+                    limit,
+                    notice_state,
+                    self._permits,
+                    self._process_notice,
                 )
                 self._handles[identifier] = handle
             handle.replica = replica
@@ -218,23 +302,34 @@
         """Return the replicas of a service that accept new requests."""
         return [h for h in self.of_service(service) if h.is_available]
 
-    def pause_left_s(self, service: str, zones: Container[str] | None = None) -> float:
-        """Return the time until the first paused replica accepts requests again.
+    def pause(
+        self, service: str, zones: Container[str] | None = None
+    ) -> ServicePause | None:
+        """Return the pause until the first replica may get a request again.
 
-        0 if a replica accepts requests now, or if none is paused. Only replicas in the
-        availability zones ``zones`` count, those in all zones if it is None.
+        None if a replica accepts requests now, or if none is paused or limited. Only
+        replicas in the availability zones ``zones`` count, all if it is None.
         """
         now = self._timers.now()
-        left_s = []
+        pauses = []
         for handle in self.of_service(service):
             if zones is not None and handle.replica.availability_zone not in zones:
                 continue
             reason = handle.unavailable_reason
             if not reason:
-                return 0.0
-            if reason == "resting":
-                left_s.append(handle.notice_state.paused_until - now)
-        return min(left_s, default=0.0)
+                return None
+            if reason in ("resting", "limited"):
+                pauses.append(ServicePause(handle.available_at - now, reason))
+        return min(pauses, key=lambda pause: pause.seconds, default=None)
+
+    def next_permitted(self, service: str) -> ReplicaHandle | None:
+        """Return the replica without a permit that is expected to get one first."""
+        handles = [
+            handle
+            for handle in self.of_service(service)
+            if handle.unavailable_reason == "limited"
+        ]
+        return min(handles, key=lambda h: h.available_at, default=None)
 
     def get(self, identifier: str) -> ReplicaHandle | None:
         """Return the handle of a replica, None if it is not registered."""
@@ -250,11 +345,15 @@
             handle.pool.close()
 
     def _process_notice(
-        self, handle: ReplicaHandle, notice: ReplicaNotice, request_id: str
+        self,
+        handle: ReplicaHandle,
+        notice: ReplicaNotice,
+        request_id: str,
+        sent_at: float | None,
     ) -> None:
         now = self._timers.now()
         notice_state = handle.notice_state
-        if notice != NO_NOTICE:
+        if notice.leaving or notice.pause_s:
             self._notice_states[handle.replica.boot] = notice_state
         while len(self._notice_states) > MAX_NOTICE_STATES:
             self._notice_states.popitem(last=False)
@@ -274,21 +373,25 @@
                 seconds=notice.pause_s,
                 unusual=notice.invalid_pause[:40],
             )
-        self._apply_rate_limit(handle, notice, request_id)
+        self._apply_rate_limit(handle, notice, request_id, sent_at)
 
     def _apply_rate_limit(
-        self, handle: ReplicaHandle, notice: ReplicaNotice, request_id: str
+        self,
+        handle: ReplicaHandle,
+        notice: ReplicaNotice,
+        request_id: str,
+        sent_at: float | None,
     ) -> None:
-        """Record a rate limit that differs from the one in the previous answer."""
-        notice_state = handle.notice_state
         if notice.is_rate_limit_malformed:
             self._metrics.drops.labels("rate_limit").inc()
             return
-        if notice.rate_limit == notice_state.rate_limit:
+        stated_at = sent_at if notice.rate_limit is None else self._timers.now()
+        if stated_at is None:
             return
-        notice_state.rate_limit = notice.rate_limit
-        kind = "unlimited" if notice.rate_limit is None else "limited"
-        self._record_notice(handle, kind, request_id, per_s=notice.rate_limit)
+        limits = self._state.rate_limits
+        if limits.state(handle.replica.boot, notice.rate_limit, stated_at):
+            kind = "unlimited" if notice.rate_limit is None else "limited"
+            self._record_notice(handle, kind, request_id, per_s=notice.rate_limit)
 
     def _record_notice(
         self, handle: ReplicaHandle, kind: str, request_id: str, **fields: object
--- a/camphorrun/gateway/request_handler.py
+++ b/camphorrun/gateway/request_handler.py
@@ -43,6 +43,7 @@
     "late": "stage_late",
     "input_gone": "stage_input_gone",
     "resting": "replicas_resting",
+    "limited": "replicas_limited",
     "busy": "stages_busy",
 }
 
--- a/camphorrun/gateway/stage_calls.py
+++ b/camphorrun/gateway/stage_calls.py
@@ -96,13 +96,16 @@
 ) -> T:
     """Send a request and return the decoded body of the answer.
 
-    Nothing is sent if the replica accepts no requests by the time a connection is free.
+    Nothing is sent if the replica accepts no requests by the time a connection is free,
+    or if it has a rate limit and there is no permit.
     A connection whose answer can't be decoded is closed, because the answer may belong
     to another call.
     """
+    permit = await handle.acquire_permit()
     conn = await handle.pool.acquire(CONNECT_TIMEOUT_SECONDS)
 
     async def exchange() -> T:
+        sent_at = timers.now()
         head = await conn.request(data)
         handle.apply_notice(head)
         body = await conn.read_all(MAX_RESPONSE_BYTES)
@@ -111,10 +114,13 @@
                 f"stage replica answered with status {head.status}, expected 200",
                 code="refused",
             )
-        return decode(body)
+        decoded = decode(body)
+        # Only now it is known not to be a duplicate of an earlier answer.
+        handle.apply_notice(head, sent_at=sent_at)
+        return decoded
 
     try:
-        handle.ensure_available()
+        handle.ensure_available(permit)
         return await with_timeout(timers, exchange(), timeout_s)
     except ReplicaUnavailableError:
         raise
--- a/camphorrun/gateway/stage_releases.py
+++ b/camphorrun/gateway/stage_releases.py
@@ -40,16 +40,22 @@
         self._on_released = on_released
         self._timers = timers
         self._metrics = metrics
-        self._pending: dict[str, list[str]] = {}
+        # By address of the replica, the time until which it keeps each result.
+        self._pending: dict[str, dict[str, float]] = {}
         self._tasks: set[asyncio.Task] = set()
 
     def schedule(self, handles: list[str]) -> None:
         """Release results after the batching delay."""
-        for result in handles:
+        expires_at = self._timers.now() + self.result_lifetime_s
+        self._schedule(dict.fromkeys(handles, expires_at))
+
+    def _schedule(self, expiry_times: dict[str, float]) -> None:
+        """Release results after the batching delay, unless they have expired then."""
+        for result, expires_at in expiry_times.items():
             address = result.partition("/")[0]
             if not self._pending:
                 self._timers.call_after(RELEASE_DELAY_SECONDS, self._send_pending)
-            self._pending.setdefault(address, []).append(result)
+            self._pending.setdefault(address, {})[result] = expires_at
 
     def close(self) -> None:
         """Cancel the release calls in progress."""
@@ -58,32 +64,41 @@
 
     def _send_pending(self) -> None:
         pending, self._pending = self._pending, {}
-        for address, handles in pending.items():
+        now = self._timers.now()
+        for address, expiry_times in pending.items():
+            kept = {name: at for name, at in expiry_times.items() if at > now}
             handle = self._replicas.at_address(address)
             unavailable_reason = (
                 handle.unavailable_reason if handle is not None else "removed"
             )
-            if unavailable_reason == "resting":
-                self._schedule_after_pause(handle, handles)
-            elif not unavailable_reason:
+            if unavailable_reason in ("resting", "limited"):
+                self._schedule_after_pause(handle, kept)
+            elif kept and not unavailable_reason:
                 # A replica that drains, shuts down or is removed needs no release: its
                 # results end with its process.
-                task = asyncio.ensure_future(self._release(handle, handles))
+                task = asyncio.ensure_future(self._release(handle, kept))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
 
-    def _schedule_after_pause(self, handle: ReplicaHandle, handles: list[str]) -> None:
+    def _schedule_after_pause(
+        self, handle: ReplicaHandle, expiry_times: dict[str, float]
+    ) -> None:
         """Release results after the replica's pause, unless they expire before."""
-        pause_s = handle.notice_state.paused_until - self._timers.now()
-        if pause_s < self.result_lifetime_s:
-            reschedule = partial(self.schedule, handles)
-            self._timers.call_after(pause_s + RELEASE_DELAY_SECONDS, reschedule)
+        pause_s = handle.available_at - self._timers.now()
+        if expiry_times and pause_s < self.result_lifetime_s:
+            reschedule = partial(self._schedule, expiry_times)
+            self._timers.call_after(
+                max(0.0, pause_s) + RELEASE_DELAY_SECONDS, reschedule
+            )
 
-    async def _release(self, handle: ReplicaHandle, handles: list[str]) -> None:
+    async def _release(
+        self, handle: ReplicaHandle, expiry_times: dict[str, float]
+    ) -> None:
+        handles = list(expiry_times)
         try:
             await release_results(handle, handles, self._timers)
         except ReplicaUnavailableError:
-            self.schedule(handles)
+            self._schedule(expiry_times)
         except (HttpError, TimeoutError):
             self._metrics.drops.labels("release").inc()
         else:
--- a/camphorrun/gateway/stage_workers.py
+++ b/camphorrun/gateway/stage_workers.py
@@ -75,6 +75,13 @@
         """Return whether calls take much longer than their nominal time."""
         return self.slowdown >= SLOW_THRESHOLD
 
+    def is_disposable(self) -> bool:
+        """Return whether nothing is lost if this worker is dropped.
+
+        A replica without a permit gets one soon, and its free space is known.
+        """
+        return not self.active_calls and self.handle.unavailable_reason != "limited"
+
     def record_call_time(self, ratio: float) -> None:
         """Update the slowdown by a call time as a multiple of the nominal one."""
         self.slowdown += SLOWDOWN_SMOOTHING_FACTOR * (ratio - self.slowdown)
@@ -116,7 +123,7 @@
             if handle.replica.availability_zone in self.zones
         }
         for boot in self._workers.keys() - handles.keys():
-            if not self._workers[boot].active_calls:
+            if self._workers[boot].is_disposable():
                 del self._workers[boot]
         for boot, handle in handles.items():
             if boot not in self._workers:
--- a/camphorrun/gateway/state.py
+++ b/camphorrun/gateway/state.py
@@ -15,6 +15,8 @@
     decode_deployment,
     decode_replica,
 )
+from .messages import RateLimitMessage
+from .rate_limits import RateLimits
 
 Listener = Callable[[], None]
 
@@ -37,10 +39,14 @@
         Registered replicas by identifier.
     members : tuple of str
         Names of the gateways that share the work, sorted, including this one.
+    members_known : bool
+        Whether the members have been learned from the store or from a peer.
     peers_queried : bool
         Whether the peers known at start-up have been queried for their records.
     views : dict of str to RecordView
         Newest records by topic.
+    rate_limits : RateLimits
+        Rate limits that replicas name in their answers.
     """
 
     def __init__(self, member: str, metrics: Metrics, events: EventLog):
@@ -48,8 +54,10 @@
         self.deployment: Deployment | None = None
         self.replicas: dict[str, Replica] = {}
         self.members: tuple[str, ...] = (member,)
+        self.members_known = False
         self.peers_queried = False
         self.views = {CONFIGURATION_TOPIC: RecordView(), REPLICA_TOPIC: RecordView()}
+        self.rate_limits = RateLimits()
         # Time at which the store last confirmed the known records of a topic.
         self._confirmed_at: dict[str, float] = {}
         # Time at which a registration was first missing from the current era.
@@ -132,6 +140,16 @@
             source=source,
         )
 
+    def merge_rate_limits(
+        self, messages: list[RateLimitMessage], now: float, source: str
+    ) -> None:
+        """Apply the rate limits that another gateway knows."""
+        for boot in self.rate_limits.merge(messages, now):
+            per_s = self.rate_limits.get(boot)
+            self._events.log_state_change(
+                "rate_limit", replica=boot[0], per_s=per_s, source=source
+            )
+
     def confirm(self, topic: str, at: float) -> None:
         """Record that the known records of a topic matched the store at ``at``."""
         self._confirmed_at[topic] = max(at, self._confirmed_at.get(topic, at))
@@ -164,6 +182,7 @@
 
     def set_members(self, members: tuple[str, ...]) -> None:
         """Replace the member list; this gateway is always a member."""
+        self.members_known = True
         members = tuple(sorted({*members, self.member}))
         if members == self.members:
             return
--- a/camphorrun/limits/__init__.py
+++ b/camphorrun/limits/__init__.py
@@ -1,7 +1,8 @@
-"""Adaptive concurrency limit and bounded priority queue of an endpoint."""
+"""Concurrency limit and bounded queue of an endpoint; permits of shared rate limits."""
 
 from .concurrency import ConcurrencyLimit, LatencySample
 from .fit import LinearFit
+from .permits import PermitAnswer, PermitPool
 from .queues import (
     EarliestDeadline,
     FirstCome,
@@ -19,6 +20,8 @@
     "LatencySample",
     "LeastLaxity",
     "LinearFit",
+    "PermitAnswer",
+    "PermitPool",
     "QueueItem",
     "QueuePush",
     "StageQueue",
--- a/camphorrun/metrics/registry.py
+++ b/camphorrun/metrics/registry.py
@@ -61,6 +61,11 @@
             "Replicas that announced a shutdown, a pause or a rate limit.",
             ("service", "kind"),
         )
+        self.permits = self._counter(
+            "permits",
+            "Permits requested for replicas with a rate limit, by result.",
+            ("result",),
+        )
         self.drops = self._counter(
             "drops", "Dropped messages and replies, by reason.", ("reason",)
         )
--- a/camphorrun/routing/__init__.py
+++ b/camphorrun/routing/__init__.py
@@ -4,7 +4,12 @@
 from .endpoints import EjectionState, EndpointState, StageRequest
 from .estimates import StageEstimator, load_share, service_capacity
 from .outliers import OutlierDetector
-from .ownership import UNSHARDED, owner_preferences, stage_shards
+from .ownership import (
+    UNSHARDED,
+    owner_preferences,
+    rendezvous_order,
+    stage_shards,
+)
 from .policies import (
     BalancedPolicy,
     LeastReportedLoadPolicy,
@@ -35,6 +40,7 @@
     "load_share",
     "owner_preferences",
     "reader_preference",
+    "rendezvous_order",
     "routing_policy_by_name",
     "service_capacity",
     "stage_shards",
--- a/camphorrun/routing/ownership.py
+++ b/camphorrun/routing/ownership.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 import xxhash
 
@@ -62,9 +62,7 @@
     owned_services: Counter[str] = Counter()
     preferences_by_service = {}
     for service in sorted(services):
-        preferences = sorted(
-            members, key=lambda member: _rendezvous_weight(service, member)
-        )
+        preferences = rendezvous_order(service, members)
         preferences.sort(key=lambda member: owned_services[member])
         if preferences:
             owned_services[preferences[0]] += 1
@@ -72,5 +70,13 @@
     return preferences_by_service
 
 
+def rendezvous_order(key: str, members: Iterable[str]) -> list[str]:
+    """Return the members in order of preference as owner of a key.
+
+    Only the keys of a member that joins or leaves change their owner.
+    """
+    return sorted(members, key=lambda member: _rendezvous_weight(key, member))
+
+
 def _rendezvous_weight(service: str, member: str) -> int:
     return xxhash.xxh64_intdigest(f"{service}|{member}")
