Let permits go on while gateways can't reach each other

Cause, found by a test with two halves of a fleet that don't reach each other: a gateway that lost its owner tried the unreachable ones in turn, and each try lends the share for a lease.

Besides: a request with stages is refused on arrival if the permits of all its replicas are used up for longer than it has time, instead of after its stages have run.

--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -241,6 +241,12 @@
         """Return the predicted time from the start of an attempt to its first event."""
         return self._first_event_times.expected_s(ctx.service, ctx.prompt_tokens)
 
+    def permit_wait_s(self, ctx: RequestContext) -> float:
+        """Return the time until the first permit, 0 unless all replicas lack one."""
+        pause = self._replicas.pause(ctx.service)
+        is_limited = pause is not None and pause.reason == "limited"
+        return pause.seconds if is_limited else 0.0
+
     def preferred_zone(self, ctx: RequestContext) -> str:
         """Return the zone of the engine that has the request's prefix cached.
 
--- a/camphorrun/gateway/permits.py
+++ b/camphorrun/gateway/permits.py
@@ -27,12 +27,13 @@
 MIN_RENEWAL_SECONDS = 0.05
 # Shortest time until a permit is requested again.
 MIN_REFUSAL_SECONDS = 0.02
-# The same after an owner gave no answer. After several in a row the next owner is used.
+# The same after an owner gave no answer. After several in a row the next owner is used
+# until the failed one answers a probe, which lends it nothing.
 FAILED_OWNER_SECONDS = 0.1
 MAX_OWNER_FAILURES = 2
-# An owner without answers is avoided for this many leases, so that the share can be
-# lent to the next one.
-AVOIDED_LEASES = 2.0
+# Interval of the probes; it doubles with each one that fails, up to the maximum.
+PROBE_SECONDS = 1.0
+MAX_PROBE_SECONDS = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +89,7 @@
         self._leases: dict[Boot, _Lease] = {}
         self._owner_orders: dict[Boot, list[str]] = {}
         self._failures: dict[str, int] = {}
-        self._avoided_until: dict[str, float] = {}
+        self._next_probe_at: dict[str, float] = {}
         self._changed: set[Boot] = set()
         self._wakeup = asyncio.Event()
         self._limits.subscribe(self._on_limit_change)
@@ -145,6 +146,7 @@
             boot for boot in self._limits.in_force() if boot[0] in self._state.replicas
         }
         self._remove_old_leases(limited)
+        await self._probe_failed_owners()
         await self._lend(limited | changed)
         await self._announce(changed)
         self._owner.remove_unused_pools()
@@ -184,6 +186,12 @@
                 *(self._send(address, order) for address in self._peers.addresses())
             )
 
+    async def _probe_failed_owners(self) -> None:
+        now = self._timers.now()
+        due = [address for address, at in self._next_probe_at.items() if at <= now]
+        order = self._order([], lends=False)
+        await asyncio.gather(*(self._send(address, order) for address in due))
+
     # Owners
 
     def _preferred_owner(self, boot: Boot) -> str:
@@ -200,7 +208,7 @@
     def _is_reachable(self, address: str) -> bool:
         if address == self._own_address:
             return True
-        if self._timers.now() < self._avoided_until.get(address, 0.0):
+        if address in self._next_probe_at:
             return False
         return not self._peers.link(address).is_suspect
 
@@ -247,6 +255,7 @@
             self._record_failure(address, exc)
             return None
         self._failures.pop(address, None)
+        self._next_probe_at.pop(address, None)
         if order.lends:
             self._record_leases(address, order, 0.0)
         now = self._timers.now()
@@ -288,13 +297,14 @@
         failures = self._failures[address] = self._failures.get(address, 0) + 1
         if not exc.not_accepted and failures < MAX_OWNER_FAILURES:
             return
-        avoidance_s = self._lease_s * AVOIDED_LEASES
-        self._avoided_until[address] = self._timers.now() + avoidance_s
+        doublings = max(0, min(8, failures - MAX_OWNER_FAILURES))
+        probe_s = min(MAX_PROBE_SECONDS, PROBE_SECONDS * 2**doublings)
+        self._next_probe_at[address] = self._timers.now() + probe_s
         self._events.log_state_change(
             "permit_call_failed",
             gateway=address,
             failures=failures,
-            avoided_s=round(avoidance_s, 3),
+            probe_after_s=probe_s,
             error=str(exc),
         )
 
@@ -305,7 +315,7 @@
     def _on_member_change(self) -> None:
         self._owner_orders.clear()
         self._failures.clear()
-        self._avoided_until.clear()
+        self._next_probe_at.clear()
 
     def _refusal(self, result: str, retry_after_s: float) -> PermitRefusedError:
         self._metrics.permits.labels(result).inc()
--- a/camphorrun/gateway/request_handler.py
+++ b/camphorrun/gateway/request_handler.py
@@ -277,9 +277,11 @@
         forecast = await self._stage_runner.forecast(
             ctx.route, ctx.caller.pieces, ctx.rank, ctx.zone
         )
+        permit_wait_s = self._attempts.permit_wait_s(ctx)
+        first_event_s = self._attempts.expected_first_event_s(ctx)
         verdict = check_feasibility(
-            forecast.total_s + self._attempts.expected_first_event_s(ctx),
-            forecast.wait_s,
+            forecast.total_s + permit_wait_s + first_event_s,
+            forecast.wait_s + permit_wait_s,
             objective_left_s=ctx.objective_at - self._timers.now(),
             deadline_left_s=ctx.end_at - self._timers.now(),
             is_retry=ctx.is_retry,
@@ -291,6 +293,7 @@
             rank=ctx.rank,
             predicted_s=round(forecast.total_s, 3),
             wait_s=round(forecast.wait_s, 3),
+            permit_wait_s=round(permit_wait_s, 3),
             returned=ctx.is_retry,
         )
         if verdict is None:
--- a/camphorrun/gateway/tests/test_rate_limits.py
+++ b/camphorrun/gateway/tests/test_rate_limits.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import pytest
+
+from ..errors import ReplicaUnavailableError
 from .cluster import LocalCluster, run_scenario
 
 # The platform's rule: in any window, at most this multiple of the limit and a few
@@ -69,3 +72,121 @@
             assert 2 <= most_in_window(arrivals) <= RATE_FACTOR * 4 + EXTRA_REQUESTS
 
         run_scenario(scenario, stage=2, gateways=3)
+
+    def test_limit_at_several_replicas_refuses_at_once(self):
+        """Guards against callers that wait for a permit until their deadline passes."""
+
+        async def scenario(cluster):
+            for replica in cluster.replicas:
+                replica.script.rate_limit = "0.5"
+            await send_steadily(
+                cluster, "/unsafe/x", gap_s=0.1, until=cluster.timers.now() + 1.0
+            )
+            started_at = cluster.timers.now()
+            answers = await asyncio.gather(
+                *(cluster.send_request("/unsafe/x") for _ in range(10))
+            )
+            refused = [answer for answer in answers if answer.status == 503]
+            assert {a.headers["x-reason"] for a in refused} == {"replicas_limited"}
+            assert all(float(a.headers["retry-after"]) > 0.25 for a in refused)
+            # The objective of the route is 0.5 s.
+            assert cluster.timers.now() - started_at < 1.0
+
+        run_scenario(scenario, plain=2)
+
+    def test_request_waits_for_a_permit_that_comes_in_time(self):
+        """Guards against refusals while a permit is due within the objective."""
+
+        async def scenario(cluster):
+            cluster.replicas[0].script.rate_limit = "10"
+            statuses = set()
+            for _ in range(10):
+                statuses.add((await cluster.send_request("/unsafe/x")).status)
+            assert statuses == {200}
+            assert cluster.replicas[0].asked == 10
+
+        run_scenario(scenario)
+
+
+class TestLimitNotices:
+    """What a replica says of its limit, and who hears of it."""
+
+    def test_withdrawn_limit_frees_the_replica(self):
+        """Guards against a replica that stays limited after its need has ended."""
+
+        async def scenario(cluster):
+            replica = cluster.replicas[0]
+            replica.script.rate_limit = "5"
+            await cluster.send_request("/safe/x")
+            limits = [d.state.rate_limits for d in cluster.daemons]
+            await cluster.wait_until(lambda: all(x.in_force() for x in limits))
+            replica.script.rate_limit = ""
+            await cluster.wait_until(
+                lambda: not cluster.daemons[0]._replica_pool.pause("plain")
+            )
+            await cluster.send_request("/safe/x")
+            await cluster.wait_until(lambda: not any(x.in_force() for x in limits))
+
+        run_scenario(scenario, gateways=3)
+
+    def test_new_gateway_knows_the_limit_before_it_is_ready(self):
+        """Guards against a restarted gateway that sends without permits at first."""
+
+        async def scenario(cluster):
+            cluster.replicas[0].script.rate_limit = "1"
+            await cluster.send_request("/safe/x")
+            first = cluster.daemons[0]
+            late = cluster.add_gateway("late", (first.settings.host.peers,))
+            await cluster.wait_until(lambda: late.state.ready)
+            assert late.state.rate_limits.in_force()
+
+        run_scenario(scenario)
+
+    def test_duplicate_answer_does_not_withdraw_the_limit(self):
+        """Guards against a copy of an earlier answer that hides the limit."""
+
+        async def scenario(cluster):
+            replica = cluster.replicas[0]
+            replica.script.rate_limit = "5"
+            await cluster.send_request("/safe/x")
+            replica.script.rate_limit = ""
+            replica.script.answer = "foreign"
+            await cluster.send_request("/unsafe/x")
+            assert cluster.daemons[0].state.rate_limits.in_force()
+
+        run_scenario(scenario)
+
+    def test_restarted_replica_has_no_limit(self):
+        """Guards against a limit that is applied to the next start of a replica."""
+
+        async def scenario(cluster):
+            replica = cluster.replicas[0]
+            replica.script.rate_limit = "1"
+            await cluster.send_request("/safe/x")
+            replica.script.rate_limit = ""
+            entry = replica.registration("plain", born=1_700_000_000_000)
+            cluster.store.put("keyed.servers", replica.identifier, entry)
+            pool = cluster.daemons[0]._replica_pool
+            await cluster.wait_until(lambda: not pool.of_service("plain")[0].is_limited)
+            for _ in range(5):
+                assert (await cluster.send_request("/safe/x")).status == 200
+
+        run_scenario(scenario)
+
+    def test_expired_permit_is_not_used(self):
+        """Guards against a permit from before a pause that is used after it."""
+
+        async def scenario(cluster):
+            replica = cluster.replicas[0]
+            replica.script.rate_limit = "5"
+            await cluster.send_request("/safe/x")
+            handle = cluster.daemons[0]._replica_pool.get(replica.identifier)
+            permit = await handle.acquire_permit(1.0)
+            handle.ensure_available(permit)
+            await asyncio.sleep(0.6)
+            with pytest.raises(ReplicaUnavailableError):
+                handle.ensure_available(permit)
+            with pytest.raises(ReplicaUnavailableError):
+                handle.ensure_available()
+
+        run_scenario(scenario)
