--- a/camphorrun/gateway/permit_owner.py
+++ b/camphorrun/gateway/permit_owner.py
@@ -42,6 +42,10 @@
         newer = self._limits.newer_messages(order.rate_limits, now)
         return PermitReply(answer.granted, answer.wait_s, newer)
 
+    def owned(self) -> list[Boot]:
+        """Return the starts of replicas whose permits this gateway grants."""
+        return list(self._pools)
+
     def remove_unused_pools(self) -> None:
         """Remove the pools to which no gateway lends its share any more."""
         now = self._timers.now()
--- a/camphorrun/gateway/tests/permit_fleet.py
+++ b/camphorrun/gateway/tests/permit_fleet.py
@@ -1,6 +1,7 @@
 """A fleet of gateways that grant each other permits, without sockets or real time."""
 
 import asyncio
+from random import Random
 
 import msgspec
 
@@ -78,15 +79,22 @@
 
 
 class Fleet:
-    """Gateways, and a network that loses orders or replies between some of them."""
+    """Gateways, and a network that loses orders or replies between some of them.
 
-    def __init__(self):
+    Each gateway wants to send ``demand_per_s`` requests a second, at random times, or
+    one whenever it may if that is None.
+    """
+
+    def __init__(self, demand_per_s: float | None = None):
+        self.demand_per_s = demand_per_s
+        self._rng = Random(1)
         self.timers = ManualTimerService(start_s=100.0)
         self.metrics = Metrics()
         self.lost_orders: set[tuple[int, int]] = set()
         self.lost_replies: set[tuple[int, int]] = set()
         self.stopped: set[int] = set()
-        self.sends: list[float] = []
+        # Time and gateway of each request that was sent.
+        self.sends: list[tuple[float, int]] = []
         self.gateways = [FakeGateway(self, n) for n in range(COUNT)]
 
     def set_up(self, per_s: float) -> None:
@@ -95,6 +103,14 @@
             self.set_members(number, set(range(COUNT)))
             self.state_limit(number, per_s)
 
+    def clear_sends(self) -> None:
+        """Forget what was sent so far."""
+        self.sends.clear()
+
+    def sends_of(self, number: int) -> int:
+        """Return how many requests a gateway sent."""
+        return sum(sender == number for _, sender in self.sends)
+
     def number_of(self, address: str) -> int:
         return int(address.partition(":")[0].rpartition(".")[2])
 
@@ -125,15 +141,25 @@
 
     async def _run(self, steps: int) -> None:
         for step in range(steps):
-            for number, gateway in enumerate(self.gateways):
+            for number in self._rng.sample(range(COUNT), COUNT):
                 if number in self.stopped:
                     continue
+                gateway = self.gateways[number]
                 if step % RENEWAL_STEPS == number:
                     await gateway.permits.renew_leases()
-                await self._send_if_permitted(gateway)
+                for _ in range(self._wanted_requests()):
+                    await self._send_if_permitted(number)
             self.timers.advance(STEP_SECONDS)
 
-    async def _send_if_permitted(self, gateway: FakeGateway) -> None:
+    def _wanted_requests(self) -> int:
+        """Return the requests that a gateway wants to send in one step."""
+        if self.demand_per_s is None:
+            return 1
+        expected = self.demand_per_s * STEP_SECONDS
+        return int(expected) + (self._rng.random() < expected % 1.0)
+
+    async def _send_if_permitted(self, number: int) -> None:
+        gateway = self.gateways[number]
         now = self.timers.now()
         if now < gateway.refused_until:
             return
@@ -142,14 +168,15 @@
         except PermitRefusedError as exc:
             gateway.refused_until = now + min(0.5, exc.retry_after_s)
         else:
-            self.sends.append(now)
+            self.sends.append((now, number))
 
     def most_in_window(self) -> int:
         """Return the greatest number of sends in a window of the rule."""
+        times = [at for at, _ in self.sends]
         return max(
             (
-                sum(start <= at < start + WINDOW_SECONDS for at in self.sends)
-                for start in self.sends
+                sum(start <= at < start + WINDOW_SECONDS for at in times)
+                for start in times
             ),
             default=0,
         )
--- a/camphorrun/gateway/tests/test_permits.py
+++ b/camphorrun/gateway/tests/test_permits.py
@@ -22,7 +22,7 @@
     fleet.set_up(per_s)
     # The pool of a new owner is empty at first.
     fleet.run(1.0)
-    fleet.sends.clear()
+    fleet.clear_sends()
     return fleet
 
 
@@ -50,7 +50,7 @@
     def test_share_is_lent_to_one_owner_at_a_time(self):
         """Guards against shares that two owners grant while memberships change."""
         fleet = fleet_with_limit(20.0)
-        owner = next(n for n, g in enumerate(fleet.gateways) if g.owner._pools)
+        owner = next(n for n, g in enumerate(fleet.gateways) if g.owner.owned())
         for round_number in range(20):
             absent = {owner} if round_number % 2 else set()
             for number in range(COUNT):
@@ -62,7 +62,7 @@
     def test_next_owner_replaces_a_dead_one(self):
         """Guards against a limit without permits after the death of its owner."""
         fleet = fleet_with_limit(5.0)
-        owners = [n for n, g in enumerate(fleet.gateways) if g.owner._pools]
+        owners = [n for n, g in enumerate(fleet.gateways) if g.owner.owned()]
         fleet.stopped.update(owners)
         assert fleet.run(4.0) >= 1
         assert fleet.run(10.0) >= 0.7 * 5.0 * 10.0
--- a/camphorrun/limits/permits.py
+++ b/camphorrun/limits/permits.py
@@ -9,8 +9,11 @@
 
 from dataclasses import dataclass
 
-# Time in which unused permits accumulate, besides the one that any sender needs.
+# Time in which unused permits accumulate, besides the one that any pool needs and the
+# one that the pools have together. Requests come at random times, so permits would be
+# lost at a low limit otherwise.
 BURST_SECONDS = 0.25
+COMMON_PERMITS = 1.0
 # Lowest rate that is granted. Only an answer can withdraw a limit, so a server that
 # accepts fewer requests, or none, still gets this many.
 MIN_RATE_PER_SECOND = 0.2
@@ -80,13 +83,16 @@
 
     def rate_per_s(self, now: float) -> float:
         """Return the rate of the shares that are lent, in requests per second."""
+        return max(self._rate_limit, MIN_RATE_PER_SECOND) * self._lent_share(now)
+
+    def _lent_share(self, now: float) -> float:
+        """Return the part of the limit that is lent to this pool, 0 to 1."""
         self._expire(now)
         if not self._leases:
             return 0.0
         # Senders may know different numbers of senders; the largest is the safe one.
         group_size = max(size for _, size in self._leases.values())
-        share = min(1.0, len(self._leases) / group_size)
-        return max(self._rate_limit, MIN_RATE_PER_SECOND) * share
+        return min(1.0, len(self._leases) / group_size)
 
     def unused_s(self, now: float) -> float:
         """Return the time since the last lease or request, 0 while there is a lease."""
@@ -116,7 +122,8 @@
         elapsed_s = max(0.0, now - self._updated_at)
         self._updated_at = now
         rate = self.rate_per_s(now)
-        burst = 1.0 + BURST_SECONDS * rate if rate else 0.0
+        common = COMMON_PERMITS * self._lent_share(now)
+        burst = 1.0 + common + BURST_SECONDS * rate if rate else 0.0
         self._balance = min(burst, self._balance + elapsed_s * rate)
 
     def _expire(self, now: float) -> None:
