Check by mutation that the tests of rate limits fail without their mechanisms

Nine mutations, each caught. test_no_permit_before_the_members_are_known didn't fail without its mechanism, because the first request of a new pool is refused anyway; it now lets the fleet run. The mutation "a listing removes what it lacks" named a text that the rewording had changed, so it checked nothing since; it names the present one and is caught.

--- a/camphorrun/gateway/tests/test_permits.py
+++ b/camphorrun/gateway/tests/test_permits.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from ..errors import PermitRefusedError
 from ..rate_limits import RateLimits
 from .permit_fleet import (
     BOOT,
@@ -81,8 +80,10 @@
         fleet = fleet_with_limit(5.0)
         fleet.gateways[0] = FakeGateway(fleet, 0)
         fleet.state_limit(0, 5.0)
-        with pytest.raises(PermitRefusedError):
-            fleet.gateways[0].permits.acquire(BOOT).send(None)
+        fleet.run(5.0)
+        assert fleet.sends_of(0) == 0
+        fleet.set_members(0, set(range(COUNT)))
+        assert fleet.run(10.0) >= 0.9 * 5.0 * 10.0
 
 
 class TestLimitChanges:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -297,7 +297,7 @@
     Mutation(
         "gateway: stage results are freed",
         "camphorrun/gateway/stage_releases.py",
-        "            self._pending.setdefault(address, []).append(result)\n",
+        "            self._pending.setdefault(address, {})[result] = expires_at\n",
         "            pass\n",
         f"{GATEWAY}/test_stages.py",
     ),
@@ -350,8 +350,8 @@
     Mutation(
         "a listing removes what it lacks",
         "camphorrun/catalog/records.py",
-        "        return (*page.records, *missing)\n",
-        "        return page.records\n",
+        "            records = (*records, *self._removals_from(page))\n",
+        "            pass\n",
         "camphorrun/catalog/tests",
     ),
     Mutation(
--- a/tools/mutations_fleet.py
+++ b/tools/mutations_fleet.py
@@ -27,8 +27,74 @@
 ENDLESS = "camphorrun/http1/tests/test_endless.py"
 BATCHES = "camphorrun/pipeline/tests/test_batches.py"
 STARTS = "camphorrun/admission/tests/test_feasibility.py"
+LIMITS = "camphorrun/gateway/tests/test_rate_limits.py"
+PERMITS = "camphorrun/gateway/tests/test_permits.py"
 
 FLEET_MUTATIONS = (
+    Mutation(
+        "limits: a replica with a limit gets only permitted requests",
+        "camphorrun/gateway/permits.py",
+        "        return self._limits.get(boot) is not None\n",
+        "        return False\n",
+        LIMITS,
+    ),
+    Mutation(
+        "limits: an owner grants only the shares that it has been lent",
+        "camphorrun/limits/permits.py",
+        "        return min(1.0, len(self._leases) / group_size)\n",
+        "        return 1.0\n",
+        PERMITS,
+    ),
+    Mutation(
+        "limits: a share is lent to one owner at a time",
+        "camphorrun/gateway/permits.py",
+        "        if lease is None or self._timers.now() >= lease.until:\n",
+        "        if True:\n",
+        PERMITS,
+    ),
+    Mutation(
+        "limits: an owner that does not answer is passed over",
+        "camphorrun/gateway/permits.py",
+        "        if address in self._next_probe_at:\n            return False\n",
+        "",
+        PERMITS,
+    ),
+    Mutation(
+        "limits: a permit expires",
+        "camphorrun/gateway/replicas.py",
+        "self._timers.now() <= permit.valid_until",
+        "True",
+        LIMITS,
+    ),
+    Mutation(
+        "limits: an answer from before the limit does not withdraw it",
+        "camphorrun/gateway/rate_limits.py",
+        "        if known is not None and at <= known[1]:\n",
+        "        if False:\n",
+        PERMITS,
+    ),
+    Mutation(
+        "limits: a duplicate answer does not withdraw a limit",
+        "camphorrun/gateway/attempts.py",
+        "sent_at = now if info.id_matches else None",
+        "sent_at = now",
+        LIMITS,
+    ),
+    Mutation(
+        "limits: a new gateway learns the limits before it is ready",
+        "camphorrun/gateway/peers.py",
+        "        self._state.merge_rate_limits(answer.rate_limits, "
+        "self._timers.now(), address)\n",
+        "",
+        LIMITS,
+    ),
+    Mutation(
+        "limits: a gateway that does not know the members gets no permit",
+        "camphorrun/gateway/permits.py",
+        "        if not self._state.members_known:\n            return None\n",
+        "",
+        PERMITS,
+    ),
     Mutation(
         "fleet: a replica that leaves gets no request",
         "camphorrun/gateway/replicas.py",
@@ -54,14 +120,14 @@
     Mutation(
         "fleet: what waited for a connection is checked again",
         "camphorrun/gateway/attempts.py",
-        "            self._check_after_wait(ctx, handle)\n",
+        "            self._check_after_wait(ctx, handle, permit)\n",
         "            pass\n",
         f"{NOTICES} {READERS}",
     ),
     Mutation(
         "fleet: stage calls are checked again",
         "camphorrun/gateway/stage_calls.py",
-        "        handle.ensure_available()\n",
+        "        handle.ensure_available(permit)\n",
         "        pass\n",
         NOTICES,
     ),
