Renew the retry budgets of stage owners when the members change

A budget that an owner made before the members were known kept its first share for good; it is now made again, as those of requests are. Gateway tests: 176 passed, 1 expected failure.

--- a/camphorrun/gateway/stage_owner.py
+++ b/camphorrun/gateway/stage_owner.py
@@ -209,6 +209,10 @@
         self._workers.reconfigure(capacity)
         self._releaser.result_lifetime_s = capacity.result_life_s
 
+    def set_budget(self, budget: RetryBudget) -> None:
+        """Replace the budget of the pieces that are sent again after a failure."""
+        self._budget = budget
+
     def hand_over(self) -> None:
         """Hand over to another owner all pieces that are not in a call yet."""
         for group, job in self._jobs.items():
--- a/camphorrun/gateway/stage_runner.py
+++ b/camphorrun/gateway/stage_runner.py
@@ -88,7 +88,7 @@
         self._tasks: set[asyncio.Task] = set()
         state.subscribe(
             deployment=self._on_state_change,
-            members=self._on_state_change,
+            members=self._on_member_change,
             replicas=self._on_state_change,
         )
 
@@ -412,6 +412,12 @@
         owner.zones = self._shards.zones_of_shard(service, shard)
         return owner
 
+    def _on_member_change(self) -> None:
+        # The share of the common retry budget depends on the number of members.
+        for owner in self._owners.values():
+            owner.set_budget(self._new_budget())
+        self._on_state_change()
+
     def _on_state_change(self) -> None:
         deployment = self._state.deployment
         if deployment is None:
