--- a/camphorrun/gateway/tests/permit_fleet.py
+++ b/camphorrun/gateway/tests/permit_fleet.py
@@ -145,7 +145,7 @@
                 if number in self.stopped:
                     continue
                 gateway = self.gateways[number]
-                if step % RENEWAL_STEPS == number:
+                if step % RENEWAL_STEPS == number % RENEWAL_STEPS:
                     await gateway.permits.renew_leases()
                 for _ in range(self._wanted_requests()):
                     await self._send_if_permitted(number)
