--- a/camphorrun/limits/permits.py
+++ b/camphorrun/limits/permits.py
@@ -7,6 +7,7 @@
 permits.
 """
 
+import math
 from dataclasses import dataclass
 
 # Time in which unused permits accumulate, besides the one that any pool needs and the
@@ -62,7 +63,14 @@
     True
     """
 
-    __slots__ = ("_balance", "_leases", "_rate_limit", "_updated_at")
+    __slots__ = (
+        "_balance",
+        "_group_size",
+        "_leases",
+        "_next_expiry",
+        "_rate_limit",
+        "_updated_at",
+    )
 
     def __init__(self, rate_limit: float, now: float):
         self._rate_limit = rate_limit
@@ -70,6 +78,11 @@
         self._updated_at = now
         # By lender, the end of the lease and the number of senders it knows.
         self._leases: dict[str, tuple[float, int]] = {}
+        # No lease ends before this time. Finding the earliest end visits all leases, so
+        # it is not done at each request.
+        self._next_expiry = math.inf
+        # Senders may know different numbers of senders; the largest is the safe one.
+        self._group_size = 1
 
     def set_rate_limit(self, rate_limit: float, now: float) -> None:
         """Apply a changed limit from now on."""
@@ -79,7 +92,9 @@
     def renew(self, lender: str, group_size: int, lease_s: float, now: float) -> None:
         """Add the share of a sender that knows ``group_size`` senders, for a lease."""
         self._update(now)
-        self._leases[lender] = (now + lease_s, max(1, group_size))
+        self._leases[lender] = (now + lease_s, group_size)
+        self._next_expiry = min(self._next_expiry, now + lease_s)
+        self._group_size = max(self._group_size, group_size)
 
     def rate_per_s(self, now: float) -> float:
         """Return the rate of the shares that are lent, in requests per second."""
@@ -88,11 +103,7 @@
     def _lent_share(self, now: float) -> float:
         """Return the part of the limit that is lent to this pool, 0 to 1."""
         self._expire(now)
-        if not self._leases:
-            return 0.0
-        # Senders may know different numbers of senders; the largest is the safe one.
-        group_size = max(size for _, size in self._leases.values())
-        return min(1.0, len(self._leases) / group_size)
+        return min(1.0, len(self._leases) / self._group_size)
 
     def unused_s(self, now: float) -> float:
         """Return the time since the last lease or request, 0 while there is a lease."""
@@ -127,6 +138,11 @@
         self._balance = min(burst, self._balance + elapsed_s * rate)
 
     def _expire(self, now: float) -> None:
+        if now < self._next_expiry:
+            return
         self._leases = {
             lender: lease for lender, lease in self._leases.items() if lease[0] > now
         }
+        leases = self._leases.values()
+        self._next_expiry = min((end for end, _ in leases), default=math.inf)
+        self._group_size = max((size for _, size in leases), default=1)
--- a/tools/mutations_fleet.py
+++ b/tools/mutations_fleet.py
@@ -41,7 +41,7 @@
     Mutation(
         "limits: an owner grants only the shares that it has been lent",
         "camphorrun/limits/permits.py",
-        "        return min(1.0, len(self._leases) / group_size)\n",
+        "        return min(1.0, len(self._leases) / self._group_size)\n",
         "        return 1.0\n",
         PERMITS,
     ),
