Split the choice of a replica and the replica handle into modules of their own

ReplicaSelector chooses a replica and acquires its permit, Attempts sends; ReplicaHandle has the state of one start of a replica, ReplicaPool all of them. The line attempt is written once the permit is there, so each one is a send; it tells whether the replica is limited. No other change of behaviour.

--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -1,7 +1,6 @@
 """Sends a request to replicas until one answers or no further attempt is allowed."""
 
 import asyncio
-from random import Random
 
 from ..catalog import RouteKind
 from ..core import EventLog, TimerService, with_timeout
@@ -19,23 +18,16 @@
     encode_request,
 )
 from ..retries import RetryBudget
-from ..routing import (
-    AffinityPolicy,
-    NoEndpoint,
-    RouteChoice,
-    Router,
-    StageRequest,
-)
 from .context import RequestContext
 from .errors import (
     AttemptFailedError,
     EventError,
     InputsGoneError,
-    RefusedError,
     ReplicaUnavailableError,
 )
 from .permits import Permit
-from .replicas import ReplicaHandle, ReplicaPool, endpoints
+from .replica_handle import ReplicaHandle
+from .replica_selection import MIN_ATTEMPT_SECONDS, ReplicaSelector, refusal_error
 from .response_relay import MAX_BUFFERED_RESPONSE_BYTES, ResponseRelay
 
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -49,18 +41,9 @@
 # The same for a stream, whose time-out is its latency objective or this minimum.
 MIN_STREAM_HEAD_TIMEOUT_SECONDS = 2.5
 MAX_REJECTIONS = 4
-# Length of a shared prompt prefix from which the cache of an engine determines where
-# the request runs.
-MIN_AFFINITY_PREFIX_TOKENS = 1000
-RETRY_AFTER_SECONDS = 0.3
 # A replica that rejected a request is avoided for this time, unless no other replica is
 # available.
 REJECTION_BACKOFF_SECONDS = 0.25
-# No attempt starts if less time than this is left.
-MIN_ATTEMPT_SECONDS = 0.02
-# Share of the remaining time that a request waits for a permit if the rate limits of
-# all replicas are used up. It is rejected at once if it would have to wait longer.
-MAX_PERMIT_WAIT_SHARE = 0.5
 # Failures before anything was sent: another attempt is not charged as a retry.
 UNSENT_CODES = frozenset(
     {
@@ -87,43 +70,32 @@
 
 
 class Attempts:
-    """Chooses replicas for requests, sends them and retries where that is safe.
+    """Sends requests to replicas and retries where that is safe.
 
     Parameters
     ----------
-    replicas : ReplicaPool
-        Replicas of all services.
+    selector : ReplicaSelector
+        Chooses the replicas.
     budget_of : callable
         Returns the retry budget of a service.
-    availability_zone : str
-        Zone of this gateway.
-    seed : int
-        Seed of the random choices of the routers.
     """
 
     def __init__(
         self,
-        replicas: ReplicaPool,
+        selector: ReplicaSelector,
         budget_of,
-        availability_zone: str,
         *,
         timers: TimerService,
         metrics: Metrics,
         events: EventLog,
-        seed: int = 0,
     ):
-        self._replicas = replicas
+        self._selector = selector
         self._budget_of = budget_of
         self._relay = ResponseRelay(budget_of, timers, metrics)
         self._timers = timers
         self._metrics = metrics
         self._events = events
         self._first_event_times = FirstEventTimes()
-        rng = Random(seed)
-        self._load_router = Router(None, availability_zone, rng.getrandbits(32))
-        self._affinity_router = Router(
-            AffinityPolicy(), availability_zone, rng.getrandbits(32)
-        )
 
     async def answer(self, ctx: RequestContext, responder: ServerResponder) -> None:
         """Send a request to replicas and relay the answer to the caller.
@@ -143,7 +115,7 @@
         rejections = 0
         reason = ""
         while True:
-            handle, permit = await self._reserve_replica(ctx, reason)
+            handle, permit = await self._selector.reserve(ctx, reason)
             try:
                 await self._attempt(ctx, handle, permit, responder)
                 return
@@ -158,153 +130,10 @@
                 self._abort_or_refuse(ctx, responder, reason)
                 return
 
-    async def _reserve_replica(
-        self, ctx: RequestContext, reason: str
-    ) -> tuple[ReplicaHandle, Permit | None]:
-        """Choose a replica and acquire a permit if it has a rate limit.
-
-        A replica without a free permit is passed over. Only if no other replica is
-        available, the request waits for a permit.
-
-        Raises
-        ------
-        RefusedError
-            If no replica may get the request in time.
-        """
-        while True:
-            handle = self._choose_replica(ctx, reason)
-            if handle is None:
-                return await self._wait_for_permit(ctx)
-            try:
-                return handle, await handle.acquire_permit()
-            except ReplicaUnavailableError:
-                self._log_permit_refusal(ctx, handle)
-
-    async def _wait_for_permit(
-        self, ctx: RequestContext
-    ) -> tuple[ReplicaHandle, Permit | None]:
-        """Wait for the first permit of any replica, or refuse the request at once."""
-        now = self._timers.now()
-        # The stages of a request are wasted if it is refused.
-        wait_until = ctx.objective_at if ctx.stage_results is None else ctx.end_at
-        max_wait_s = max(0.0, wait_until - now) * MAX_PERMIT_WAIT_SHARE
-        handle = self._replicas.next_permitted(ctx.service)
-        if handle is not None and handle.available_at - now <= max_wait_s:
-            try:
-                return handle, await handle.acquire_permit(max_wait_s)
-            except ReplicaUnavailableError:
-                self._log_permit_refusal(ctx, handle)
-        raise self._unavailable_refusal(ctx, "replicas_limited")
-
-    def _log_permit_refusal(self, ctx: RequestContext, handle: ReplicaHandle) -> None:
-        wait_s = handle.available_at - self._timers.now()
-        self._events.log_decision(
-            "permit_refused",
-            ctx.request_id,
-            replica=handle.replica.identifier,
-            wait_s=round(wait_s, 3),
-        )
-
-    def _choose_replica(self, ctx: RequestContext, reason: str) -> ReplicaHandle | None:
-        """Return a replica, None if only replicas without a permit are left."""
-        now = self._timers.now()
-        if ctx.end_at - now < MIN_ATTEMPT_SECONDS:
-            raise self._refusal_error(ctx, reason or "deadline")
-        handles = self._replicas.available(ctx.service)
-        if not handles:
-            if self._replicas.next_permitted(ctx.service) is not None:
-                return None
-            raise self._unavailable_refusal(ctx, reason)
-        avoided = {
-            h.replica.identifier for h in handles if now < h.rejection_backoff_until
-        } | ctx.tried_replicas
-        request = self._stage_request(ctx, ctx.end_at - now, avoided)
-        router = self._affinity_router if ctx.route.uses_engine else self._load_router
-        choice = router.choose(endpoints(handles), request, now)
-        if isinstance(choice, NoEndpoint) and avoided:
-            # No other replica is available, and one that rejected a request earlier may
-            # accept this one.
-            request = self._stage_request(ctx, ctx.end_at - now, set())
-            choice = router.choose(endpoints(handles), request, now)
-        if isinstance(choice, NoEndpoint):
-            raise self._refusal_error(ctx, choice.reason)
-        return self._log_choice(ctx, choice)
-
-    def _unavailable_refusal(self, ctx: RequestContext, reason: str) -> RefusedError:
-        """Return the error for a request while no replica accepts work."""
-        pause = self._replicas.pause(ctx.service)
-        if pause is not None:
-            return self._refusal_error(ctx, f"replicas_{pause.reason}", pause.seconds)
-        return self._refusal_error(ctx, reason or "no_endpoint")
-
     def expected_first_event_s(self, ctx: RequestContext) -> float:
         """Return the predicted time from the start of an attempt to its first event."""
         return self._first_event_times.expected_s(ctx.service, ctx.prompt_tokens)
 
-    def permit_wait_s(self, ctx: RequestContext) -> float:
-        """Return the time until the first permit, 0 unless all replicas lack one."""
-        pause = self._replicas.pause(ctx.service)
-        is_limited = pause is not None and pause.reason == "limited"
-        return pause.seconds if is_limited else 0.0
-
-    def preferred_zone(self, ctx: RequestContext) -> str:
-        """Return the zone of the engine that has the request's prefix cached.
-
-        Empty if the service has no engines, if the prefix is too short to determine
-        where the request runs, or if no endpoint is available.
-        """
-        left_s = ctx.end_at - self._timers.now()
-        request = self._stage_request(ctx, left_s, set())
-        if (
-            not ctx.route.uses_engine
-            or request.prefix_tokens < MIN_AFFINITY_PREFIX_TOKENS
-        ):
-            return ""
-        handles = self._replicas.available(ctx.service)
-        choice = self._affinity_router.choose(
-            endpoints(handles), request, self._timers.now()
-        )
-        if isinstance(choice, NoEndpoint):
-            return ""
-        return choice.endpoint.availability_zone
-
-    def _stage_request(
-        self, ctx: RequestContext, left_s: float, exclude: set[str]
-    ) -> StageRequest:
-        prompt = ctx.caller.prompt
-        # All parts but the last one may be shared with other requests.
-        shared_parts = prompt[:-1]
-        sizes: dict[str, int] = {}
-        if ctx.stage_results is not None:
-            for result, size in ctx.stage_results.final_result_sizes(ctx.route):
-                producer = self._replicas.at_address(result.partition("/")[0])
-                if producer is not None:
-                    zone = producer.replica.availability_zone
-                    sizes[zone] = sizes.get(zone, 0) + size
-        return StageRequest(
-            ctx.service,
-            prefix=shared_parts[-1].identifier if shared_parts else ctx.request_id,
-            prefix_tokens=sum(part.tokens for part in shared_parts),
-            input_bytes=tuple(sizes.items()),
-            remaining_s=left_s,
-            exclude=frozenset(exclude),
-        )
-
-    def _log_choice(self, ctx: RequestContext, choice: RouteChoice) -> ReplicaHandle:
-        """Log the chosen replica and return its handle."""
-        handle = self._replicas.get(choice.endpoint.host)
-        self._events.log_decision(
-            "attempt",
-            ctx.request_id,
-            replica=choice.endpoint.host,
-            service=ctx.service,
-            in_flight=choice.endpoint.in_flight,
-            failure_rate=round(choice.endpoint.failure_rate, 3),
-            probe=choice.probe,
-            left_s=round(ctx.end_at - self._timers.now(), 3),
-        )
-        return handle
-
     def _may_retry(
         self, ctx: RequestContext, budget: RetryBudget, rejections: int, reason: str
     ) -> bool:
@@ -331,32 +160,7 @@
         if responder.started:
             responder.abort()
             return
-        raise self._refusal_error(ctx, reason)
-
-    def _refusal_error(
-        self,
-        ctx: RequestContext,
-        reason: str,
-        retry_after_s: float = RETRY_AFTER_SECONDS,
-    ) -> RefusedError:
-        """Return the error for a request that no replica answered.
-
-        The status is 503 if no replica can have run the request, 504 after its deadline
-        or time-out, and 502 otherwise.
-        """
-        if not ctx.may_have_run:
-            return RefusedError(
-                f"no replica ran the request: {reason}",
-                code=reason,
-                status=503,
-                retry_after_s=retry_after_s,
-            )
-        is_late = self._timers.now() >= ctx.end_at - MIN_ATTEMPT_SECONDS
-        return RefusedError(
-            f"no replica answered the request: {reason}",
-            code=reason,
-            status=504 if is_late else 502,
-        )
+        raise refusal_error(ctx, reason, self._timers.now())
 
     def _record_failure(
         self, ctx: RequestContext, handle: ReplicaHandle, exc: AttemptFailedError
--- a/camphorrun/gateway/daemon.py
+++ b/camphorrun/gateway/daemon.py
@@ -21,6 +21,7 @@
 from .peers import Peers, PeerService, member_name
 from .permit_owner import PermitOwner
 from .permits import Permits
+from .replica_selection import ReplicaSelector
 from .replicas import ReplicaPool
 from .request_handler import RequestHandler
 from .stage_runner import StageRunner
@@ -151,15 +152,16 @@
             host.availability_zone,
             **shared,
         )
-        attempts = Attempts(
+        selector = ReplicaSelector(
             self._replica_pool,
-            self._budget_of,
             host.availability_zone,
+            timers=self.timers,
+            events=self.events,
             seed=self._rng.getrandbits(32),
-            **shared,
         )
+        attempts = Attempts(selector, self._budget_of, **shared)
         self._request_handler = RequestHandler(
-            self.state, self._stage_runner, attempts, **shared
+            self.state, self._stage_runner, selector, attempts, **shared
         )
         self._supervisor.add("configuration", self._store_sync.follow_configuration)
         self._supervisor.add("replicas", self._store_sync.follow_replicas)
--- /dev/null
+++ b/camphorrun/gateway/replica_handle.py
@@ -0,0 +1,224 @@
+"""Connections, load, notices and permits of one start of a replica."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+from ..catalog import Replica, ReplicaState
+from ..core import TimerService
+from ..http1 import ConnectionPool, ResponseHead
+from ..platform import ReplicaNotice, decode_replica_notice
+from ..routing import EndpointState
+from .errors import PermitRefusedError, ReplicaUnavailableError
+from .permits import Permit, Permits
+
+# A permit is requested again after this time, although it may be expected later: the
+# rate of the owner grows when more gateways lend their shares.
+MAX_REFUSAL_SECONDS = 0.5
+# Exceeds the results that a replica makes while a duplicate answer may still arrive.
+MAX_RECENT_RESULTS = 512
+
+
+class RecentResults:
+    """Names of the latest results of a replica, to detect duplicate answers.
+
+    Examples
+    --------
+    >>> recent = RecentResults()
+    >>> recent.add(["a", "b"]), recent.add(["c"]), recent.add(["b"])
+    (True, True, False)
+    """
+
+    __slots__ = ("_names",)
+
+    def __init__(self):
+        self._names: OrderedDict[str, None] = OrderedDict()
+
+    def add(self, names: list[str]) -> bool:
+        """Add the result names of an answer; return whether all of them were new.
+
+        Nothing is added if one is a duplicate.
+        """
+        if any(name in self._names for name in names):
+            return False
+        self._names.update(dict.fromkeys(names))
+        while len(self._names) > MAX_RECENT_RESULTS:
+            self._names.popitem(last=False)
+        return True
+
+
+class NoticeState:
+    """Notices from one start of a replica: that it shuts down, or asks for a pause.
+
+    The state is kept when the registration is removed, because a store failure may
+    remove a registration and restore it later.
+
+    Attributes
+    ----------
+    leaving_since : float or None
+        When the replica first announced that it shuts down.
+    paused_until : float
+        End of the pause that the replica asked for.
+    """
+
+    __slots__ = ("leaving_since", "paused_until")
+
+    def __init__(self):
+        self.leaving_since: float | None = None
+        self.paused_until = float("-inf")
+
+    def unavailable_reason(self, now: float) -> str:
+        """Return why no request may be sent now, empty if one may."""
+        if self.leaving_since is not None:
+            return "leaving"
+        return "resting" if now < self.paused_until else ""
+
+
+class ReplicaHandle:
+    """Connections and state of one start of a replica.
+
+    Attributes
+    ----------
+    replica : Replica
+        Latest registration of the replica.
+    endpoint : EndpointState
+        Load and health as observed by this gateway.
+    pool : ConnectionPool
+        Connections to the replica.
+    notice_state : NoticeState
+        Shutdown and pause that the replica announced.
+    recent_results : RecentResults
+        Stage results that the replica named in its latest answers.
+    rejection_backoff_until : float
+        End of the back-off after the replica rejected a request. Without it, its low
+        load would attract all further requests.
+    permit_refused_until : float
+        Until when no permit is requested, if the replica has a rate limit.
+    permit_expected_at : float
+        When a permit is expected after the last refusal.
+    """
+
+    __slots__ = (
+        "_on_notice",
+        "_permits",
+        "_timers",
+        "notice_state",
+        "endpoint",
+        "permit_expected_at",
+        "permit_refused_until",
+        "pool",
+        "rejection_backoff_until",
+        "replica",
+        "recent_results",
+    )
+
+    def __init__(
+        self,
+        replica: Replica,
+        timers: TimerService,
+        connections: int,
+        notice_state: NoticeState,
+        permits: Permits,
+        on_notice: Callable[["ReplicaHandle", ReplicaNotice, str, float | None], None],
+    ):
+        self.replica = replica
+        self.notice_state = notice_state
+        self.recent_results = RecentResults()
+        self._timers = timers
+        self._permits = permits
+        self._on_notice = on_notice
+        self.permit_refused_until = float("-inf")
+        self.permit_expected_at = float("-inf")
+        self.rejection_backoff_until = float("-inf")
+        self.endpoint = EndpointState(
+            replica.identifier, replica.availability_zone, replica.service
+        )
+        self.pool = ConnectionPool(replica.host, replica.port, timers, connections)
+
+    @property
+    def is_available(self) -> bool:
+        """Whether new requests may be sent now."""
+        return not self.unavailable_reason
+
+    @property
+    def unavailable_reason(self) -> str:
+        """Why no new request may be sent now, empty if one may."""
+        if self.replica.state is not ReplicaState.READY or self.pool.closed:
+            return "draining"
+        now = self._timers.now()
+        reason = self.notice_state.unavailable_reason(now)
+        if not reason and self.is_limited and now < self.permit_refused_until:
+            return "limited"
+        return reason
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether the replica has a rate limit, so that requests need a permit."""
+        return self._permits.is_required(self.replica.boot)
+
+    @property
+    def available_at(self) -> float:
+        """When the pause of the replica ends and a permit is expected."""
+        permitted_at = self.permit_expected_at if self.is_limited else float("-inf")
+        return max(self.notice_state.paused_until, permitted_at)
+
+    async def acquire_permit(self, max_wait_s: float = 0.0) -> Permit | None:
+        """Return a permit to send one request, None if the replica has no rate limit.
+
+        Raises
+        ------
+        ReplicaUnavailableError
+            If no permit is available within ``max_wait_s``.
+        """
+        try:
+            return await self._permits.acquire(self.replica.boot, max_wait_s)
+        except PermitRefusedError as exc:
+            now = self._timers.now()
+            refused_s = min(exc.retry_after_s, MAX_REFUSAL_SECONDS)
+            self.permit_refused_until = now + refused_s
+            self.permit_expected_at = now + exc.retry_after_s
+            raise self._unavailable_error("limited") from exc
+
+    def ensure_available(self, permit: Permit | None = None) -> None:
+        """Check immediately before a request is sent that the replica accepts it.
+
+        The process may have waited or been paused since the replica was chosen or the
+        permit was granted.
+
+        Raises
+        ------
+        ReplicaUnavailableError
+            If it accepts no request, or none without a valid permit.
+        """
+        reason = self.unavailable_reason
+        if reason in ("", "limited"):
+            reason = "" if self._is_permitted(permit) else "limited"
+        if reason:
+            raise self._unavailable_error(reason)
+
+    def _is_permitted(self, permit: Permit | None) -> bool:
+        if not self.is_limited:
+            return True
+        return permit is not None and self._timers.now() <= permit.valid_until
+
+    def _unavailable_error(self, reason: str) -> ReplicaUnavailableError:
+        name = self.replica.identifier
+        return ReplicaUnavailableError(
+            f"replica {name} accepts no requests: {reason}", code=f"replica_{reason}"
+        )
+
+    def apply_notice(
+        self,
+        head: ResponseHead,
+        request_id: str = "",
+        *,
+        sent_at: float | None = None,
+    ) -> None:
+        """Apply what a response head says about the replica.
+
+        An answer without a rate limit withdraws an earlier one only if the time at
+        which its request was sent is given. It must not be given for an answer that may
+        be a duplicate of an earlier one.
+        """
+        notice = decode_replica_notice(head)
+        if notice is not None:
+            self._on_notice(self, notice, request_id, sent_at)
--- /dev/null
+++ b/camphorrun/gateway/replica_selection.py
@@ -0,0 +1,236 @@
+"""Chooses the replica of an attempt, with a permit if its rate is limited."""
+
+from random import Random
+
+from ..core import EventLog, TimerService
+from ..routing import (
+    AffinityPolicy,
+    NoEndpoint,
+    RouteChoice,
+    Router,
+    StageRequest,
+)
+from .context import RequestContext
+from .errors import RefusedError, ReplicaUnavailableError
+from .permits import Permit
+from .replica_handle import ReplicaHandle
+from .replicas import ReplicaPool, endpoints
+
+# Length of a shared prompt prefix from which the cache of an engine determines where
+# the request runs.
+MIN_AFFINITY_PREFIX_TOKENS = 1000
+RETRY_AFTER_SECONDS = 0.3
+# No attempt starts if less time than this is left.
+MIN_ATTEMPT_SECONDS = 0.02
+# Share of the remaining time that a request waits for a permit if the rate limits of
+# all replicas are used up. It is rejected at once if it would have to wait longer.
+MAX_PERMIT_WAIT_SHARE = 0.5
+
+
+class ReplicaSelector:
+    """Chooses replicas by load and cached prefixes, and acquires their permits.
+
+    Parameters
+    ----------
+    replicas : ReplicaPool
+        Replicas of all services.
+    availability_zone : str
+        Zone of this gateway.
+    seed : int
+        Seed of the random choices of the routers.
+    """
+
+    def __init__(
+        self,
+        replicas: ReplicaPool,
+        availability_zone: str,
+        *,
+        timers: TimerService,
+        events: EventLog,
+        seed: int = 0,
+    ):
+        self._replicas = replicas
+        self._timers = timers
+        self._events = events
+        rng = Random(seed)
+        self._load_router = Router(None, availability_zone, rng.getrandbits(32))
+        self._affinity_router = Router(
+            AffinityPolicy(), availability_zone, rng.getrandbits(32)
+        )
+
+    async def reserve(
+        self, ctx: RequestContext, reason: str
+    ) -> tuple[ReplicaHandle, Permit | None]:
+        """Choose a replica and acquire a permit if it has a rate limit.
+
+        A replica without a free permit is passed over. Only if no other replica is
+        available, the request waits for a permit.
+
+        Raises
+        ------
+        RefusedError
+            If no replica may get the request in time.
+        """
+        while True:
+            choice = self._choose(ctx, reason)
+            if choice is None:
+                return await self._wait_for_permit(ctx)
+            handle = self._replicas.get(choice.endpoint.host)
+            try:
+                permit = await handle.acquire_permit()
+            except ReplicaUnavailableError:
+                self._log_permit_refusal(ctx, handle)
+            else:
+                self._log_attempt(ctx, handle, probe=choice.probe)
+                return handle, permit
+
+    async def _wait_for_permit(
+        self, ctx: RequestContext
+    ) -> tuple[ReplicaHandle, Permit | None]:
+        """Wait for the first permit of any replica, or refuse the request at once."""
+        now = self._timers.now()
+        # The stages of a request are wasted if it is refused.
+        wait_until = ctx.objective_at if ctx.stage_results is None else ctx.end_at
+        max_wait_s = max(0.0, wait_until - now) * MAX_PERMIT_WAIT_SHARE
+        handle = self._replicas.next_permitted(ctx.service)
+        if handle is not None and handle.available_at - now <= max_wait_s:
+            try:
+                permit = await handle.acquire_permit(max_wait_s)
+            except ReplicaUnavailableError:
+                self._log_permit_refusal(ctx, handle)
+            else:
+                self._log_attempt(ctx, handle, probe=False)
+                return handle, permit
+        raise self._unavailable_refusal(ctx, "replicas_limited")
+
+    def _log_permit_refusal(self, ctx: RequestContext, handle: ReplicaHandle) -> None:
+        wait_s = handle.available_at - self._timers.now()
+        self._events.log_decision(
+            "permit_refused",
+            ctx.request_id,
+            replica=handle.replica.identifier,
+            wait_s=round(wait_s, 3),
+        )
+
+    def _choose(self, ctx: RequestContext, reason: str) -> RouteChoice | None:
+        """Return a choice, None if only replicas without a permit are left."""
+        now = self._timers.now()
+        if ctx.end_at - now < MIN_ATTEMPT_SECONDS:
+            raise refusal_error(ctx, reason or "deadline", now)
+        handles = self._replicas.available(ctx.service)
+        if not handles:
+            if self._replicas.next_permitted(ctx.service) is not None:
+                return None
+            raise self._unavailable_refusal(ctx, reason)
+        avoided = {
+            h.replica.identifier for h in handles if now < h.rejection_backoff_until
+        } | ctx.tried_replicas
+        request = self._stage_request(ctx, ctx.end_at - now, avoided)
+        router = self._affinity_router if ctx.route.uses_engine else self._load_router
+        choice = router.choose(endpoints(handles), request, now)
+        if isinstance(choice, NoEndpoint) and avoided:
+            # No other replica is available, and one that rejected a request earlier may
+            # accept this one.
+            request = self._stage_request(ctx, ctx.end_at - now, set())
+            choice = router.choose(endpoints(handles), request, now)
+        if isinstance(choice, NoEndpoint):
+            raise refusal_error(ctx, choice.reason, now)
+        return choice
+
+    def _unavailable_refusal(self, ctx: RequestContext, reason: str) -> RefusedError:
+        """Return the error for a request while no replica accepts work."""
+        now = self._timers.now()
+        pause = self._replicas.pause(ctx.service)
+        if pause is not None:
+            return refusal_error(ctx, f"replicas_{pause.reason}", now, pause.seconds)
+        return refusal_error(ctx, reason or "no_endpoint", now)
+
+    def permit_wait_s(self, ctx: RequestContext) -> float:
+        """Return the time until the first permit, 0 unless all replicas lack one."""
+        pause = self._replicas.pause(ctx.service)
+        is_limited = pause is not None and pause.reason == "limited"
+        return pause.seconds if is_limited else 0.0
+
+    def preferred_zone(self, ctx: RequestContext) -> str:
+        """Return the zone of the engine that has the request's prefix cached.
+
+        Empty if the service has no engines, if the prefix is too short to determine
+        where the request runs, or if no endpoint is available.
+        """
+        left_s = ctx.end_at - self._timers.now()
+        request = self._stage_request(ctx, left_s, set())
+        if (
+            not ctx.route.uses_engine
+            or request.prefix_tokens < MIN_AFFINITY_PREFIX_TOKENS
+        ):
+            return ""
+        handles = self._replicas.available(ctx.service)
+        choice = self._affinity_router.choose(
+            endpoints(handles), request, self._timers.now()
+        )
+        if isinstance(choice, NoEndpoint):
+            return ""
+        return choice.endpoint.availability_zone
+
+    def _stage_request(
+        self, ctx: RequestContext, left_s: float, exclude: set[str]
+    ) -> StageRequest:
+        prompt = ctx.caller.prompt
+        # All parts but the last one may be shared with other requests.
+        shared_parts = prompt[:-1]
+        sizes: dict[str, int] = {}
+        if ctx.stage_results is not None:
+            for result, size in ctx.stage_results.final_result_sizes(ctx.route):
+                producer = self._replicas.at_address(result.partition("/")[0])
+                if producer is not None:
+                    zone = producer.replica.availability_zone
+                    sizes[zone] = sizes.get(zone, 0) + size
+        return StageRequest(
+            ctx.service,
+            prefix=shared_parts[-1].identifier if shared_parts else ctx.request_id,
+            prefix_tokens=sum(part.tokens for part in shared_parts),
+            input_bytes=tuple(sizes.items()),
+            remaining_s=left_s,
+            exclude=frozenset(exclude),
+        )
+
+    def _log_attempt(
+        self, ctx: RequestContext, handle: ReplicaHandle, *, probe: bool
+    ) -> None:
+        self._events.log_decision(
+            "attempt",
+            ctx.request_id,
+            replica=handle.replica.identifier,
+            service=ctx.service,
+            in_flight=handle.endpoint.in_flight,
+            failure_rate=round(handle.endpoint.failure_rate, 3),
+            probe=probe,
+            limited=handle.is_limited,
+            left_s=round(ctx.end_at - self._timers.now(), 3),
+        )
+
+
+def refusal_error(
+    ctx: RequestContext,
+    reason: str,
+    now: float,
+    retry_after_s: float = RETRY_AFTER_SECONDS,
+) -> RefusedError:
+    """Return the error for a request that no replica answered.
+
+    The status is 503 if no replica can have run the request, 504 after its deadline or
+    time-out, and 502 otherwise.
+    """
+    if not ctx.may_have_run:
+        return RefusedError(
+            f"no replica ran the request: {reason}",
+            code=reason,
+            status=503,
+            retry_after_s=retry_after_s,
+        )
+    is_late = now >= ctx.end_at - MIN_ATTEMPT_SECONDS
+    return RefusedError(
+        f"no replica answered the request: {reason}",
+        code=reason,
+        status=504 if is_late else 502,
+    )
--- a/camphorrun/gateway/request_handler.py
+++ b/camphorrun/gateway/request_handler.py
@@ -19,6 +19,7 @@
 from .attempts import Attempts
 from .context import RequestContext
 from .errors import InputsGoneError, RefusedError, StageError
+from .replica_selection import ReplicaSelector
 from .stage_runner import StageRunner
 from .state import GatewayState
 
@@ -55,6 +56,7 @@
         self,
         state: GatewayState,
         stages: StageRunner,
+        selector: ReplicaSelector,
         attempts: Attempts,
         *,
         timers: TimerService,
@@ -63,6 +65,7 @@
     ):
         self._state = state
         self._stage_runner = stages
+        self._selector = selector
         self._attempts = attempts
         self._timers = timers
         self._metrics = metrics
@@ -273,11 +276,11 @@
         The retry of a refused request has missed its objective already, so it is
         refused only if its deadline can't be met.
         """
-        ctx.zone = self._attempts.preferred_zone(ctx)
+        ctx.zone = self._selector.preferred_zone(ctx)
         forecast = await self._stage_runner.forecast(
             ctx.route, ctx.caller.pieces, ctx.rank, ctx.zone
         )
-        permit_wait_s = self._attempts.permit_wait_s(ctx)
+        permit_wait_s = self._selector.permit_wait_s(ctx)
         first_event_s = self._attempts.expected_first_event_s(ctx)
         verdict = check_feasibility(
             forecast.total_s + permit_wait_s + first_event_s,
--- a/camphorrun/gateway/stage_calls.py
+++ b/camphorrun/gateway/stage_calls.py
@@ -16,7 +16,7 @@
     encode_stage_call,
 )
 from .errors import ReplicaUnavailableError
-from .replicas import ReplicaHandle
+from .replica_handle import ReplicaHandle
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 RELEASE_TIMEOUT_SECONDS = 1.0
--- a/camphorrun/gateway/stage_releases.py
+++ b/camphorrun/gateway/stage_releases.py
@@ -8,7 +8,8 @@
 from ..http1 import HttpError
 from ..metrics import Metrics
 from .errors import ReplicaUnavailableError
-from .replicas import ReplicaHandle, ReplicaPool
+from .replica_handle import ReplicaHandle
+from .replicas import ReplicaPool
 from .stage_calls import release_results
 
 # Results that become unused within this time are released in one call per replica.
--- a/camphorrun/gateway/stage_workers.py
+++ b/camphorrun/gateway/stage_workers.py
@@ -5,7 +5,8 @@
 
 from ..catalog import StageCapacity
 from ..pipeline import SpaceLedger
-from .replicas import ReplicaHandle, ReplicaPool
+from .replica_handle import ReplicaHandle
+from .replicas import ReplicaPool
 
 # A replica whose calls take this multiple of their nominal time counts as slow and gets
 # calls only while there is a backlog.
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -232,9 +232,9 @@
     ),
     Mutation(
         "gateway: a refusal promises only what is true",
-        "camphorrun/gateway/attempts.py",
-        "        if not ctx.may_have_run:\n            return RefusedError(",
-        "        if True:\n            return RefusedError(",
+        "camphorrun/gateway/replica_selection.py",
+        "    if not ctx.may_have_run:\n        return RefusedError(",
+        "    if True:\n        return RefusedError(",
         f"{GATEWAY}/test_requests.py",
     ),
     Mutation(
@@ -317,7 +317,7 @@
     ),
     Mutation(
         "gateway: draining replicas get no new work",
-        "camphorrun/gateway/replicas.py",
+        "camphorrun/gateway/replica_handle.py",
         "if self.replica.state is not ReplicaState.READY or self.pool.closed:",
         "if False:",
         GATEWAY,
--- a/tools/mutations_fleet.py
+++ b/tools/mutations_fleet.py
@@ -61,7 +61,7 @@
     ),
     Mutation(
         "limits: a permit expires",
-        "camphorrun/gateway/replicas.py",
+        "camphorrun/gateway/replica_handle.py",
         "self._timers.now() <= permit.valid_until",
         "True",
         LIMITS,
