Keep a renewed lease when another order to the same owner is refused

Found by reading: an order that was not accepted restored the leases from before it, also one that a concurrent order had renewed since, so the share could be lent again while it was still in use.

--- a/camphorrun/gateway/permits.py
+++ b/camphorrun/gateway/permits.py
@@ -244,20 +244,18 @@
     async def _send(self, address: str, order: PermitOrder) -> PermitReply | None:
         """Return the reply of a gateway and record the leases, None without a reply."""
         earlier_leases = dict(self._leases)
-        if order.lends:
-            # Without a reply, the order may still have arrived until its time-out.
-            self._record_leases(address, order, PERMIT_TIMEOUT_SECONDS)
+        # Without a reply, the order may still have arrived until its time-out.
+        lease = self._record_leases(address, order, PERMIT_TIMEOUT_SECONDS)
         try:
             reply = await self._call(address, order)
         except PeerError as exc:
-            if order.lends and exc.not_accepted:
-                self._restore_leases(order, earlier_leases)
+            if exc.not_accepted:
+                self._undo_leases(order, lease, earlier_leases)
             self._record_failure(address, exc)
             return None
         self._failures.pop(address, None)
         self._next_probe_at.pop(address, None)
-        if order.lends:
-            self._record_leases(address, order, 0.0)
+        self._record_leases(address, order, 0.0)
         now = self._timers.now()
         self._state.merge_rate_limits(reply.rate_limits, now, address)
         return reply
@@ -279,16 +277,28 @@
         except msgspec.DecodeError as exc:
             raise PeerError(f"{address}: cannot decode the reply: {exc}") from exc
 
-    def _record_leases(self, address: str, order: PermitOrder, delay_s: float) -> None:
+    def _record_leases(
+        self, address: str, order: PermitOrder, delay_s: float
+    ) -> _Lease:
+        """Record the leases that an order renews, if it lends shares."""
         lease = _Lease(address, self._timers.now() + order.lease_s + delay_s)
-        for message in order.rate_limits:
-            self._leases[message.replica, message.started_ms] = lease
+        if order.lends:
+            for message in order.rate_limits:
+                self._leases[message.replica, message.started_ms] = lease
+        return lease
+
+    def _undo_leases(
+        self, order: PermitOrder, lease: _Lease, earlier: dict[Boot, _Lease]
+    ) -> None:
+        """Undo the leases of an order that was not accepted.
 
-    def _restore_leases(self, order: PermitOrder, earlier: dict[Boot, _Lease]) -> None:
-        """Undo the leases of an order that was not accepted."""
+        Leases that another order has renewed meanwhile stay.
+        """
         for message in order.rate_limits:
             boot = (message.replica, message.started_ms)
-            self._leases.pop(boot, None)
+            if self._leases.get(boot) is not lease:
+                continue
+            del self._leases[boot]
             if boot in earlier:
                 self._leases[boot] = earlier[boot]
 
