Read large records from the store instead of over a gateway's link

Cause: a follower gives the reader of its zone 0.3 s for the whole answer. A large configuration takes longer on links of 5 Mbit/s, which several followers share, so the follower drops it, asks the next two readers for the same bytes and turns to the store last, and fetches another copy from a random peer beside it. With new versions every 1.2 s that goes on. In the log, `configuration` lines of one version 5.2 to 7.0 s after the first gateway's, from hosts whose `store_reader` lines went through all readers of the zone.

Change: an answer above 128 KiB is not read from a peer while the store answers; the follower reads the store itself for 2 s. During an outage peers pass on what they have.

--- a/camphorrun/gateway/errors.py
+++ b/camphorrun/gateway/errors.py
@@ -74,6 +74,12 @@
         self.not_accepted = not_accepted
 
 
+class LargeAnswerError(PeerError):
+    """The answer of another gateway is larger than the caller wants to read."""
+
+    default_code = "large_answer"
+
+
 class PermitRefusedError(CamphorrunError):
     """No permit for a replica with a rate limit is available.
 
--- a/camphorrun/gateway/peers.py
+++ b/camphorrun/gateway/peers.py
@@ -10,7 +10,7 @@
 from ..core import EventLog, TimerService, with_timeout
 from ..http1 import ConnectionPool, Headers, HttpError, ServerRequest, ServerResponder
 from ..metrics import Metrics
-from .errors import PeerError
+from .errors import LargeAnswerError, PeerError
 from .messages import (
     PermitOrder,
     PermitReply,
@@ -35,6 +35,9 @@
 # peer may hold older records than this gateway had before its restart.
 BOOTSTRAP_PEERS = 5
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Larger records are read from the store, if it is available. The link of a gateway may
+# be slow, and several others would fetch the same records over it.
+MAX_SYNC_BYTES = 128 * 1024
 MAX_RECORDS = 2000
 
 
@@ -77,15 +80,23 @@
         """Whether a call or ping failed within the last ``SUSPECT_SECONDS``."""
         return self._timers.now() < self._suspect_until
 
-    async def call(self, path: str, message: object, timeout_s: float) -> bytes:
+    async def call(
+        self,
+        path: str,
+        message: object,
+        timeout_s: float,
+        max_bytes: int = MAX_ANSWER_BYTES,
+    ) -> bytes:
         """Send a message and return the encoded answer.
 
         Raises
         ------
+        LargeAnswerError
+            If the answer has more than ``max_bytes``; its body is not read.
         PeerError
             If there is no answer; the peer may have carried out the call nevertheless.
         """
-        task = asyncio.ensure_future(self._exchange(path, message))
+        task = asyncio.ensure_future(self._exchange(path, message, max_bytes))
         self._outstanding.add(task)
         if self._ping_task is None:
             self._ping_task = asyncio.ensure_future(self._ping())
@@ -118,7 +129,9 @@
     def _mark_suspect(self) -> None:
         self._suspect_until = self._timers.now() + SUSPECT_SECONDS
 
-    async def _exchange(self, path: str, message: object) -> bytes:
+    async def _exchange(
+        self, path: str, message: object, max_bytes: int = MAX_ANSWER_BYTES
+    ) -> bytes:
         body = msgspec.msgpack.encode(message)
         head = (
             f"POST {path} HTTP/1.1\r\nHost: {self.address}\r\n"
@@ -127,6 +140,11 @@
         conn = await self._pool.acquire(CONNECT_TIMEOUT_SECONDS)
         try:
             answer = await conn.request(head.encode() + body)
+            size = int(answer.headers.get("content-length") or 0)
+            if size > max_bytes:
+                raise LargeAnswerError(
+                    f"{self.address}: expected up to {max_bytes} bytes, got {size}"
+                )
             data = await conn.read_all(MAX_ANSWER_BYTES)
         except BaseException:
             conn.abort()
@@ -219,8 +237,12 @@
                 await self._bootstrap(addresses)
                 continue
             address = self._rng.choice(addresses)
+            # Without the store, peers are the only source.
+            max_bytes = MAX_ANSWER_BYTES if store_failing else MAX_SYNC_BYTES
             try:
-                await self._sync_with_member(address)
+                await self._sync_with_member(address, max_bytes)
+            except LargeAnswerError:
+                self._metrics.drops.labels("large_answer").inc()
             except PeerError as exc:
                 self._metrics.drops.labels("peer_sync").inc()
                 if store_failing:
@@ -246,8 +268,9 @@
                 self._apply_records(answer, address)
                 self._apply_members(answer)
 
-    async def _sync_with_member(self, address: str) -> None:
-        self._apply_members(await self.sync_from(address, SYNC_TIMEOUT_SECONDS))
+    async def _sync_with_member(self, address: str, max_bytes: int) -> None:
+        answer = await self.sync_from(address, SYNC_TIMEOUT_SECONDS, max_bytes)
+        self._apply_members(answer)
 
     def _apply_members(self, answer: SyncMessage) -> None:
         """Apply a peer's member list if the store fails and no other is known."""
@@ -258,24 +281,32 @@
         ):
             self._state.set_members(tuple(answer.members))
 
-    async def sync_from(self, address: str, timeout_s: float) -> SyncMessage:
+    async def sync_from(
+        self, address: str, timeout_s: float, max_bytes: int = MAX_ANSWER_BYTES
+    ) -> SyncMessage:
         """Fetch and apply the records of a peer that are not known here.
 
         Raises
         ------
+        LargeAnswerError
+            If the answer has more than ``max_bytes``.
         PeerError
             If there is no answer, or if it can't be decoded.
         """
-        answer = await self._fetch_records(address, timeout_s)
+        answer = await self._fetch_records(address, timeout_s, max_bytes)
         self._apply_records(answer, address)
         return answer
 
-    async def _fetch_records(self, address: str, timeout_s: float) -> SyncMessage:
+    async def _fetch_records(
+        self, address: str, timeout_s: float, max_bytes: int = MAX_ANSWER_BYTES
+    ) -> SyncMessage:
         topics = {
             name: TopicMessage(view.end if view.is_initialised else -1, era=view.era)
             for name, view in self._state.views.items()
         }
-        data = await self.link(address).call("/sync", SyncMessage(topics), timeout_s)
+        data = await self.link(address).call(
+            "/sync", SyncMessage(topics), timeout_s, max_bytes
+        )
         try:
             return msgspec.msgpack.decode(data, type=SyncMessage)
         except msgspec.DecodeError as exc:
--- a/camphorrun/gateway/tests/test_readers.py
+++ b/camphorrun/gateway/tests/test_readers.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from ...platform import StoreError
-from .cluster import configuration, run_scenario
+from ...platform import CONFIGURATION_TOPIC, StoreError
+from .cluster import configuration, route, run_scenario
 
 
 def count_store_reads(cluster) -> int:
@@ -172,3 +172,64 @@
             assert replica.asked == 0
 
         run_scenario(scenario)
+
+
+class TestLargeRecords:
+    """Records that take long over the link of a gateway."""
+
+    def test_large_configuration_comes_from_the_store(self):
+        """Guards against a configuration that arrives after its bound on slow links.
+
+        Followers gave a reader 0.3 seconds, tried the next one with the same bytes, and
+        turned to the store last.
+        """
+
+        async def scenario(cluster):
+            await wait_for_single_reader(cluster)
+            # Long polls that began before the other gateways followed the reader end by
+            # then.
+            await asyncio.sleep(3.2)
+            sources = []
+            for daemon in cluster.daemons:
+                record_sources(daemon, sources)
+            routes = [
+                route(f"r{n}", f"/r{n}/", "safe", "plain", Padding="x" * 100)
+                for n in range(1500)
+            ]
+            cluster.store.put("keyed.op", "config", configuration(2, Routes=routes))
+            await cluster.wait_until(
+                lambda: all(d.state.deployment.version == 2 for d in cluster.daemons)
+            )
+            assert set(sources) == {"store"}
+
+        run_scenario(scenario, gateways=4)
+
+    def test_large_configuration_comes_from_peers_without_the_store(self):
+        """Guards against a gateway that learns no large record during an outage."""
+
+        async def scenario(cluster):
+            routes = [
+                route(f"r{n}", f"/r{n}/", "safe", "plain", Padding="x" * 100)
+                for n in range(1500)
+            ]
+            cluster.store.put("keyed.op", "config", configuration(2, Routes=routes))
+            first = cluster.daemons[0]
+            await cluster.wait_until(lambda: first.state.deployment.version == 2)
+            cluster.store.close()
+            late = cluster.add_gateway("late", (first.settings.host.peers,))
+            await cluster.wait_until(lambda: late.state.ready)
+            assert late.state.deployment.version == 2
+
+        run_scenario(scenario)
+
+
+def record_sources(daemon, sources: list[str]) -> None:
+    """Append the source of each configuration that a gateway applies to a list."""
+    apply = daemon.state.apply
+
+    def record(topic, page, source):
+        if topic == CONFIGURATION_TOPIC and page.records:
+            sources.append(source)
+        apply(topic, page, source)
+
+    daemon.state.apply = record
--- a/camphorrun/gateway/zone_readers.py
+++ b/camphorrun/gateway/zone_readers.py
@@ -4,9 +4,9 @@
 from ..metrics import Metrics
 from ..platform import CONFIGURATION_TOPIC, REPLICA_TOPIC
 from ..routing import reader_preference
-from .errors import PeerError
+from .errors import LargeAnswerError, PeerError
 from .messages import SyncMessage
-from .peers import Peers, member_address, member_zone
+from .peers import MAX_SYNC_BYTES, Peers, member_address, member_zone
 from .state import GatewayState
 
 # Gateways that are queried before this one reads the store itself.
@@ -15,6 +15,9 @@
 READER_TIMEOUT_SECONDS = 0.3
 # A reader that gave no fresh answer is skipped for this long.
 READER_AVOIDANCE_SECONDS = 1.5
+# Time for which a gateway reads the store itself because the answer of its reader is
+# large. The readers have only the same large answer until the store was read.
+LARGE_ANSWER_SECONDS = 2.0
 # Greatest time since the confirmation by the store at which records are accepted.
 # Registrations are polled twice a second. The configuration is read by long polls, so
 # its last confirmation may be seconds old.
@@ -50,6 +53,7 @@
         self._candidates = [self._own_address]
         self._avoided_until: dict[str, float] = {}
         self._reader = ""
+        self._reads_store_until = float("-inf")
         state.subscribe(members=self._update_candidates)
 
     @property
@@ -63,7 +67,8 @@
 
     async def refresh(self) -> bool:
         """Fetch the records from a reader; return whether one gave fresh ones."""
-        if not self._state.ready:
+        is_large = self._timers.now() < self._reads_store_until
+        if not self._state.ready or is_large:
             self._set_reader("")
             return False
         for address in self._candidates[:MAX_CANDIDATES]:
@@ -71,7 +76,14 @@
                 break
             if self._timers.now() < self._avoided_until.get(address, 0.0):
                 continue
-            if await self._sync_from(address):
+            try:
+                is_fresh = await self._sync_from(address)
+            except LargeAnswerError:
+                self._metrics.drops.labels("large_answer").inc()
+                now = self._timers.now()
+                self._reads_store_until = now + LARGE_ANSWER_SECONDS
+                break
+            if is_fresh:
                 self._set_reader(address)
                 return True
             self._avoided_until[address] = self._timers.now() + READER_AVOIDANCE_SECONDS
@@ -80,7 +92,11 @@
 
     async def _sync_from(self, address: str) -> bool:
         try:
-            answer = await self._peers.sync_from(address, READER_TIMEOUT_SECONDS)
+            answer = await self._peers.sync_from(
+                address, READER_TIMEOUT_SECONDS, MAX_SYNC_BYTES
+            )
+        except LargeAnswerError:
+            raise
         except PeerError:
             self._metrics.drops.labels("reader_silent").inc()
             return False
