--- a/camphorrun/gateway/zone_readers.py
+++ b/camphorrun/gateway/zone_readers.py
@@ -67,8 +67,8 @@
 
     async def refresh(self) -> bool:
         """Fetch the records from a reader; return whether one gave fresh ones."""
-        is_large = self._timers.now() < self._reads_store_until
-        if not self._state.ready or is_large:
+        reads_store = self._timers.now() < self._reads_store_until
+        if not self._state.ready or reads_store:
             self._set_reader("")
             return False
         for address in self._candidates[:MAX_CANDIDATES]:
--- a/tools/mutations_fleet.py
+++ b/tools/mutations_fleet.py
@@ -31,6 +31,13 @@
 PERMITS = "camphorrun/gateway/tests/test_permits.py"
 
 FLEET_MUTATIONS = (
+    Mutation(
+        "fleet: large records come from the store",
+        "camphorrun/gateway/peers.py",
+        "MAX_SYNC_BYTES = 128 * 1024\n",
+        "MAX_SYNC_BYTES = MAX_ANSWER_BYTES\n",
+        READERS,
+    ),
     Mutation(
         "limits: a replica with a limit gets only permitted requests",
         "camphorrun/gateway/permits.py",
