Close the stream writers of test peers before their event loop ends

What was seen: `make test` stopped with an internal error of pytest after 1 failed and 475 passed tests. http1's test_client and test_endless alone failed 2 of 53 in each of three runs.

Cause: peers in tests are built on asyncio.start_server and open_connection, and left open writers to the garbage collector. StreamWriter.__del__ of Python 3.11 closes the transport, which raises once the loop is closed, in whichever test runs at that moment ("Event loop is closed"). filterwarnings turns that into an error. When the collector ran while pytest parsed a source file, the parser failed instead.

Change: StreamServer and open_stream in standins own the connections and close them within the loop. All test peers, the cluster's and TcpForwarder use them. The filter and the assertions are unchanged.

Ruled out: a fault of ClientConnection or HttpServer; both are protocols without stream writers.

--- a/camphorrun/gateway/tests/cluster.py
+++ b/camphorrun/gateway/tests/cluster.py
@@ -15,6 +15,7 @@
 )
 from ...standins.platform_replica import PlatformReplica
 from ...standins.platform_store import PlatformStore
+from ...standins.stream_peers import StreamServer
 from .. import GatewayDaemon
 
 HOST = "a.example"
@@ -126,6 +127,7 @@
         self.replicas: list[PlatformReplica] = []
         self.stage_replicas: list[PlatformReplica] = []
         self.daemons: list[GatewayDaemon] = []
+        self.stream_servers: list[StreamServer] = []
         self.tasks: list[asyncio.Task] = []
         self.last_number = 0
         self.store.put("keyed.op", "config", configuration())
@@ -148,6 +150,8 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for replica in self.replicas + self.stage_replicas:
             replica.close()
+        for server in self.stream_servers:
+            await server.stop()
         self.store.close()
 
     async def add_replica(self, service: str, **fields) -> PlatformReplica:
--- a/camphorrun/gateway/tests/test_slow_streams.py
+++ b/camphorrun/gateway/tests/test_slow_streams.py
@@ -6,6 +6,7 @@
 
 from ...http1 import HttpError
 from ...retries import RetryBudget
+from ...standins.stream_peers import StreamServer
 from .. import response_relay
 from .cluster import event_bytes, run_scenario
 
@@ -26,11 +27,12 @@
     def __init__(self, answer: bytes, block: bytes = b""):
         self._answer = answer
         self._block = block
+        self._server = StreamServer(self._serve)
         self.closed = asyncio.Event()
 
     async def register(self, cluster) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
+        cluster.stream_servers.append(self._server)
+        port = await self._server.start()
         entry = cluster.replicas[0].registration("plain", Address=f"127.0.0.1:{port}")
         cluster.store.put("keyed.servers", cluster.replicas[0].identifier, entry)
         state = cluster.daemons[0].state
--- a/camphorrun/http1/tests/endless_responses.py
+++ b/camphorrun/http1/tests/endless_responses.py
@@ -4,6 +4,7 @@
 import contextlib
 
 from ...core import LoopTimerService, with_timeout
+from ...standins.stream_peers import StreamServer
 from .. import HttpError, connect
 
 _OK = b"HTTP/1.1 200 OK\r\n"
@@ -43,12 +44,12 @@
         self.sent = 0
 
     async def __aenter__(self) -> "EndlessPeer":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        self._server = StreamServer(self._serve)
+        self.port = await self._server.start()
         return self
 
     async def __aexit__(self, *exc) -> None:
-        self._server.close()
+        await self._server.stop()
 
     async def _serve(self, reader, writer) -> None:
         start, block = self._answer
--- a/camphorrun/http1/tests/test_client.py
+++ b/camphorrun/http1/tests/test_client.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ...core import LoopTimerService
+from ...standins.stream_peers import StreamServer, serve_stream
 from .. import ConnectionPool, HttpError, connect
 
 REQUEST = b"GET / HTTP/1.1\r\n\r\n"
@@ -26,12 +27,12 @@
         self.accepted = 0
 
     async def __aenter__(self) -> "ScriptedPeer":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        self._server = StreamServer(self._serve)
+        self.port = await self._server.start()
         return self
 
     async def __aexit__(self, *exc) -> None:
-        self._server.close()
+        await self._server.stop()
 
     async def _serve(self, reader, writer) -> None:
         self.accepted += 1
@@ -200,17 +201,14 @@
             writer.write(answer)
 
         async def scenario():
-            server = await asyncio.start_server(serve, "127.0.0.1", 0)
-            pool = ConnectionPool(
-                "127.0.0.1", server.sockets[0].getsockname()[1], TIMERS
-            )
-            for data in (request, REQUEST):
-                conn = await pool.acquire(1.0)
-                head = await conn.request(data)
-                assert (head.status, await conn.read_all(10)) == (200, b"ok")
-                pool.release(conn)
-            pool.close()
-            server.close()
+            async with serve_stream(serve) as port:
+                pool = ConnectionPool("127.0.0.1", port, TIMERS)
+                for data in (request, REQUEST):
+                    conn = await pool.acquire(1.0)
+                    head = await conn.request(data)
+                    assert (head.status, await conn.read_all(10)) == (200, b"ok")
+                    pool.release(conn)
+                pool.close()
             return pool.opened
 
         opened = asyncio.run(asyncio.wait_for(scenario(), 5))
--- a/camphorrun/http1/tests/test_endless.py
+++ b/camphorrun/http1/tests/test_endless.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ...core import LoopTimerService
+from ...standins.stream_peers import open_stream
 from .. import Headers, HttpError, HttpServer, ServerLimits, connect
 from ..client import MAX_OVERHEAD_BYTES, READ_HIGH_WATER_BYTES
 from ..server import MAX_PIPELINED_BYTES
@@ -114,22 +115,21 @@
 
             server = HttpServer(handle, TIMERS, ServerLimits(header_bytes=16384))
             port = await server.start("127.0.0.1", 0)
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
             first, more = ENDLESS_REQUESTS[kind]
-            if is_busy:
-                writer.write(b"GET / HTTP/1.1\r\n\r\n")
-            writer.write(first)
             sent = 0
-            with contextlib.suppress(ConnectionError):
-                while sent < 4_000_000:
-                    writer.write(more)
-                    sent += len(more)
-                    await writer.drain()
-                    await asyncio.sleep(0)
-                    if reader.at_eof():
-                        break
-                await reader.read()
-            writer.close()
+            async with open_stream("127.0.0.1", port) as (reader, writer):
+                if is_busy:
+                    writer.write(b"GET / HTTP/1.1\r\n\r\n")
+                writer.write(first)
+                with contextlib.suppress(ConnectionError):
+                    while sent < 4_000_000:
+                        writer.write(more)
+                        sent += len(more)
+                        await writer.drain()
+                        await asyncio.sleep(0)
+                        if reader.at_eof():
+                            break
+                    await reader.read()
             server.close()
             return sent
 
@@ -149,20 +149,19 @@
 
             server = HttpServer(handle, TIMERS)
             port = await server.start("127.0.0.1", 0)
-            _, writer = await asyncio.open_connection("127.0.0.1", port)
             body = b"b" * 1_000_000
             head = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body)
-            writer.write(b"GET / HTTP/1.1\r\n\r\n" + (head + body) * 8)
-            await asyncio.sleep(0.2)
-            (conn,) = server.connections
-            buffered_bytes = (
-                sum(len(r.body) for r in conn._pending_requests) + conn._body_size
-            )
-            release.set()
-            async with asyncio.timeout(5):
-                while len(served) < 9:
-                    await asyncio.sleep(0.01)
-            writer.close()
+            async with open_stream("127.0.0.1", port) as (_, writer):
+                writer.write(b"GET / HTTP/1.1\r\n\r\n" + (head + body) * 8)
+                await asyncio.sleep(0.2)
+                (conn,) = server.connections
+                buffered_bytes = (
+                    sum(len(r.body) for r in conn._pending_requests) + conn._body_size
+                )
+                release.set()
+                async with asyncio.timeout(5):
+                    while len(served) < 9:
+                        await asyncio.sleep(0.01)
             server.close()
             return buffered_bytes
 
--- a/camphorrun/http1/tests/test_server.py
+++ b/camphorrun/http1/tests/test_server.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ...core import LoopTimerService
+from ...standins.stream_peers import open_stream
 from .. import Headers, HttpServer, ServerLimits, ServerRequest, ServerResponder
 
 
@@ -33,18 +34,19 @@
     async def exchange(self, data: bytes, *, until: int = 1) -> bytes:
         """Send bytes; return those received until the close or ``until`` responses."""
         port = await self.server.start("127.0.0.1", 0)
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        writer.write(data)
         received = b""
         try:
-            async with asyncio.timeout(2):
+            async with (
+                open_stream("127.0.0.1", port) as (reader, writer),
+                asyncio.timeout(2),
+            ):
+                writer.write(data)
                 while received.count(b"HTTP/1.1 ") < until or not received:
                     part = await reader.read(65536)
                     if not part:
                         break
                     received += part
         finally:
-            writer.close()
             self.server.close()
         return received
 
@@ -151,11 +153,10 @@
             served = EchoServer()
             served.may_respond.clear()
             port = await served.server.start("127.0.0.1", 0)
-            _, writer = await asyncio.open_connection("127.0.0.1", port)
-            writer.write(b"GET / HTTP/1.1\r\n\r\n")
-            while not served.requests:
-                await asyncio.sleep(0.01)
-            writer.close()
+            async with open_stream("127.0.0.1", port) as (_, writer):
+                writer.write(b"GET / HTTP/1.1\r\n\r\n")
+                while not served.requests:
+                    await asyncio.sleep(0.01)
             while not served.cancelled:
                 await asyncio.sleep(0.01)
             served.server.close()
@@ -203,19 +204,18 @@
 
             server = HttpServer(handle, LoopTimerService())
             port = await server.start("127.0.0.1", 0)
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-            async with asyncio.timeout(2):
-                while not server.connections:
-                    await asyncio.sleep(0.01)
-            await asyncio.sleep(0.1)
-            unsent = server.active
-            head = await reader.readuntil(b"\r\n\r\n")
-            read = await reader.readexactly(len(body))
-            async with asyncio.timeout(2):
-                while server.active:
-                    await asyncio.sleep(0.01)
-            writer.close()
+            async with open_stream("127.0.0.1", port) as (reader, writer):
+                writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                async with asyncio.timeout(2):
+                    while not server.connections:
+                        await asyncio.sleep(0.01)
+                await asyncio.sleep(0.1)
+                unsent = server.active
+                head = await reader.readuntil(b"\r\n\r\n")
+                read = await reader.readexactly(len(body))
+                async with asyncio.timeout(2):
+                    while server.active:
+                        await asyncio.sleep(0.01)
             server.close()
             return unsent, head[:15], read == body
 
--- a/camphorrun/relay/tests/test_relay.py
+++ b/camphorrun/relay/tests/test_relay.py
@@ -19,6 +19,7 @@
 )
 from ...core import LogRecord, LoopTimerService, MemoryLog
 from ...messages import KeyRing, SharedKey
+from ...standins.stream_peers import open_stream, serve_stream
 from .. import Announce, FetchRecords, RelayClient, RelayError, RelayPeers, RelayServer
 from .. import server as server_module
 from ..frames import (
@@ -169,11 +170,10 @@
                 client = RelayClient(session, address, KEYS)
                 answers = []
                 for data in (malformed, encoded.encode() + b"\xff" * 9, cut):
-                    reader, writer = await asyncio.open_connection(*address.split(":"))
-                    writer.write(data)
-                    if data is not cut:
-                        answers.append((await reader.readline()).split()[1])
-                    writer.close()
+                    async with open_stream(*address.split(":")) as (reader, writer):
+                        writer.write(data)
+                        if data is not cut:
+                            answers.append((await reader.readline()).split()[1])
                     assert len(await client.fetch_records("fleet", 1)) == 3
                 return answers, server.refused["truncated"]
 
@@ -186,11 +186,10 @@
         monkeypatch.setattr(server_module, "READ_TIMEOUT_SECONDS", 0.05)
 
         async def send_part(address, size):
-            reader, writer = await asyncio.open_connection(*address.split(":"))
-            head = f"POST {RELAY_PATH} HTTP/1.1\r\nHost: x\r\n"
-            writer.write(f"{head}Content-Length: 99999\r\n\r\n".encode() + bytes(size))
-            status = await reader.readline()
-            writer.close()
+            head = f"POST {RELAY_PATH} HTTP/1.1\r\nHost: x\r\n".encode()
+            async with open_stream(*address.split(":")) as (reader, writer):
+                writer.write(head + b"Content-Length: 99999\r\n\r\n" + bytes(size))
+                status = await reader.readline()
             return status.split()[1]
 
         async def scenario():
@@ -216,8 +215,8 @@
     def test_silent_peer(self):
         """Guards against a request that waits without bound."""
 
-        async def hold(_reader, writer):
-            held.append(writer)
+        async def hold(reader, _writer):
+            await reader.read()
 
         async def ask(session, address):
             client = RelayClient(session, address, KEYS, timeout_s=0.05)
@@ -226,16 +225,10 @@
             return caught.value.code
 
         async def scenario():
-            address = _free_address()
-            silent = await asyncio.start_server(hold, *address.split(":"))
-            async with aiohttp.ClientSession() as session:
-                codes = await ask(session, address), await ask(session, _free_address())
-            for writer in held:
-                writer.close()
-            silent.close()
-            return codes
-
-        held = []
+            async with serve_stream(hold) as port, aiohttp.ClientSession() as session:
+                silent = f"127.0.0.1:{port}"
+                return await ask(session, silent), await ask(session, _free_address())
+
         assert asyncio.run(scenario()) == ("relay_timeout", "relay_unavailable")
 
     def test_oversized_reply(self):
--- a/camphorrun/standins/tcp_forwarder.py
+++ b/camphorrun/standins/tcp_forwarder.py
@@ -7,6 +7,8 @@
 import asyncio
 import contextlib
 
+from .stream_peers import StreamServer
+
 CHUNK_BYTES = 64 * 1024
 
 
@@ -38,16 +40,13 @@
     def __init__(self, target: str):
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
-        self._server: asyncio.Server | None = None
+        self._server = StreamServer(self._accept)
         self._connections: set[_Connection] = set()
-        self._tasks: set[asyncio.Task] = set()
         self.accepted = 0
 
     async def start(self, host: str, port: int = 0) -> str:
         """Listen and return the ``ip:port`` in use."""
-        self._server = await asyncio.start_server(self._accept, host, port)
-        bound = self._server.sockets[0].getsockname()
-        return f"{bound[0]}:{bound[1]}"
+        return f"{host}:{await self._server.start(host, port)}"
 
     def silence(self) -> int:
         """Stop to forward on the connections of now; return how many there were."""
@@ -59,22 +58,17 @@
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
-        self._server.close()
-        for task in tuple(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._server.stop()
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.accepted += 1
-        self._tasks.add(asyncio.current_task())
         try:
             with contextlib.suppress(OSError, asyncio.CancelledError):
                 await self._forward(reader, writer)
         finally:
             writer.close()
-            self._tasks.discard(asyncio.current_task())
 
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
