Log which start of a replica failed an attempt, and what the request had in common

An attempt that fails now logs the start time of the replica, whether the answer had begun in this attempt, and fingerprints of the parts of the prompt that other requests may have. Without them the hypotheses on requests that crash replicas can't be told apart: `last_event` is that of the whole request. A fingerprint does not reveal the part. No decision changes.

--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -44,6 +44,8 @@
 # A replica that rejected a request is avoided for this time, unless no other replica is
 # available.
 REJECTION_BACKOFF_SECONDS = 0.25
+# Bounds the length of a log line.
+MAX_LOGGED_PARTS = 8
 # Failures before anything was sent: another attempt is not charged as a retry.
 UNSENT_CODES = frozenset(
     {
@@ -179,6 +181,10 @@
             not_run=exc.not_run,
             runs=ctx.possible_runs,
             last_event=ctx.last_event_id,
+            started_ms=handle.replica.started_ms,
+            # Whether the replica had begun to answer in this attempt.
+            begun=bool(ctx.stream_started_at),
+            shared_parts=ctx.shared_parts[:MAX_LOGGED_PARTS],
         )
 
     # One attempt
--- a/camphorrun/gateway/context.py
+++ b/camphorrun/gateway/context.py
@@ -5,6 +5,7 @@
 
 from ..catalog import Route, RouteKind
 from ..platform import CallerRequest
+from ..quarantine import part_fingerprint
 from .stage_results import StageResults
 
 # A caller abandons a stream without data after the longest of: this minimum, this
@@ -44,6 +45,8 @@
         Identifier of the last event that was sent to the caller.
     zone : str
         Availability zone in which the request is expected to run, empty if unknown.
+    shared_parts : tuple of str
+        Fingerprints of the parts of the prompt that other requests may have, too.
     """
 
     caller: CallerRequest
@@ -64,6 +67,12 @@
     last_event_id: str = ""
     zone: str = ""
     tried_replicas: set[str] = field(default_factory=set)
+    shared_parts: tuple[str, ...] = field(init=False)
+
+    def __post_init__(self):
+        # The last part belongs to the request itself or to its session.
+        shared = self.caller.prompt[:-1]
+        self.shared_parts = tuple(part_fingerprint(p.identifier) for p in shared)
 
     @property
     def request_id(self) -> str:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,7 +12,7 @@
     ("metrics", "messages", "catalog", "http1"),
     ("settings",),
     ("limits", "retries"),
-    ("routing", "admission", "configuration", "claims", "pipeline"),
+    ("routing", "admission", "quarantine", "configuration", "claims", "pipeline"),
     ("placement",),
     ("clients", "transport", "relay", "platform"),
     ("daemon",),
@@ -29,6 +29,7 @@
     "limits",
     "pipeline",
     "placement",
+    "quarantine",
     "retries",
     "routing",
 )
