--- a/camphorrun/gateway/tests/cluster.py
+++ b/camphorrun/gateway/tests/cluster.py
@@ -158,8 +158,13 @@
         self.last_number += 1
         replica = PlatformReplica(f"i-{service}-{self.last_number}", self.timers)
         await replica.start()
-        entry = replica.registration(service, **fields)
-        self.store.put("keyed.servers", replica.identifier, entry)
+
+        def register(replica: PlatformReplica) -> None:
+            entry = replica.registration(service, **fields)
+            self.store.put("keyed.servers", replica.identifier, entry)
+
+        replica.on_restart = register
+        register(replica)
         return replica
 
     def add_gateway(
--- a/camphorrun/standins/platform_replica.py
+++ b/camphorrun/standins/platform_replica.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -32,6 +33,8 @@
     ``Server-Leaving`` to all answers, ``rate_limit`` a limit to all answers, and
     ``retry_after`` a pause to those of ``full``.
     After ``trickle_after`` events a stream sends a byte now and then and no event.
+    The process crashes when it begins to answer a request whose prompt has the part
+    ``deadly_part``, and starts again on its address after ``down_s``.
     """
 
     answer: str = "ok"
@@ -44,6 +47,8 @@
     retry_after: str = ""
     rate_limit: str = ""
     trickle_after: int = -1
+    deadly_part: str = ""
+    down_s: float = 0.5
     lost_handles: set[str] = field(default_factory=set)
 
 
@@ -63,10 +68,16 @@
         self.reports = 0
         # Arrival times of requests of any kind, rejected ones too.
         self.arrivals: list[float] = []
+        # Arrival times of requests that crash the process.
+        self.deadly_arrivals: list[float] = []
+        self.crashes: list[float] = []
+        # Called after each start that follows a crash.
+        self.on_restart: Callable[[PlatformReplica], None] | None = None
         self.address = ""
         self._timers = timers
         self._handles = itertools.count()
         self._server = HttpServer(self._handle, timers)
+        self._restart_task: asyncio.Task | None = None
 
     @property
     def asked(self) -> int:
@@ -82,6 +93,23 @@
     def close(self) -> None:
         """Stop at once."""
         self._server.close()
+        if self._restart_task is not None:
+            self._restart_task.cancel()
+
+    def crash(self) -> None:
+        """End the process now, as seen from outside, and start it again later."""
+        self.crashes.append(self._timers.now())
+        self._server.close()
+        if self._restart_task is None or self._restart_task.done():
+            self._restart_task = asyncio.ensure_future(self._restart())
+
+    async def _restart(self) -> None:
+        await self._timers.sleep(self.script.down_s)
+        host, _, port = self.address.rpartition(":")
+        self._server = HttpServer(self._handle, self._timers)
+        await self._server.start(host, int(port))
+        if self.on_restart is not None:
+            self.on_restart(self)
 
     def registration(self, service: str, zone: str = "z1", **fields) -> dict:
         """Return the entry that the replica writes to the store."""
@@ -94,6 +122,7 @@
             "State": "ready",
             "ColdRemainingMs": 0,
             "Sequence": 1,
+            "born": len(self.crashes),
             **fields,
         }
 
@@ -129,8 +158,14 @@
             return
         run = ReplicaRun(attempt_id, req.target, req.headers, req.body)
         self.runs.append(run)
+        is_deadly = self._is_deadly(req)
+        if is_deadly:
+            self.deadly_arrivals.append(self._timers.now())
         try:
             await self._timers.sleep(script.work_s)
+            if is_deadly:
+                self.crash()
+                return
             if script.answer == "mute":
                 await asyncio.Event().wait()
             await self._answer(req, responder, attempt_id)
@@ -138,6 +173,10 @@
             self.cancelled += 1
             raise
 
+    def _is_deadly(self, req: ServerRequest) -> bool:
+        part = self.script.deadly_part
+        return bool(part) and f"{part}:" in req.headers.get("x-prefix-hash")
+
     async def _answer(
         self, req: ServerRequest, responder: ServerResponder, attempt_id: str
     ) -> None:
