Keep requests with a part that crashes replicas away from them

Cause: no gateway remembered which requests a replica had when it crashed, so each crash was judged by its attempt alone.

Change: a gateway that loses a request before its answer has begun checks whether the replica has crashed (a new connection is refused, or a later start registers) and tells all gateways. An answer clears the parts of its request, at all gateways. What four crashes have in common and nobody has cleared is blocked after half a second; requests with it are refused with 503 at once, also those that wait for stages, permits or connections, and those in the queue of a replica (502). One trial of all gateways together follows after 12, 36, 84 s and so on. Parts that always came together form one cause, so sound requests with one of them are served. A new gateway learns the causes from its peers before it is ready. Memory is bounded.

Open: all gateways killed at the same moment forget the cause.

The stub of a test in test_eras passes on keyword arguments now.

--- a/camphorrun/catalog/__init__.py
+++ b/camphorrun/catalog/__init__.py
@@ -2,7 +2,7 @@
 
 Public: ``Deployment``, ``Route``, ``RouteKind``, ``StageTemplate``, ``Service``,
 ``StageCapacity``, ``EngineCapacity``, ``Account``, ``CallerLimits``, ``Replica``,
-``ReplicaState``, ``RecordView``, ``Record``, ``RecordPage``.
+``ReplicaState``, ``Boot``, ``RecordView``, ``Record``, ``RecordPage``.
 """
 
 from .deployment import (
@@ -17,10 +17,11 @@
     StageTemplate,
 )
 from .records import Record, RecordPage, RecordView
-from .replicas import Replica, ReplicaState
+from .replicas import Boot, Replica, ReplicaState
 
 __all__ = [
     "Account",
+    "Boot",
     "CallerLimits",
     "Deployment",
     "EngineCapacity",
--- a/camphorrun/catalog/replicas.py
+++ b/camphorrun/catalog/replicas.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
+# One start of a replica: identifier, and start time in Unix milliseconds.
+Boot = tuple[str, int]
+
 
 class ReplicaState(Enum):
     """State of a replica; only a ``READY`` one accepts new requests."""
@@ -36,7 +39,7 @@
     cold_remaining_s: float = 0.0
 
     @property
-    def boot(self) -> tuple[str, int]:
+    def boot(self) -> Boot:
         """Identifier and start time, which together identify one start of a replica."""
         return self.identifier, self.started_ms
 
--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -23,9 +23,11 @@
     AttemptFailedError,
     EventError,
     InputsGoneError,
+    RefusedError,
     ReplicaUnavailableError,
 )
 from .permits import Permit
+from .quarantine_guard import QuarantineGuard
 from .replica_handle import ReplicaHandle
 from .replica_selection import MIN_ATTEMPT_SECONDS, ReplicaSelector, refusal_error
 from .response_relay import MAX_BUFFERED_RESPONSE_BYTES, ResponseRelay
@@ -80,12 +82,15 @@
         Chooses the replicas.
     budget_of : callable
         Returns the retry budget of a service.
+    guard : QuarantineGuard
+        Refuses requests that crash replicas.
     """
 
     def __init__(
         self,
         selector: ReplicaSelector,
         budget_of,
+        guard: QuarantineGuard,
         *,
         timers: TimerService,
         metrics: Metrics,
@@ -93,7 +98,8 @@
     ):
         self._selector = selector
         self._budget_of = budget_of
-        self._relay = ResponseRelay(budget_of, timers, metrics)
+        self._guard = guard
+        self._relay = ResponseRelay(budget_of, guard.observe_progress, timers, metrics)
         self._timers = timers
         self._metrics = metrics
         self._events = events
@@ -107,7 +113,8 @@
         Raises
         ------
         RefusedError
-            If no response has started and no further attempt is allowed.
+            If no response has started and no further attempt is allowed, or if the
+            request is quarantined.
         InputsGoneError
             If a replica lacks a stage result. That replica has not run the request; the
             stages must be run again.
@@ -117,6 +124,7 @@
         rejections = 0
         reason = ""
         while True:
+            self._guard.check(ctx)
             handle, permit = await self._selector.reserve(ctx, reason)
             try:
                 await self._attempt(ctx, handle, permit, responder)
@@ -168,6 +176,7 @@
         self, ctx: RequestContext, handle: ReplicaHandle, exc: AttemptFailedError
     ) -> None:
         ctx.tried_replicas.add(handle.replica.identifier)
+        self._guard.observe_failure(ctx, handle, exc.code)
         if exc.not_run:
             handle.rejection_backoff_until = (
                 self._timers.now() + REJECTION_BACKOFF_SECONDS
@@ -198,12 +207,14 @@
     ) -> None:
         started_at = self._timers.now()
         ctx.stream_started_at = 0.0
+        ctx.has_cleared = False
         handle.endpoint.on_dispatch()
         succeeded = None
         conn = None
         try:
             conn = await self._connect(ctx, handle, permit)
             await self._exchange(ctx, handle, conn, responder)
+            self._guard.observe_answer(ctx)
             succeeded = True
         except AttemptFailedError as exc:
             # A replica that is at capacity, for instance, is not faulty.
@@ -245,7 +256,7 @@
             raise AttemptFailedError("connect_timeout", not_run=True) from exc
         try:
             self._check_after_wait(ctx, handle, permit)
-        except AttemptFailedError:
+        except (AttemptFailedError, RefusedError):
             handle.pool.release(conn)
             raise
         return conn
@@ -261,7 +272,10 @@
         ------
         AttemptFailedError
             If the time is too short, or the replica accepts no requests any more.
+        RefusedError
+            If the request has been quarantined meanwhile.
         """
+        self._guard.check(ctx)
         if ctx.end_at - self._timers.now() < MIN_ATTEMPT_SECONDS:
             raise AttemptFailedError("deadline", not_run=True)
         try:
@@ -289,6 +303,8 @@
             resume_after=ctx.last_event_id or ctx.caller.resume_after,
         )
         could_have_run = ctx.may_have_run
+        ctx.trial = None
+        ctx.sent_at = now
         ctx.may_have_run = True
         ctx.possible_runs += 1
         try:
--- a/camphorrun/gateway/context.py
+++ b/camphorrun/gateway/context.py
@@ -5,7 +5,7 @@
 
 from ..catalog import Route, RouteKind
 from ..platform import CallerRequest
-from ..quarantine import part_fingerprint
+from ..quarantine import Cause, Suspects, part_fingerprint
 from .stage_results import StageResults
 
 # A caller abandons a stream without data after the longest of: this minimum, this
@@ -20,6 +20,14 @@
     """Do nothing; default callback of a request context."""
 
 
+@dataclass(frozen=True, slots=True)
+class Trial:
+    """Right to send one request with a blocked cause until ``valid_until``."""
+
+    cause: Cause
+    valid_until: float
+
+
 @dataclass(slots=True)
 class RequestContext:
     """A request with its route, limits and progress.
@@ -35,6 +43,8 @@
     on_stream_started : callable
         Called when a replica starts its event stream; from then on it no longer needs
         the stage results.
+    sent_at : float
+        When the current attempt was sent.
     stream_started_at : float
         When the stream of the current attempt started; 0 before that.
     may_have_run : bool
@@ -47,6 +57,12 @@
         Availability zone in which the request is expected to run, empty if unknown.
     shared_parts : tuple of str
         Fingerprints of the parts of the prompt that other requests may have, too.
+    has_cleared : bool
+        Whether the answer of the current attempt has cleared the fingerprints.
+    trial : Trial or None
+        Right to send the request although it is quarantined.
+    blocked_by : frozenset of str or None
+        Cause that was blocked while the request waited, None if none was.
     """
 
     caller: CallerRequest
@@ -61,19 +77,28 @@
     is_retry: bool = False
     stage_results: StageResults | None = None
     on_stream_started: Callable[[], None] = _no_op
+    sent_at: float = 0.0
     stream_started_at: float = 0.0
     may_have_run: bool = False
     possible_runs: int = 0
     last_event_id: str = ""
     zone: str = ""
     tried_replicas: set[str] = field(default_factory=set)
-    shared_parts: tuple[str, ...] = field(init=False)
+    shared_parts: Suspects = field(init=False)
+    has_cleared: bool = False
+    trial: Trial | None = None
+    blocked_by: Cause | None = None
 
     def __post_init__(self):
         # The last part belongs to the request itself or to its session.
         shared = self.caller.prompt[:-1]
         self.shared_parts = tuple(part_fingerprint(p.identifier) for p in shared)
 
+    @property
+    def suspects(self) -> Suspects:
+        """Fingerprints that may crash a replica which runs the request."""
+        return self.shared_parts
+
     @property
     def request_id(self) -> str:
         """Identifier that the caller gave this attempt."""
--- a/camphorrun/gateway/daemon.py
+++ b/camphorrun/gateway/daemon.py
@@ -21,6 +21,7 @@
 from .peers import Peers, PeerService, member_name
 from .permit_owner import PermitOwner
 from .permits import Permits
+from .quarantine_guard import QuarantineGuard
 from .replica_selection import ReplicaSelector
 from .replicas import ReplicaPool
 from .request_handler import RequestHandler
@@ -159,9 +160,15 @@
             events=self.events,
             seed=self._rng.getrandbits(32),
         )
-        attempts = Attempts(selector, self._budget_of, **shared)
+        self._quarantine_guard = QuarantineGuard(self.state, self._peers, **shared)
+        attempts = Attempts(selector, self._budget_of, self._quarantine_guard, **shared)
         self._request_handler = RequestHandler(
-            self.state, self._stage_runner, selector, attempts, **shared
+            self.state,
+            self._stage_runner,
+            selector,
+            attempts,
+            self._quarantine_guard,
+            **shared,
         )
         self._supervisor.add("configuration", self._store_sync.follow_configuration)
         self._supervisor.add("replicas", self._store_sync.follow_replicas)
@@ -187,6 +194,8 @@
             self._stage_runner.make_pieces,
             self._stage_runner.release,
             self._permit_owner.answer,
+            self._quarantine_guard.receive,
+            self._quarantine_guard.answer_trial,
             self.metrics.render,
             self.metrics,
         )
@@ -292,6 +301,7 @@
         for server in self._internal_servers:
             server.close()
         self._stage_runner.close()
+        self._quarantine_guard.close()
         self._peers.close()
         self._replica_pool.close()
 
--- a/camphorrun/gateway/messages.py
+++ b/camphorrun/gateway/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-SCHEMA_VERSION = 4
+SCHEMA_VERSION = 5
 
 
 class RecordMessage(msgspec.Struct, array_like=True):
@@ -40,17 +40,74 @@
     age_s: float
 
 
+class CrashMessage(msgspec.Struct, array_like=True):
+    """Crash of a replica, noticed ``age_s`` ago.
+
+    ``requests`` has the fingerprints of each request whose answer had not begun. The
+    last of them was sent ``sent_age_s`` ago.
+    """
+
+    replica: str
+    age_s: float
+    sent_age_s: float
+    requests: list[tuple[str, ...]]
+
+
+class ClearanceMessage(msgspec.Struct, array_like=True):
+    """A replica began an answer with this fingerprint ``age_s`` ago and lived."""
+
+    suspect: str
+    age_s: float
+
+
+class BlockMessage(msgspec.Struct, array_like=True):
+    """A blocked cause; ``trial_age_s`` is None if it has not been tried."""
+
+    cause: frozenset[str]
+    age_s: float
+    crash_age_s: float
+    trials: int
+    trial_age_s: float | None
+
+
+class QuarantineMessage(msgspec.Struct):
+    """What a gateway knows of requests that crash replicas."""
+
+    crashes: list[CrashMessage] = []
+    clearances: list[ClearanceMessage] = []
+    blocks: list[BlockMessage] = []
+    version: int = SCHEMA_VERSION
+
+
+class TrialOrder(msgspec.Struct):
+    """Asks whether one request that has a blocked cause may be sent."""
+
+    cause: frozenset[str]
+    version: int = SCHEMA_VERSION
+
+
+class TrialReply(msgspec.Struct):
+    """Answer to a trial order."""
+
+    granted: bool
+    version: int = SCHEMA_VERSION
+
+
 class SyncMessage(msgspec.Struct):
     """Records of the store and members of the group that a gateway knows.
 
     ``ages_s`` gives for each topic the seconds since the store last confirmed its
-    records. Gateways before schema 4 send no ``rate_limits``.
+    records. Gateways before schema 4 send no ``rate_limits``. In a request,
+    ``evidence_s`` is the age of the oldest crash that the sender wants to know.
+    Gateways before schema 5 send neither it nor a ``quarantine``.
     """
 
     topics: dict[str, TopicMessage]
     members: list[str] = []
     ages_s: dict[str, float] = {}
     rate_limits: list[RateLimitMessage] = []
+    evidence_s: float = 0.0
+    quarantine: QuarantineMessage | None = None
     version: int = SCHEMA_VERSION
 
 
--- a/camphorrun/gateway/peers.py
+++ b/camphorrun/gateway/peers.py
@@ -10,17 +10,22 @@
 from ..core import EventLog, TimerService, with_timeout
 from ..http1 import ConnectionPool, Headers, HttpError, ServerRequest, ServerResponder
 from ..metrics import Metrics
+from ..quarantine import EVIDENCE_SECONDS
 from .errors import LargeAnswerError, PeerError
 from .messages import (
     PermitOrder,
     PermitReply,
     PieceOrder,
     PieceReply,
+    QuarantineMessage,
     RecordMessage,
     ReleaseOrder,
     SyncMessage,
     TopicMessage,
+    TrialOrder,
+    TrialReply,
 )
+from .quarantine_messages import encode_quarantine
 from .state import GatewayState
 
 CONNECT_TIMEOUT_SECONDS = 0.3
@@ -39,6 +44,9 @@
 # be slow, and several others would fetch the same records over it.
 MAX_SYNC_BYTES = 128 * 1024
 MAX_RECORDS = 2000
+# Age of the oldest crash that is asked for when records are exchanged. Each gateway is
+# told of a crash at once; the exchange serves those that could not be reached then.
+RECENT_EVIDENCE_SECONDS = 10.0
 
 
 def member_name(host: str, address: str, incarnation: str, zone: str = "") -> str:
@@ -254,7 +262,9 @@
         sampled = self._rng.sample(addresses, count)
         answers = await asyncio.gather(
             *(
-                self._fetch_records(address, SYNC_TIMEOUT_SECONDS)
+                self._fetch_records(
+                    address, SYNC_TIMEOUT_SECONDS, evidence_s=EVIDENCE_SECONDS
+                )
                 for address in sampled
             ),
             return_exceptions=True,
@@ -298,14 +308,18 @@
         return answer
 
     async def _fetch_records(
-        self, address: str, timeout_s: float, max_bytes: int = MAX_ANSWER_BYTES
+        self,
+        address: str,
+        timeout_s: float,
+        max_bytes: int = MAX_ANSWER_BYTES,
+        evidence_s: float = RECENT_EVIDENCE_SECONDS,
     ) -> SyncMessage:
         topics = {
             name: TopicMessage(view.end if view.is_initialised else -1, era=view.era)
             for name, view in self._state.views.items()
         }
         data = await self.link(address).call(
-            "/sync", SyncMessage(topics), timeout_s, max_bytes
+            "/sync", SyncMessage(topics, evidence_s=evidence_s), timeout_s, max_bytes
         )
         try:
             return msgspec.msgpack.decode(data, type=SyncMessage)
@@ -313,7 +327,10 @@
             raise PeerError(f"{address}: cannot decode the answer: {exc}") from exc
 
     def _apply_records(self, answer: SyncMessage, address: str) -> None:
-        self._state.merge_rate_limits(answer.rate_limits, self._timers.now(), address)
+        now = self._timers.now()
+        self._state.merge_rate_limits(answer.rate_limits, now, address)
+        if answer.quarantine is not None:
+            self._state.merge_quarantine(answer.quarantine, now, address)
         for name, topic in answer.topics.items():
             if name in self._state.views and topic.end >= 0:
                 self._state.apply(name, _decode_page(topic), address)
@@ -334,7 +351,15 @@
         now = self._timers.now()
         ages_s = self._state.ages_s(now)
         rate_limits = self._state.rate_limits.current_messages(now)
-        return SyncMessage(topics, list(self._state.members), ages_s, rate_limits)
+        return SyncMessage(
+            topics,
+            list(self._state.members),
+            ages_s,
+            rate_limits,
+            quarantine=encode_quarantine(
+                self._state.quarantine, now, request.evidence_s
+            ),
+        )
 
     def close(self) -> None:
         """Close all links."""
@@ -364,6 +389,8 @@
         make_pieces: Callable,
         release: Callable[[ReleaseOrder], None],
         answer_permit: Callable[[PermitOrder], PermitReply],
+        receive_quarantine: Callable[[QuarantineMessage], None],
+        answer_trial: Callable[[TrialOrder], TrialReply],
         render_metrics: Callable[[], bytes],
         metrics: Metrics,
     ):
@@ -371,6 +398,8 @@
         self._make_pieces = make_pieces
         self._release = release
         self._answer_permit = answer_permit
+        self._receive_quarantine = receive_quarantine
+        self._answer_trial = answer_trial
         self._render_metrics = render_metrics
         self._metrics = metrics
 
@@ -404,6 +433,13 @@
         if path == "/permits":
             permit_order = msgspec.msgpack.decode(body, type=PermitOrder)
             return encode(self._answer_permit(permit_order))
+        if path == "/quarantine":
+            news = msgspec.msgpack.decode(body, type=QuarantineMessage)
+            self._receive_quarantine(news)
+            return b""
+        if path == "/trials":
+            trial_order = msgspec.msgpack.decode(body, type=TrialOrder)
+            return encode(self._answer_trial(trial_order))
         if path == "/release":
             self._release(msgspec.msgpack.decode(body, type=ReleaseOrder))
             return b""
--- a/camphorrun/gateway/permit_owner.py
+++ b/camphorrun/gateway/permit_owner.py
@@ -1,9 +1,9 @@
 """Grants permits for the rate limits that a gateway owns, to all gateways."""
 
+from ..catalog import Boot
 from ..core import EventLog, TimerService
 from ..limits import PermitAnswer, PermitPool
 from .messages import PermitOrder, PermitReply
-from .rate_limits import Boot
 from .state import GatewayState
 
 # A gateway that lends no share to this one requests a permit again after this time.
--- a/camphorrun/gateway/permits.py
+++ b/camphorrun/gateway/permits.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..catalog import Boot
 from ..core import EventLog, TimerService
 from ..metrics import Metrics
 from ..routing import rendezvous_order
@@ -12,7 +13,6 @@
 from .messages import PermitOrder, PermitReply
 from .peers import Peers, member_address
 from .permit_owner import PermitOwner
-from .rate_limits import Boot
 from .state import GatewayState
 
 PERMIT_TIMEOUT_SECONDS = 0.25
--- a/camphorrun/gateway/rate_limits.py
+++ b/camphorrun/gateway/rate_limits.py
@@ -3,11 +3,9 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
+from ..catalog import Boot
 from .messages import RateLimitMessage
 
-# One start of a replica: identifier and start time.
-Boot = tuple[str, int]
-
 # Bound of the statements that are kept. The oldest belong to processes that ended long
 # ago.
 MAX_STATEMENTS = 4096
--- a/camphorrun/gateway/request_handler.py
+++ b/camphorrun/gateway/request_handler.py
@@ -16,9 +16,11 @@
     decode_caller_request,
     refusal_headers,
 )
+from ..quarantine import Cause
 from .attempts import Attempts
 from .context import RequestContext
 from .errors import InputsGoneError, RefusedError, StageError
+from .quarantine_guard import QUARANTINED, QuarantineGuard
 from .replica_selection import ReplicaSelector
 from .stage_runner import StageRunner
 from .state import GatewayState
@@ -29,7 +31,7 @@
 MIN_STAGE_RETRY_AFTER_SECONDS = 0.5
 DRAINING = "draining"
 # Outcomes after which the caller does not send the request again.
-CODES_WITHOUT_RETRY = frozenset({"ok", "left"})
+CODES_WITHOUT_RETRY = frozenset({"ok", "left", QUARANTINED})
 # Short, because the retry reaches another gateway.
 DRAIN_RETRY_AFTER_SECONDS = 0.05
 DEFAULT_DEADLINE_SECONDS = 30.0
@@ -58,6 +60,7 @@
         stages: StageRunner,
         selector: ReplicaSelector,
         attempts: Attempts,
+        guard: QuarantineGuard,
         *,
         timers: TimerService,
         metrics: Metrics,
@@ -67,6 +70,7 @@
         self._stage_runner = stages
         self._selector = selector
         self._attempts = attempts
+        self._guard = guard
         self._timers = timers
         self._metrics = metrics
         self._events = events
@@ -74,6 +78,7 @@
         self._context_by_task: dict[asyncio.Task, RequestContext | None] = {}
         self._refuses_new_requests = False
         self._is_ending = False
+        state.quarantine.subscribe(self._end_quarantined_requests)
 
     async def handle(self, req: ServerRequest, responder: ServerResponder) -> None:
         """Serve or refuse one request and record its outcome."""
@@ -87,6 +92,7 @@
             attempt_id = caller.attempt_id
             ctx = self._context_by_task[task] = self._accept(caller)
             route_name = ctx.route.name
+            await self._guard.admit(ctx)
             await self._serve(ctx, responder)
             code = "broken" if responder.aborted else "ok"
         except DecodeError as exc:
@@ -96,18 +102,11 @@
             code = exc.code
             self._refuse(responder, attempt_id, exc.status, exc.code, exc.retry_after_s)
         except asyncio.CancelledError:
-            if not self._is_ending or responder.ended:
+            exc = self._refusal_after_cancellation(self._context_by_task[task])
+            if exc is None or responder.ended:
                 raise
-            code = DRAINING
-            # 503 promises that the request has not run; otherwise the status is 502.
-            may_have_run = (
-                self._context_by_task[task] is not None
-                and self._context_by_task[task].may_have_run
-            )
-            status, retry_after_s = (
-                (502, 0.0) if may_have_run else (503, DRAIN_RETRY_AFTER_SECONDS)
-            )
-            self._refuse(responder, attempt_id, status, code, retry_after_s)
+            code = exc.code
+            self._refuse(responder, attempt_id, exc.status, exc.code, exc.retry_after_s)
         finally:
             ctx = self._context_by_task.pop(task)
             if route_name and code not in CODES_WITHOUT_RETRY:
@@ -124,6 +123,34 @@
         for task in list(self._context_by_task):
             task.cancel()
 
+    def _end_quarantined_requests(self, cause: Cause) -> None:
+        """Cancel and answer the requests that have a cause which is blocked now.
+
+        Those that a replica answers already are not cancelled.
+        """
+        for task, ctx in list(self._context_by_task.items()):
+            if ctx is None or ctx.stream_started_at or not cause <= set(ctx.suspects):
+                continue
+            ctx.blocked_by = cause
+            task.cancel()
+
+    def _refusal_after_cancellation(
+        self, ctx: RequestContext | None
+    ) -> RefusedError | None:
+        """Return why this gateway cancelled a request, None if the caller left."""
+        if ctx is not None and ctx.blocked_by is not None:
+            return self._guard.refusal(ctx, ctx.blocked_by)
+        if not self._is_ending:
+            return None
+        # 503 promises that the request has not run; otherwise the status is 502.
+        may_have_run = ctx is not None and ctx.may_have_run
+        return RefusedError(
+            "the gateway is about to exit",
+            code=DRAINING,
+            status=502 if may_have_run else 503,
+            retry_after_s=0.0 if may_have_run else DRAIN_RETRY_AFTER_SECONDS,
+        )
+
     def _record_end(
         self,
         req: ServerRequest,
--- a/camphorrun/gateway/response_relay.py
+++ b/camphorrun/gateway/response_relay.py
@@ -53,15 +53,19 @@
     ----------
     budget_of : callable
         Returns the retry budget of a service.
+    on_progress : callable
+        Called with the request after each part of its event stream.
     """
 
     def __init__(
         self,
         budget_of: Callable[[str], RetryBudget],
+        on_progress: Callable[[RequestContext], None],
         timers: TimerService,
         metrics: Metrics,
     ):
         self._budget_of = budget_of
+        self._on_progress = on_progress
         self._timers = timers
         self._metrics = metrics
 
@@ -183,6 +187,7 @@
             if not ctx.stream_started_at:
                 ctx.stream_started_at = self._timers.now()
                 ctx.on_stream_started()
+            self._on_progress(ctx)
             events = buffer.feed(data)
             if any(event_id(event) for event in events):
                 stall_detector.last_event_at = self._timers.now()
--- a/camphorrun/gateway/state.py
+++ b/camphorrun/gateway/state.py
@@ -15,7 +15,9 @@
     decode_deployment,
     decode_replica,
 )
-from .messages import RateLimitMessage
+from ..quarantine import Quarantine
+from .messages import QuarantineMessage, RateLimitMessage
+from .quarantine_messages import merge_quarantine
 from .rate_limits import RateLimits
 
 Listener = Callable[[], None]
@@ -47,6 +49,8 @@
         Newest records by topic.
     rate_limits : RateLimits
         Rate limits that replicas name in their answers.
+    quarantine : Quarantine
+        Fingerprints of requests that crash replicas.
     """
 
     def __init__(self, member: str, metrics: Metrics, events: EventLog):
@@ -58,6 +62,7 @@
         self.peers_queried = False
         self.views = {CONFIGURATION_TOPIC: RecordView(), REPLICA_TOPIC: RecordView()}
         self.rate_limits = RateLimits()
+        self.quarantine = Quarantine()
         # Time at which the store last confirmed the known records of a topic.
         self._confirmed_at: dict[str, float] = {}
         # Time at which a registration was first missing from the current era.
@@ -150,6 +155,15 @@
                 "rate_limit", replica=boot[0], per_s=per_s, source=source
             )
 
+    def merge_quarantine(
+        self, message: QuarantineMessage, now: float, source: str
+    ) -> None:
+        """Apply what another gateway knows of requests that crash replicas."""
+        for cause in merge_quarantine(self.quarantine, message, now):
+            self._events.log_state_change(
+                "quarantine", cause=sorted(cause), change="blocked", source=source
+            )
+
     def confirm(self, topic: str, at: float) -> None:
         """Record that the known records of a topic matched the store at ``at``."""
         self._confirmed_at[topic] = max(at, self._confirmed_at.get(topic, at))
--- a/camphorrun/gateway/tests/test_eras.py
+++ b/camphorrun/gateway/tests/test_eras.py
@@ -98,9 +98,9 @@
         """
         fetch = Peers._fetch_records
 
-        async def fetch_later(peers, address, timeout_s):
+        async def fetch_later(*args, **kwargs):
             await asyncio.sleep(PEER_DELAY_SECONDS)
-            return await fetch(peers, address, timeout_s)
+            return await fetch(*args, **kwargs)
 
         async def scenario(cluster):
             copied_at = cluster.timers.now()
--- a/camphorrun/metrics/registry.py
+++ b/camphorrun/metrics/registry.py
@@ -66,6 +66,16 @@
             "Permits requested for replicas with a rate limit, by result.",
             ("result",),
         )
+        self.replica_crashes = self._counter(
+            "replica_crashes",
+            "Crashes of replicas that broke off requests, by evidence.",
+            ("evidence",),
+        )
+        self.quarantine_changes = self._counter(
+            "quarantine_changes",
+            "Fingerprints that were blocked, tried or cleared at this gateway.",
+            ("change",),
+        )
         self.drops = self._counter(
             "drops", "Dropped messages and replies, by reason.", ("reason",)
         )
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -14,6 +14,7 @@
 import tempfile
 from pathlib import Path
 
+from .mutations_crashes import CRASH_MUTATIONS
 from .mutations_fleet import FLEET_MUTATIONS, Mutation
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -508,7 +509,9 @@
     parser.add_argument("--only", default="", help="part of a mechanism's name")
     args = parser.parse_args()
     chosen = [
-        each for each in MUTATIONS + FLEET_MUTATIONS if args.only in each.mechanism
+        each
+        for each in MUTATIONS + FLEET_MUTATIONS + CRASH_MUTATIONS
+        if args.only in each.mechanism
     ]
     bad = 0
     with tempfile.TemporaryDirectory() as directory:
