Keep the causes of crashes in the store, so that they outlive all gateways

Cause: the causes were in the memory of the gateways only. After the restart four more crashes were needed to find them again.

Change: two gateways, by rendezvous order, write each block, each trial and each end of a block to a topic of the store. A gateway that starts lists it once and is not ready before that attempt has ended, unless a peer has told the causes. A stored block has no time, since clocks differ; its next trial is counted from the start of the gateway.

Ruled out: writing each crash (a call to the store for each), waiting until the store answers (a start during an outage would last as long).

test_cause_outlives_all_gateways needs the topic: without the supervised task the gateway would wait for it and not become ready.

--- a/camphorrun/gateway/daemon.py
+++ b/camphorrun/gateway/daemon.py
@@ -22,6 +22,7 @@
 from .permit_owner import PermitOwner
 from .permits import Permits
 from .quarantine_guard import QuarantineGuard
+from .quarantine_store import QuarantineStore
 from .replica_selection import ReplicaSelector
 from .replicas import ReplicaPool
 from .request_handler import RequestHandler
@@ -175,6 +176,8 @@
         self._supervisor.add("membership", self._store_sync.keep_membership)
         self._supervisor.add("peer-records", self._peers.exchange_records)
         self._supervisor.add("permit-leases", permits.keep_leases)
+        quarantine_store = QuarantineStore(self._store, self.state, **shared)
+        self._supervisor.add("quarantine", quarantine_store.keep_blocks)
         # The share of the common retry budget depends on the number of members.
         self.state.subscribe(deployment=self._apply_limits, members=self._budgets.clear)
         self._pause_detector = PauseDetector(self.timers, self._on_pause)
--- a/camphorrun/gateway/peers.py
+++ b/camphorrun/gateway/peers.py
@@ -331,6 +331,7 @@
         self._state.merge_rate_limits(answer.rate_limits, now, address)
         if answer.quarantine is not None:
             self._state.merge_quarantine(answer.quarantine, now, address)
+            self._state.quarantine_queried = True
         for name, topic in answer.topics.items():
             if name in self._state.views and topic.end >= 0:
                 self._state.apply(name, _decode_page(topic), address)
--- a/camphorrun/gateway/quarantine_guard.py
+++ b/camphorrun/gateway/quarantine_guard.py
@@ -7,7 +7,7 @@
 
 from ..core import EventLog, TimerService
 from ..metrics import Metrics
-from ..quarantine import Cause, Quarantine, Suspects
+from ..quarantine import Cause, Quarantine, Suspects, cause_fingerprint
 from ..routing import rendezvous_order
 from .context import RequestContext, Trial
 from .crash_detector import CrashDetector
@@ -117,7 +117,7 @@
     async def _request_trial(self, cause: Cause) -> bool:
         """Return whether the owner of a cause allows a trial."""
         members = map(member_address, self._state.members)
-        key = "|".join(sorted(cause))
+        key = cause_fingerprint(cause)
         owner = rendezvous_order(key, set(filter(None, members)))[0]
         if owner == self._own_address:
             return self.answer_trial(TrialOrder(cause)).granted
--- a/camphorrun/gateway/state.py
+++ b/camphorrun/gateway/state.py
@@ -45,6 +45,8 @@
         Whether the members have been learned from the store or from a peer.
     peers_queried : bool
         Whether the peers known at start-up have been queried for their records.
+    quarantine_queried : bool
+        Whether the store has been queried for blocks, or a peer has told them.
     views : dict of str to RecordView
         Newest records by topic.
     rate_limits : RateLimits
@@ -60,6 +62,7 @@
         self.members: tuple[str, ...] = (member,)
         self.members_known = False
         self.peers_queried = False
+        self.quarantine_queried = False
         self.views = {CONFIGURATION_TOPIC: RecordView(), REPLICA_TOPIC: RecordView()}
         self.rate_limits = RateLimits()
         self.quarantine = Quarantine()
@@ -78,11 +81,12 @@
     def ready(self) -> bool:
         """Whether requests can be served.
 
-        Configuration and registrations must be known and confirmed, and the peers
-        queried.
+        Configuration and registrations must be known and confirmed, and peers and
+        stored blocks queried.
         """
         known = self.deployment is not None and self.views[REPLICA_TOPIC].is_initialised
-        return known and self.peers_queried and not self.awaits_confirmation
+        queried = self.peers_queried and self.quarantine_queried
+        return known and queried and not self.awaits_confirmation
 
     @property
     def awaits_confirmation(self) -> bool:
--- a/camphorrun/gateway/tests/test_deadly_requests.py
+++ b/camphorrun/gateway/tests/test_deadly_requests.py
@@ -337,6 +337,55 @@
 
         run_scenario(scenario, gateways=2)
 
+    def test_cause_outlives_all_gateways(self):
+        """Guards against a power failure after which the cause must be found again."""
+
+        async def scenario(cluster):
+            block(cluster, 0, 1)
+            # Listing the topic has the block as soon as one of the gateways stored it.
+            await cluster.wait_until(lambda: cluster.store.calls.get("/log-append"))
+            for task in cluster.tasks:
+                task.cancel()
+            await asyncio.gather(*cluster.tasks, return_exceptions=True)
+            cluster.tasks.clear()
+            daemon = cluster.add_gateway("new")
+            await cluster.wait_until(lambda: daemon.state.ready)
+            assert daemon.state.quarantine.find_blocked(CAUSE) == CAUSE
+
+        run_scenario(scenario, gateways=2)
+
+    def test_cleared_cause_leaves_the_store(self):
+        """Guards against a block that returns with the next restart."""
+
+        async def scenario(cluster):
+            block(cluster, 0)
+            calls = cluster.store.calls
+            await cluster.wait_until(lambda: calls.get("/log-append") == 1)
+            (suspect,) = CAUSE
+            at = cluster.timers.now()
+            cluster.daemons[0].state.quarantine.clear(suspect, at)
+            await cluster.wait_until(lambda: calls["/log-append"] == 2)
+            assert b'"Items":[]' in cluster.store._newest("keyed.quarantine")
+
+        run_scenario(scenario)
+
+    def test_store_that_fails_does_not_delay_the_start(self):
+        """Guards against a gateway that waits for the stored causes for ever."""
+
+        async def scenario(cluster):
+            answer = cluster.store._answer
+
+            async def fail_quarantine(path, args, body):
+                if args.get("Topic") == "keyed.quarantine":
+                    return 503, b""
+                return await answer(path, args, body)
+
+            cluster.store._answer = fail_quarantine
+            daemon = cluster.add_gateway("new")
+            await cluster.wait_until(lambda: daemon.state.ready, 2.0)
+
+        run_scenario(scenario)
+
     def test_lost_message_is_made_up_by_the_exchange(self, monkeypatch):
         """Guards against a gateway that stays without what it was told in vain."""
 
--- a/camphorrun/platform/__init__.py
+++ b/camphorrun/platform/__init__.py
@@ -3,7 +3,8 @@
 The adapter makes no routing, admission or retry decisions.
 
 Public: ``StoreClient``, ``StoreError``, ``CONFIGURATION_KEY``,
-``CONFIGURATION_TOPIC``, ``REPLICA_TOPIC``, ``decode_deployment``, ``decode_replica``,
+``CONFIGURATION_TOPIC``, ``REPLICA_TOPIC``, ``QUARANTINE_TOPIC``,
+``decode_deployment``, ``decode_replica``,
 ``DecodeError``, ``CallerRequest``, ``decode_caller_request``, ``encode_request``,
 ``ResponseInfo``, ``decode_response_info``, ``relay_headers``, ``refusal_headers``,
 ``event_id``, ``ReplicaNotice``, ``decode_replica_notice``,
@@ -37,11 +38,17 @@
     encode_stage_call,
 )
 from .store import StoreClient
-from .topics import CONFIGURATION_KEY, CONFIGURATION_TOPIC, REPLICA_TOPIC
+from .topics import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    QUARANTINE_TOPIC,
+    REPLICA_TOPIC,
+)
 
 __all__ = [
     "CONFIGURATION_KEY",
     "CONFIGURATION_TOPIC",
+    "QUARANTINE_TOPIC",
     "REPLICA_TOPIC",
     "CallerRequest",
     "DecodeError",
--- a/camphorrun/platform/store.py
+++ b/camphorrun/platform/store.py
@@ -164,6 +164,21 @@
             after = page.items[-1].key
         raise StoreError(f"{topic}: listing has more than {MAX_PAGES} pages")
 
+    async def append_record(self, topic: str, key: str, value: bytes) -> None:
+        """Append a record to a keyed topic; an empty value removes the key.
+
+        Raises
+        ------
+        StoreError
+            With code ``uncertain`` if the record may have been appended nevertheless.
+        """
+        name = key.encode()
+        content = bytes([len(name)]) + name + value
+        record = _RECORD_LENGTH.pack(len(content)) + content
+        query = {"Topic": topic, "part": 0}
+        status, body, _ = await self._call("POST", "/log-append", query, record)
+        self._require_success(status, body)
+
     async def join(
         self, group: str, topic: str, member: str, generation: int, ttl_s: float
     ) -> Membership:
@@ -203,10 +218,13 @@
         wait_s: float = 0.0,
     ) -> tuple[int, bytes, int]:
         target = f"{path}?{urlencode(query)}" if query else path
-        data = b"" if body is None else msgspec.json.encode(body)
+        is_raw = isinstance(body, bytes)
+        data = body if is_raw else b"" if body is None else msgspec.json.encode(body)
         head = f"{method} {target} HTTP/1.1\r\nHost: {self._address}\r\n"
         if body is not None:
-            head += f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n"
+            kind = "octet-stream" if is_raw else "json"
+            head += f"Content-Type: application/{kind}\r\n"
+            head += f"Content-Length: {len(data)}\r\n"
         self.calls += 1
         try:
             conn = await self._pool.acquire(CONNECT_TIMEOUT_SECONDS)
--- a/camphorrun/platform/topics.py
+++ b/camphorrun/platform/topics.py
@@ -3,3 +3,5 @@
 CONFIGURATION_TOPIC = "keyed.op"
 REPLICA_TOPIC = "keyed.servers"
 CONFIGURATION_KEY = "config"
+# Written by the gateways, the others by operators and replicas.
+QUARANTINE_TOPIC = "keyed.quarantine"
--- a/camphorrun/quarantine/__init__.py
+++ b/camphorrun/quarantine/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from .evidence import EVIDENCE_SECONDS, Crash, CrashEvidence, Suspects
-from .fingerprints import part_fingerprint
+from .fingerprints import cause_fingerprint, part_fingerprint
 from .quarantine import Block, Cause, Quarantine
 
 __all__ = [
@@ -16,5 +16,6 @@
     "CrashEvidence",
     "Quarantine",
     "Suspects",
+    "cause_fingerprint",
     "part_fingerprint",
 ]
--- a/camphorrun/quarantine/fingerprints.py
+++ b/camphorrun/quarantine/fingerprints.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+from collections.abc import Collection
 
 FINGERPRINT_BYTES = 8
 
@@ -20,6 +21,17 @@
     return _digest(b"part", identifier.lower().encode())
 
 
+def cause_fingerprint(cause: Collection[str]) -> str:
+    """Return the fingerprint of a set of fingerprints.
+
+    Examples
+    --------
+    >>> cause_fingerprint(["a", "b"]) == cause_fingerprint(["b", "a"])
+    True
+    """
+    return _digest(b"cause", *(name.encode() for name in sorted(cause)))
+
+
 def _digest(kind: bytes, *fields: bytes) -> str:
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES, person=kind)
     for field in fields:
--- a/camphorrun/standins/platform_store.py
+++ b/camphorrun/standins/platform_store.py
@@ -111,6 +111,8 @@
             return await self._read(args)
         if path == "/log-newest":
             return 200, self._newest(args["Topic"])
+        if path == "/log-append":
+            return 200, self._append(args["Topic"], body)
         if path == "/log-join":
             return 200, self._join(msgspec.json.decode(body))
         if path == "/log-leave":
@@ -144,6 +146,17 @@
         ]
         return _encode({"Items": items, "HasMore": False, "End": len(log)})
 
+    def _append(self, topic: str, body: bytes) -> bytes:
+        offset = len(self._logs.get(topic, ()))
+        position = 0
+        while position < len(body):
+            (size,) = struct.unpack_from(">I", body, position)
+            content = body[position + 4 : position + 4 + size]
+            key, value = content[1 : 1 + content[0]], content[1 + content[0] :]
+            self.put(topic, key.decode(), value)
+            position += 4 + size
+        return _encode({"Offset": offset, "End": len(self._logs[topic])})
+
     def _join(self, body: dict) -> bytes:
         now = self._timers.now()
         alive = {name for name, until in self._members.items() if until > now}
