--- a/camphorrun/gateway/tests/cluster.py
+++ b/camphorrun/gateway/tests/cluster.py
@@ -201,7 +201,9 @@
         host, _, port = self.daemons[gateway].settings.host.callers.rpartition(":")
         return await connect(host, int(port), self.timers, 1.0)
 
-    def encode_request(self, path: str, *lines: str, method: str = "POST") -> bytes:
+    def encode_request(
+        self, path: str, *lines: str, method: str = "POST", body: bytes = b""
+    ) -> bytes:
         self.last_number += 1
         head = [
             f"{method} {path} HTTP/1.1",
@@ -211,21 +213,30 @@
         ]
         if not any(line.startswith("Api-Key") for line in lines):
             head.append(f"Api-Key: {KEY}")
-        return "\r\n".join([*head, *lines, "", ""]).encode()
+        if body:
+            head.append(f"Content-Length: {len(body)}")
+        return "\r\n".join([*head, *lines, "", ""]).encode() + body
 
     async def send_request(
-        self, path: str, *lines: str, gateway: int = 0, conn=None, method: str = "POST"
+        self,
+        path: str,
+        *lines: str,
+        gateway: int = 0,
+        conn=None,
+        method: str = "POST",
+        body: bytes = b"",
     ) -> Response:
         is_own_connection = conn is None
         conn = conn or await self.connect(gateway)
         try:
-            head = await conn.request(self.encode_request(path, *lines, method=method))
-            body = await conn.read_all(1_000_000)
+            data = self.encode_request(path, *lines, method=method, body=body)
+            head = await conn.request(data)
+            answer = await conn.read_all(1_000_000)
         finally:
             if is_own_connection:
                 conn.abort()
         fields = {k.decode().lower(): v.decode() for k, v in head.headers}
-        return Response(head.status, fields, body)
+        return Response(head.status, fields, answer)
 
     async def readiness_status(self, gateway: int = 0) -> int:
         host, _, port = self.daemons[gateway].settings.host.readiness.rpartition(":")
--- a/camphorrun/gateway/tests/test_deadly_requests.py
+++ b/camphorrun/gateway/tests/test_deadly_requests.py
@@ -23,6 +23,8 @@
 # Status of a request whose answer broke off.
 BROKEN_OFF = 0
 DEADLY_PART = "dead"
+REQUEST_CRASHES = 3
+DEADLY_BODY = b"deadly"
 MODEL = "X-Model: m"
 
 
@@ -60,14 +62,14 @@
         self._tasks: list[asyncio.Task] = []
         self.statuses: Counter[tuple[str, int]] = Counter()
 
-    def send(self, kind: str, path: str, *lines: str, gateway: int) -> None:
+    def send(self, kind: str, path: str, *lines: str, **options) -> None:
         """Start a request; its status is counted under ``kind``."""
-        task = self._send(kind, path, *lines, gateway=gateway)
+        task = self._send(kind, path, *lines, **options)
         self._tasks.append(asyncio.ensure_future(task))
 
-    async def _send(self, kind: str, path: str, *lines: str, gateway: int) -> None:
+    async def _send(self, kind: str, path: str, *lines: str, **options) -> None:
         try:
-            answer = await self._cluster.send_request(path, *lines, gateway=gateway)
+            answer = await self._cluster.send_request(path, *lines, **options)
             self.statuses[kind, answer.status] += 1
         except HttpError:
             self.statuses[kind, BROKEN_OFF] += 1
@@ -120,6 +122,55 @@
         run_scenario(scenario, plain=4, gateways=3)
 
 
+async def send_bodies(
+    cluster: LocalCluster, path: str, *lines: str, seconds: float
+) -> Traffic:
+    """Send requests with different bodies, and every third time the deadly one."""
+    traffic = Traffic(cluster)
+    end_at = cluster.timers.now() + seconds
+    number = 0
+    while cluster.timers.now() < end_at:
+        gateway = number % cluster.gateways
+        number += 1
+        settled = is_settled(cluster, REQUEST_CRASHES)
+        kind = "sound, settled" if settled else "sound"
+        body = f"body {number}".encode()
+        traffic.send(kind, path, *lines, gateway=gateway, body=body)
+        if number % 3 == 0:
+            gateway = number // 3 % cluster.gateways
+            traffic.send("deadly", path, *lines, gateway=gateway, body=DEADLY_BODY)
+        await asyncio.sleep(0.05)
+    await traffic.finish()
+    return traffic
+
+
+class TestDeadlyRequest:
+    """A request that crashes each replica which begins to run it, and comes again."""
+
+    @pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: issue 31, second matter")
+    @pytest.mark.parametrize(
+        ("path", "lines"),
+        [
+            ("/safe/x", ()),
+            ("/unsafe/x", ()),
+            ("/resume/x", (MODEL, prompt("system", "document", "own"))),
+        ],
+    )
+    def test_request_crashes_no_replica_after_replica(self, path, lines):
+        """Guards against a request that is a new one whenever it comes again."""
+
+        async def scenario(cluster):
+            for replica in cluster.replicas:
+                replica.script.deadly_body = DEADLY_BODY
+                replica.script.work_s = 0.02
+            traffic = await send_bodies(cluster, path, *lines, seconds=4.0)
+            assert len(crash_times(cluster)) >= REQUEST_CRASHES
+            assert len(late_arrivals(cluster, REQUEST_CRASHES)) <= MAX_LATE_ARRIVALS
+            assert traffic.served_share("sound, settled") >= MIN_SERVED_SHARE
+
+        run_scenario(scenario, plain=4, gateways=3)
+
+
 CAUSE = frozenset({part_fingerprint(DEADLY_PART)})
 DEADLY_LINES = MODEL, prompt("system", DEADLY_PART, "own")
 
--- a/camphorrun/standins/platform_replica.py
+++ b/camphorrun/standins/platform_replica.py
@@ -34,7 +34,8 @@
     ``retry_after`` a pause to those of ``full``.
     After ``trickle_after`` events a stream sends a byte now and then and no event.
     The process crashes when it begins to answer a request whose prompt has the part
-    ``deadly_part``, and starts again on its address after ``down_s``.
+    ``deadly_part`` or whose body is ``deadly_body``, and starts again on its address
+    after ``down_s``.
     """
 
     answer: str = "ok"
@@ -48,6 +49,7 @@
     rate_limit: str = ""
     trickle_after: int = -1
     deadly_part: str = ""
+    deadly_body: bytes = b""
     down_s: float = 0.5
     lost_handles: set[str] = field(default_factory=set)
 
@@ -174,7 +176,9 @@
             raise
 
     def _is_deadly(self, req: ServerRequest) -> bool:
-        part = self.script.deadly_part
+        part, body = self.script.deadly_part, self.script.deadly_body
+        if body and req.body == body:
+            return True
         return bool(part) and f"{part}:" in req.headers.get("x-prefix-hash")
 
     async def _answer(
