Keep a request that crashes replicas away from them when it comes again

Cause: X-Attempt-Id is new whenever a caller repeats a request, and nothing else identified it.

Change: a request is also known by a fingerprint of method, host, target, account and body. It is blocked after three crashes that no answer has cleared. Parts that came with it only stay part of its cause; the crash of a second request with them makes them a cause of their own.

--- a/camphorrun/gateway/context.py
+++ b/camphorrun/gateway/context.py
@@ -5,7 +5,7 @@
 
 from ..catalog import Route, RouteKind
 from ..platform import CallerRequest
-from ..quarantine import Cause, Suspects, part_fingerprint
+from ..quarantine import Cause, Suspects, part_fingerprint, request_fingerprint
 from .stage_results import StageResults
 
 # A caller abandons a stream without data after the longest of: this minimum, this
@@ -57,6 +57,8 @@
         Availability zone in which the request is expected to run, empty if unknown.
     shared_parts : tuple of str
         Fingerprints of the parts of the prompt that other requests may have, too.
+    fingerprint : str
+        Fingerprint of the request, the same for each attempt of the caller.
     has_cleared : bool
         Whether the answer of the current attempt has cleared the fingerprints.
     trial : Trial or None
@@ -85,6 +87,7 @@
     zone: str = ""
     tried_replicas: set[str] = field(default_factory=set)
     shared_parts: Suspects = field(init=False)
+    fingerprint: str = field(init=False)
     has_cleared: bool = False
     trial: Trial | None = None
     blocked_by: Cause | None = None
@@ -93,11 +96,15 @@
         # The last part belongs to the request itself or to its session.
         shared = self.caller.prompt[:-1]
         self.shared_parts = tuple(part_fingerprint(p.identifier) for p in shared)
+        raw = self.caller.raw
+        self.fingerprint = request_fingerprint(
+            raw.method, self.caller.host, raw.target, self.account, raw.body
+        )
 
     @property
     def suspects(self) -> Suspects:
         """Fingerprints that may crash a replica which runs the request."""
-        return self.shared_parts
+        return (self.fingerprint, *self.shared_parts)
 
     @property
     def request_id(self) -> str:
--- a/camphorrun/gateway/quarantine_guard.py
+++ b/camphorrun/gateway/quarantine_guard.py
@@ -168,7 +168,11 @@
 
     def _clear(self, ctx: RequestContext, begun_at: float) -> None:
         ctx.has_cleared = True
-        cleared = [s for s in ctx.suspects if self._quarantine.clear(s, begun_at)]
+        suspects = ctx.shared_parts
+        if self._quarantine.is_suspect(ctx.fingerprint):
+            # Few requests come again, and other clearances would be forgotten for them.
+            suspects = ctx.suspects
+        cleared = [s for s in suspects if self._quarantine.clear(s, begun_at)]
         if not cleared:
             return
         self._record_change(cleared, "cleared", ctx.request_id)
--- a/camphorrun/gateway/tests/test_deadly_requests.py
+++ b/camphorrun/gateway/tests/test_deadly_requests.py
@@ -7,11 +7,11 @@
 import pytest
 
 from ...http1 import HttpError
-from ...quarantine import Block, part_fingerprint
+from ...quarantine import Block, part_fingerprint, request_fingerprint
 from ...quarantine import quarantine as quarantine_module
 from ..context import Trial
 from ..errors import RefusedError
-from .cluster import LocalCluster, run_scenario
+from .cluster import HOST, LocalCluster, run_scenario
 
 # The platform's rule: at most this many requests reach replicas after the settling
 # time, which starts at the crash from which on the rule holds. The real one is longer.
@@ -147,7 +147,6 @@
 class TestDeadlyRequest:
     """A request that crashes each replica which begins to run it, and comes again."""
 
-    @pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: issue 31, second matter")
     @pytest.mark.parametrize(
         ("path", "lines"),
         [
@@ -461,7 +460,10 @@
             block(cluster, 0)
             guard = cluster.daemons[0]._quarantine_guard
             ctx = SimpleNamespace(
-                suspects=tuple(CAUSE), has_cleared=False, request_id="a"
+                shared_parts=tuple(CAUSE),
+                fingerprint="a",
+                has_cleared=False,
+                request_id="a",
             )
             guard._clear(ctx, cluster.timers.now() + 0.1)
             quarantine = cluster.daemons[1].state.quarantine
@@ -524,6 +526,22 @@
 
         run_scenario(scenario, plain=2, gateways=2)
 
+    def test_answered_trial_of_a_stored_request_ends_its_block(self):
+        """Guards against a request that stays refused because its crashes are gone."""
+
+        async def scenario(cluster):
+            daemon = cluster.daemons[0]
+            cause = frozenset(
+                {request_fingerprint("POST", HOST, b"/safe/x", "acc", b"mended")}
+            )
+            at = cluster.timers.now() - quarantine_module.FIRST_TRIAL_SECONDS
+            daemon.state.quarantine.block(cause, Block(at, at))
+            answer = await cluster.send_request("/safe/x", body=b"mended")
+            assert answer.status == 200
+            assert not daemon.state.quarantine.blocks()
+
+        run_scenario(scenario)
+
     def test_trial_ends_with_its_time(self):
         """Guards against a trial that is sent after a pause of the process."""
 
--- a/camphorrun/quarantine/__init__.py
+++ b/camphorrun/quarantine/__init__.py
@@ -5,7 +5,11 @@
 """
 
 from .evidence import EVIDENCE_SECONDS, Crash, CrashEvidence, Suspects
-from .fingerprints import cause_fingerprint, part_fingerprint
+from .fingerprints import (
+    cause_fingerprint,
+    part_fingerprint,
+    request_fingerprint,
+)
 from .quarantine import Block, Cause, Quarantine
 
 __all__ = [
@@ -18,4 +22,5 @@
     "Suspects",
     "cause_fingerprint",
     "part_fingerprint",
+    "request_fingerprint",
 ]
--- a/camphorrun/quarantine/evidence.py
+++ b/camphorrun/quarantine/evidence.py
@@ -113,6 +113,10 @@
             self._cleared_at.popitem(last=False)
         return is_news
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a request with a fingerprint was at a replica that crashed."""
+        return fingerprint in self._crashes_by_suspect
+
     def cleared_at(self, suspect: str) -> float:
         """Return when the last answer was begun, minus infinity without one."""
         return self._cleared_at.get(suspect, float("-inf"))
--- a/camphorrun/quarantine/quarantine.py
+++ b/camphorrun/quarantine/quarantine.py
@@ -5,13 +5,16 @@
 from dataclasses import dataclass
 
 from .evidence import Crash, CrashEvidence, Occurrence, Suspects, separate_times
+from .fingerprints import is_request_fingerprint
 
 # Fingerprints that all requests have which caused some crashes.
 Cause = frozenset[str]
 
-# Crashes without an answer in between, after which a part of prompts is taken for their
-# cause.
-MIN_CRASHES = 4
+# Crashes without an answer in between, after which a request is taken for their cause.
+MIN_REQUEST_CRASHES = 3
+# The same for parts that different requests have. One of these requests alone would be
+# the narrower cause.
+MIN_PART_CRASHES = 4
 # Time for an answer that clears a suspect, from the crash with which it reached the
 # number of crashes. Requests that are sent again after a crash are answered within it.
 CONFIRMATION_SECONDS = 0.5
@@ -70,8 +73,9 @@
     The fingerprints that several crashes have in common, and that no answer has
     cleared, are their cause. Fingerprints that were always in the same requests can't
     be told apart and form one cause. It blocks only requests that have all of them;
-    others show which one it is. A crash that a known cause explains does not count
-    against what else was at the replica.
+    others show which one it is. So a request that comes again is blocked by itself, and
+    parts of it only after the crash of another request. A crash that a known cause
+    explains does not count against what else was at the replica.
 
     Examples
     --------
@@ -140,21 +144,22 @@
             cause
             for cause, times in times_by_cause.items()
             if len(times) == most
-            and now >= times[MIN_CRASHES - 1] + CONFIRMATION_SECONDS
+            and now >= times[_min_crashes(cause) - 1] + CONFIRMATION_SECONDS
             and self.block(cause, Block(now, times[-1]))
         ]
 
     def _candidates(self) -> dict[Cause, list[float]]:
         """Return possible causes that are not blocked, with the times of crashes."""
         groups: dict[frozenset[Occurrence], set[str]] = {}
-        for suspect in self.evidence.suspects(MIN_CRASHES):
+        for suspect in self.evidence.suspects(MIN_REQUEST_CRASHES):
             occurrences = self._occurrences(suspect)
             groups.setdefault(occurrences, set()).add(suspect)
         times_by_cause = {}
         for occurrences, suspects in groups.items():
+            cause = frozenset(suspects)
             times = separate_times(self.evidence.crash_times(occurrences))
-            if len(times) >= MIN_CRASHES and frozenset(suspects) not in self._blocks:
-                times_by_cause[frozenset(suspects)] = times
+            if len(times) >= _min_crashes(cause) and cause not in self._blocks:
+                times_by_cause[cause] = times
         return times_by_cause
 
     def _occurrences(self, suspect: str) -> frozenset[Occurrence]:
@@ -199,6 +204,11 @@
         causes = (cause for cause in self._blocks if cause.issubset(suspects))
         return next((cause for cause in causes if cause != exempt), None)
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether an answer with a fingerprint would clear it of something."""
+        is_blocked = any(fingerprint in cause for cause in self._blocks)
+        return is_blocked or self.evidence.is_suspect(fingerprint)
+
     def blocks(self) -> list[tuple[Cause, Block]]:
         """Return the blocked causes."""
         return list(self._blocks.items())
@@ -220,3 +230,8 @@
         block.trials += 1
         block.tried_at = now
         return True
+
+
+def _min_crashes(cause: Cause) -> int:
+    is_request = any(map(is_request_fingerprint, cause))
+    return MIN_REQUEST_CRASHES if is_request else MIN_PART_CRASHES
--- a/camphorrun/quarantine/tests/test_quarantine.py
+++ b/camphorrun/quarantine/tests/test_quarantine.py
@@ -5,14 +5,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from .. import Block, Quarantine
+from .. import Block, Quarantine, request_fingerprint
 from ..evidence import EVIDENCE_SECONDS, MAX_CLEARANCES, MAX_CRASHES
 from ..quarantine import (
     BLOCK_SECONDS,
     CONFIRMATION_SECONDS,
     FIRST_TRIAL_SECONDS,
     MAX_BLOCKS,
-    MIN_CRASHES,
+    MIN_PART_CRASHES,
+    MIN_REQUEST_CRASHES,
 )
 
 SYSTEM = "system"
@@ -28,9 +29,9 @@
 
 def crash_often(quarantine: Quarantine, *requests: tuple[str, ...]) -> float:
     """Record the crashes that a cause needs; return the time at which it is blocked."""
-    for second in range(1, MIN_CRASHES + 1):
+    for second in range(1, MIN_PART_CRASHES + 1):
         crash(quarantine, float(second), *requests)
-    confirmed_at = MIN_CRASHES + CONFIRMATION_SECONDS
+    confirmed_at = MIN_PART_CRASHES + CONFIRMATION_SECONDS
     quarantine.evaluate(confirmed_at)
     return confirmed_at
 
@@ -40,7 +41,7 @@
 
     def test_common_part_is_blocked_by_the_fifth_crash(self):
         """Guards against a cause that is found later than the platform's rule asks."""
-        assert MIN_CRASHES <= PART_CRASHES
+        assert MIN_PART_CRASHES <= PART_CRASHES
         quarantine = Quarantine()
         for second in range(1, PART_CRASHES + 1):
             crash(quarantine, float(second), (DEADLY, f"other-{second}"))
@@ -60,20 +61,20 @@
     def test_answer_begun_before_the_crashes_clears_nothing(self):
         """Guards against long streams that clear a part which has become deadly."""
         quarantine = Quarantine()
-        for second in range(1, MIN_CRASHES + 1):
+        for second in range(1, MIN_PART_CRASHES + 1):
             crash(quarantine, float(second), (DEADLY,))
             quarantine.clear(DEADLY, 0.5)
-        quarantine.evaluate(MIN_CRASHES + CONFIRMATION_SECONDS)
+        quarantine.evaluate(MIN_PART_CRASHES + CONFIRMATION_SECONDS)
         assert quarantine.find_blocked([DEADLY])
 
     def test_answer_in_the_confirmation_time_prevents_a_block(self):
         """Guards against blocking what was only at the replicas that crashed."""
         quarantine = Quarantine()
-        for second in range(1, MIN_CRASHES + 1):
+        for second in range(1, MIN_PART_CRASHES + 1):
             crash(quarantine, float(second), (SYSTEM,))
-        assert not quarantine.evaluate(MIN_CRASHES + CONFIRMATION_SECONDS / 2)
-        quarantine.clear(SYSTEM, MIN_CRASHES + 0.1)
-        assert not quarantine.evaluate(MIN_CRASHES + CONFIRMATION_SECONDS)
+        assert not quarantine.evaluate(MIN_PART_CRASHES + CONFIRMATION_SECONDS / 2)
+        quarantine.clear(SYSTEM, MIN_PART_CRASHES + 0.1)
+        assert not quarantine.evaluate(MIN_PART_CRASHES + CONFIRMATION_SECONDS)
 
     def test_parts_that_came_together_are_blocked_together_only(self):
         """Guards against refusing a sound part that came with the deadly one so far."""
@@ -81,7 +82,7 @@
         crash_often(quarantine, ("document", DEADLY))
         assert quarantine.find_blocked(["document", DEADLY])
         assert quarantine.find_blocked(["document"]) is None
-        quarantine.clear("document", MIN_CRASHES + 1.0)
+        quarantine.clear("document", MIN_PART_CRASHES + 1.0)
         assert quarantine.find_blocked([DEADLY]) == {DEADLY}
 
     def test_deadly_part_with_another_companion_is_found(self):
@@ -107,7 +108,7 @@
     def test_two_deadly_parts_are_both_found(self):
         """Guards against a cause that hides another one."""
         quarantine = Quarantine()
-        for number in range(1, 2 * MIN_CRASHES + 1):
+        for number in range(1, 2 * MIN_PART_CRASHES + 1):
             part = "first" if number % 2 else "second"
             crash(quarantine, float(number), (SYSTEM, part))
             quarantine.clear(SYSTEM, number + 0.1)
@@ -125,6 +126,38 @@
         assert quarantine.find_blocked([SYSTEM, "s1"]) is None
 
 
+class TestRequests:
+    """Requests that come again, recognised as a whole."""
+
+    DEADLY_REQUEST = request_fingerprint("POST", "a", b"/x", "acc", b"deadly")
+
+    def test_request_is_blocked_by_the_third_crash(self):
+        """Guards against a request that is recognised later than the rule asks."""
+        quarantine = Quarantine()
+        for second in (1.0, 2.0, 3.0):
+            crash(quarantine, second, (self.DEADLY_REQUEST, "document"))
+        quarantine.evaluate(3.0 + CONFIRMATION_SECONDS)
+        assert quarantine.find_blocked([self.DEADLY_REQUEST, "document"])
+        assert quarantine.find_blocked(["another", "document"]) is None
+
+    def test_part_of_several_deadly_requests_is_the_cause(self):
+        """Guards against finding each request with a deadly part by itself."""
+        quarantine = Quarantine()
+        for second in range(1, MIN_REQUEST_CRASHES + 1):
+            crash(quarantine, float(second), (self.DEADLY_REQUEST, DEADLY))
+        crash(quarantine, 5.0, ("another request", DEADLY))
+        quarantine.evaluate(5.0 + CONFIRMATION_SECONDS)
+        assert quarantine.find_blocked(["a third", DEADLY]) == {DEADLY}
+
+    def test_answered_request_is_not_blocked(self):
+        """Guards against refusing a request that met several crashes by chance."""
+        quarantine = Quarantine()
+        for second in range(1, 10):
+            crash(quarantine, float(second), (self.DEADLY_REQUEST,))
+            quarantine.clear(self.DEADLY_REQUEST, second + 0.1)
+            assert not quarantine.evaluate(second + 0.9)
+
+
 class TestMergedReports:
     """Crashes that several gateways report."""
 
@@ -149,9 +182,9 @@
     def test_crashes_of_two_starts_count_twice(self):
         """Guards against merging crashes of a replica that is back after the first."""
         quarantine = Quarantine()
-        for number in range(MIN_CRASHES):
+        for number in range(MIN_PART_CRASHES):
             quarantine.add_crash("i-1", number + 0.9, number + 1.0, [(DEADLY,)])
-        quarantine.evaluate(MIN_CRASHES + CONFIRMATION_SECONDS)
+        quarantine.evaluate(MIN_PART_CRASHES + CONFIRMATION_SECONDS)
         assert quarantine.find_blocked([DEADLY])
 
     def test_old_block_of_another_gateway_is_ignored_after_an_answer(self):
@@ -235,8 +268,8 @@
     def test_old_evidence_is_forgotten(self):
         """Guards against causes that are derived from crashes of another day."""
         quarantine = Quarantine()
-        for number in range(2 * MIN_CRASHES):
-            at = number * EVIDENCE_SECONDS / (MIN_CRASHES - 1)
+        for number in range(2 * MIN_PART_CRASHES):
+            at = number * EVIDENCE_SECONDS / (MIN_PART_CRASHES - 1)
             crash(quarantine, at, (DEADLY,))
             quarantine.evaluate(at + CONFIRMATION_SECONDS)
         assert quarantine.find_blocked([DEADLY]) is None
--- a/tools/mutations_crashes.py
+++ b/tools/mutations_crashes.py
@@ -52,7 +52,7 @@
     Mutation(
         "crashes: a cause waits for answers",
         QUARANTINE,
-        "            and now >= times[MIN_CRASHES - 1] + CONFIRMATION_SECONDS",
+        "            and now >= times[_min_crashes(cause) - 1] + CONFIRMATION_SECONDS",
         "            and True",
         CAUSES,
     ),
@@ -77,6 +77,20 @@
         "FIRST_TRIAL_SECONDS",
         CAUSES,
     ),
+    Mutation(
+        "crashes: a request that comes again is recognised",
+        "camphorrun/quarantine/fingerprints.py",
+        "    return _REQUEST_PREFIX + _digest(*names, body)",
+        "    return _REQUEST_PREFIX + _digest(*names, body, str(id(body)).encode())",
+        DEADLY,
+    ),
+    Mutation(
+        "crashes: causes are loaded from the store",
+        "camphorrun/gateway/quarantine_store.py",
+        "            if record.value:",
+        "            if False:",
+        DEADLY,
+    ),
     Mutation(
         "crashes: one gateway decides on trials",
         GUARD,
