Take a stream that ends within an event for broken off, whatever its framing

What callers saw: a replica that ended its chunks in the middle of an event got a complete answer passed on, with the first half of an event at its end; a stream that may be resumed was not resumed.

Cause: the relay looked for an unfinished event only if the body had no framing.

Change: an unfinished event counts as broken off in any case; the stream is resumed if it may be, and cut otherwise. Ends of events with other line ends are recognised, so that whole events of such streams don't look unfinished.

Evidence: four of the new tests failed before (three ends within an event, one stream to resume). A plain answer and a stream that end with their connection are still complete (tests). Ruled out: passing on an unfinished event of a stream that can't be resumed.

--- a/camphorrun/gateway/event_stream.py
+++ b/camphorrun/gateway/event_stream.py
@@ -1,8 +1,12 @@
 """Splitting of an event stream into complete events."""
 
+import re
+
 from .errors import EventError
 
-EVENT_END = b"\n\n"
+# A blank line ends an event; lines end in any of three ways.
+EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+MAX_EVENT_END_BYTES = 4
 # Far above the event size of any model. Bounds the memory of the host, which buffers at
 # most one incomplete event for each stream.
 MAX_EVENT_BYTES = 256 * 1024
@@ -35,6 +39,11 @@
         """Buffered bytes of an incomplete event."""
         return bytes(self._pending)
 
+    @property
+    def is_within_event(self) -> bool:
+        """Whether an event has begun and not ended; blank lines are no event."""
+        return bool(self._pending.strip())
+
     def feed(self, data: bytes) -> list[bytes]:
         """Add received bytes and return the events that they complete.
 
@@ -45,12 +54,12 @@
         """
         self._pending += data
         events = []
-        while (end := self._pending.find(EVENT_END, self._scan_start)) >= 0:
-            end += len(EVENT_END)
+        while match := EVENT_END.search(self._pending, self._scan_start):
+            end = match.end()
             events.append(bytes(self._pending[:end]))
             del self._pending[:end]
             self._scan_start = 0
-        self._scan_start = max(0, len(self._pending) - len(EVENT_END) + 1)
+        self._scan_start = max(0, len(self._pending) - MAX_EVENT_END_BYTES + 1)
         if len(self._pending) > MAX_EVENT_BYTES:
             raise EventError(
                 f"incomplete event of {len(self._pending)} bytes, at most "
--- a/camphorrun/gateway/quarantine_guard.py
+++ b/camphorrun/gateway/quarantine_guard.py
@@ -33,6 +33,8 @@
 # of the request may have taken long.
 TRIAL_LIFETIME_SECONDS = 10.0
 QUARANTINED = "quarantined"
+# Failures of attempts that may be due to a crash of the replica.
+BROKEN_OFF_CODES = frozenset({"reset", "truncated"})
 
 
 class QuarantineGuard:
@@ -148,8 +150,7 @@
         self, ctx: RequestContext, handle: ReplicaHandle, code: str
     ) -> None:
         """Record a failed attempt; a broken connection may be due to a crash."""
-        survived = self._answer_survived(ctx)
-        if code == "reset" and not survived:
+        if code in BROKEN_OFF_CODES and not self._answer_survived(ctx):
             self.detector.add_broken_request(handle, ctx.suspects, ctx.sent_at)
 
     def observe_progress(self, ctx: RequestContext) -> None:
--- a/camphorrun/gateway/response_relay.py
+++ b/camphorrun/gateway/response_relay.py
@@ -193,8 +193,8 @@
                 stall_detector.last_event_at = self._timers.now()
             if events:
                 await self._send_events(ctx, head, events, responder)
-        if buffer.remainder and not conn.has_framed_body:
-            # Without framing, the connection may have ended in the middle of an event.
+        if buffer.is_within_event:
+            # The replica has broken off, even if the framing of the body is complete.
             raise AttemptFailedError("truncated", not_run=False)
         if not responder.started:
             responder.start(head.status, relay_headers(head), None, head.reason)
--- a/camphorrun/gateway/tests/test_slow_streams.py
+++ b/camphorrun/gateway/tests/test_slow_streams.py
@@ -56,6 +56,12 @@
 HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %ID\r\nX-Replica-Stamp: s\r\n"
 
 
+def chunked_answer(*chunks: bytes) -> bytes:
+    """Return a complete chunked answer with these chunks."""
+    body = b"".join(b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in chunks)
+    return HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + body + b"0\r\n\r\n"
+
+
 class TestStalls:
     """Streams without progress, and streams that are only slow."""
 
@@ -119,6 +125,52 @@
 
         run_scenario(scenario)
 
+    @pytest.mark.parametrize("last_chunk", [b"id: 2\nda", b"id: 2\ndata: e2", b"i"])
+    def test_framed_stream_that_ends_within_an_event_is_aborted(self, last_chunk):
+        """Guards against trusting the end of the chunks, not that of the event."""
+
+        async def scenario(cluster):
+            raw = RawReplica(chunked_answer(b"id: 1\ndata: e1\n\n", last_chunk))
+            await raw.register(cluster)
+            with pytest.raises(HttpError):
+                await cluster.send_request("/stream/x", STREAM)
+
+        run_scenario(scenario)
+
+    def test_framed_stream_that_ends_within_an_event_is_resumed(self):
+        """Guards against losing the rest of a stream that may be resumed."""
+
+        async def scenario(cluster):
+            raw = RawReplica(chunked_answer(b"id: 1\ndata: e1\n\n", b"id: 2\nda"))
+            await raw.register(cluster)
+            while not raw.closed.is_set():
+                answer = await cluster.send_request("/resume/x", STREAM)
+                assert answer.body == event_bytes(1, 2, 3, 4, 5)
+
+        run_scenario(scenario, plain=2)
+
+    def test_stream_with_other_line_ends_is_complete(self):
+        """Guards against taking a whole event for an incomplete one."""
+
+        async def scenario(cluster):
+            raw = RawReplica(chunked_answer(b"id: 1\r\ndata: e1\r\n\r\n"))
+            await raw.register(cluster)
+            answer = await cluster.send_request("/stream/x", STREAM)
+            assert answer.body == b"id: 1\r\ndata: e1\r\n\r\n"
+
+        run_scenario(scenario)
+
+    def test_answer_delimited_by_connection_close_is_complete(self):
+        """Guards against refusing an answer that has neither a length nor chunks."""
+
+        async def scenario(cluster):
+            raw = RawReplica(HEAD + b"\r\nthe whole body")
+            await raw.register(cluster)
+            answer = await cluster.send_request("/unsafe/x")
+            assert (answer.status, answer.body) == (200, b"the whole body")
+
+        run_scenario(scenario)
+
     def test_stream_delimited_by_connection_close_is_complete(self):
         """Guards against a complete stream that is taken for a truncated one.
 
--- a/camphorrun/http1/client.py
+++ b/camphorrun/http1/client.py
@@ -105,11 +105,6 @@
         """Whether ``read`` would return without waiting."""
         return bool(self._body_buffer) or self._complete
 
-    @property
-    def has_framed_body(self) -> bool:
-        """Whether the body has a length or chunks, rather than ending at the close."""
-        return not self._body_ends_at_close
-
     async def request(self, data: bytes) -> ResponseHead:
         """Send an encoded request and return the head of its response.
 
