Don't send a request again on a connection on which it was rejected

What callers saw (a report of another operator, shown by a test here): a replica rejects a request and writes that rejection once more, late, on the kept connection. The gateway sent the request again on this connection, took the repeated rejection for the answer to the new attempt, and sent the request a third time: it ran twice. With no attempt left the caller was told 503, though the request had run.

Cause: an answer is attributed by the identifier that the caller gave the request, and all attempts of one request have the same. Class: an identifier that is wider than what it is to tell apart.

Change: a connection on which a request was rejected is closed when the pool offers it for the same request. Other requests still use it, since their identifier differs.

Evidence: test_repeated_rejection_is_not_believed failed before on both routes, one request ran twice. Ruled out: closing every connection after a rejection (a busy replica rejects often, and new connections hold a slot). Calls of stages have no such fault: pieces may be made twice.

--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -240,12 +240,27 @@
 
     async def _connect(
         self, ctx: RequestContext, handle: ReplicaHandle, permit: Permit | None
+    ) -> ClientConnection:
+        conn = await self._acquire(ctx, handle)
+        while conn in ctx.rejected_on:
+            conn.abort()
+            handle.pool.release(conn)
+            conn = await self._acquire(ctx, handle)
+        try:
+            self._check_after_wait(ctx, handle, permit)
+        except (AttemptFailedError, RefusedError):
+            handle.pool.release(conn)
+            raise
+        return conn
+
+    async def _acquire(
+        self, ctx: RequestContext, handle: ReplicaHandle
     ) -> ClientConnection:
         repeatable = ctx.route.repeatable
         idle_s = float("inf") if repeatable else MAX_UNSAFE_IDLE_SECONDS
         left_s = max(MIN_ATTEMPT_SECONDS, ctx.end_at - self._timers.now())
         try:
-            conn = await with_timeout(
+            return await with_timeout(
                 self._timers,
                 handle.pool.acquire(CONNECT_TIMEOUT_SECONDS, idle_s),
                 left_s,
@@ -254,12 +269,6 @@
             raise AttemptFailedError(exc.code, not_run=True) from exc
         except TimeoutError as exc:
             raise AttemptFailedError("connect_timeout", not_run=True) from exc
-        try:
-            self._check_after_wait(ctx, handle, permit)
-        except (AttemptFailedError, RefusedError):
-            handle.pool.release(conn)
-            raise
-        return conn
 
     def _check_after_wait(
         self, ctx: RequestContext, handle: ReplicaHandle, permit: Permit | None
@@ -316,6 +325,7 @@
                 await self._discard_body(conn)
                 ctx.may_have_run = could_have_run
                 ctx.possible_runs -= 1
+                ctx.rejected_on.append(conn)
                 raise _rejection_error(info)
             if not info.id_matches or (200 <= head.status < 300 and not info.has_stamp):
                 raise AttemptFailedError("foreign_answer", not_run=False)
@@ -400,7 +410,8 @@
 
     A duplicate of an earlier answer may arrive in place of the next one. The first
     answer on a connection can't be a duplicate, so only there a rejection without an
-    attempt identifier is accepted.
+    attempt identifier is accepted. An identifier is proof, because no connection gets
+    a request again that was rejected on it.
     """
     return info.id_matches or (info.id_missing and conn.requests == 1)
 
--- a/camphorrun/gateway/context.py
+++ b/camphorrun/gateway/context.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ..catalog import Route, RouteKind
+from ..http1 import ClientConnection
 from ..platform import CallerRequest
 from ..quarantine import Cause, Suspects, part_fingerprint, request_fingerprint
 from .stage_results import StageResults
@@ -55,6 +56,9 @@
         Identifier of the last event that was sent to the caller.
     zone : str
         Availability zone in which the request is expected to run, empty if unknown.
+    rejected_on : list of ClientConnection
+        Connections on which a replica rejected the request. A faulty replica may write
+        the rejection again, in place of the answer to another attempt.
     shared_parts : tuple of str
         Fingerprints of the parts of the prompt that other requests may have, too.
     fingerprint : str
@@ -86,6 +90,7 @@
     last_event_id: str = ""
     zone: str = ""
     tried_replicas: set[str] = field(default_factory=set)
+    rejected_on: list[ClientConnection] = field(default_factory=list)
     shared_parts: Suspects = field(init=False)
     fingerprint: str = field(init=False)
     has_cleared: bool = False
--- a/camphorrun/gateway/tests/test_slow_streams.py
+++ b/camphorrun/gateway/tests/test_slow_streams.py
@@ -31,6 +31,7 @@
         self.closed = asyncio.Event()
 
     async def register(self, cluster) -> None:
+        """Take the place of the first replica."""
         cluster.stream_servers.append(self._server)
         port = await self._server.start()
         entry = cluster.replicas[0].registration("plain", Address=f"127.0.0.1:{port}")
@@ -214,3 +215,115 @@
             conn.abort()
 
         run_scenario(scenario)
+
+
+class RepeatingReplica(RawReplica):
+    """Rejects the first request, and repeats that on the next one that it runs.
+
+    It does so once for each connection, and runs all requests but the first one.
+    """
+
+    def __init__(self):
+        super().__init__(b"")
+        self.run_ids: list[bytes] = []
+
+    async def _serve(self, reader, writer) -> None:
+        rejection = b""
+        while head := await read_head(reader):
+            fields = head.split(b"X-Attempt-Id: ")[1]
+            attempt_id = fields.split(b"\r\n")[0]
+            if not rejection and not self.run_ids:
+                rejection = REJECTION.replace(b"%ID", attempt_id)
+                writer.write(rejection)
+                continue
+            self.run_ids.append(attempt_id)
+            answer = HEAD.replace(b"%ID", attempt_id) + b"Content-Length: 2\r\n\r\nok"
+            writer.write(rejection + answer)
+            rejection = b""
+
+
+REJECTION = (
+    b"HTTP/1.1 503 Busy\r\nX-Attempt-Id: %ID\r\nX-Not-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+async def read_head(reader: asyncio.StreamReader) -> bytes:
+    """Return the head of a request without a body, empty at the end."""
+    try:
+        return await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return b""
+
+
+class TestRepeatedRejections:
+    """A replica that writes an earlier rejection once more."""
+
+    @pytest.mark.parametrize("path", ["/unsafe/x", "/stream/x"])
+    def test_repeated_rejection_is_not_believed(self, path):
+        """Guards against a rejection that answers an earlier attempt or request.
+
+        All attempts of a request have the identifier that the caller gave it.
+        """
+
+        async def scenario(cluster):
+            replica = RepeatingReplica()
+            await replica.register(cluster)
+            for _ in range(6):
+                answer = await cluster.send_request(path)
+                attempt_id = answer.headers["x-attempt-id"].encode()
+                assert answer.status != 503 or attempt_id not in replica.run_ids
+            await asyncio.sleep(0.1)
+            assert replica.run_ids
+            assert len(set(replica.run_ids)) == len(replica.run_ids)
+
+        run_scenario(scenario)
+
+    def test_resumed_stream_that_meets_an_error_is_cut(self):
+        """Guards against the text of an error within a stream, or a complete end."""
+
+        async def scenario(cluster):
+            cut, failing = cluster.replicas
+            cut.script.cut_after = 2
+            failing.script.answer = "error"
+            for _ in range(6):
+                conn = await cluster.connect()
+                data = cluster.encode_request("/resume/x", STREAM)
+                head = await conn.request(data)
+                received = b""
+                is_complete = False
+                try:
+                    while part := await conn.read():
+                        received += part
+                    is_complete = True
+                except HttpError:
+                    pass
+                conn.abort()
+                if head.status == 200:
+                    assert event_bytes(1, 2, 3, 4, 5).startswith(received)
+                    assert not is_complete
+                assert b"failed" not in received or head.status == 500
+            assert cut.runs
+
+        run_scenario(scenario, plain=2)
+
+
+class TestTruncatedHeads:
+    """A replica that closes within the head of its answer."""
+
+    @pytest.mark.parametrize(
+        "fields", [b"Content-Length: 2\r\n\r\n", b"Content-Length: 0\r\n\r\n", b"\r\n"]
+    )
+    @pytest.mark.parametrize("path", ["/unsafe/x", "/stream/x"])
+    def test_answer_cut_within_its_head_is_no_success(self, path, fields):
+        """Guards against a 200 with an empty body for an answer that never began."""
+
+        async def scenario(cluster):
+            head = HEAD + fields
+            for cut in (1, 2, 3, len(fields), len(fields) + 1, len(HEAD)):
+                raw = RawReplica(head[:-cut])
+                await raw.register(cluster)
+                answer = await cluster.send_request(path)
+                assert answer.status == 502
+
+        run_scenario(scenario)
