Check that an answer cut at any byte is never taken for a complete one

It can't happen here; the test cuts answers with a length, with chunks and with neither at each byte of the head, and of the body where its framing shows the cut.

--- a/camphorrun/http1/tests/test_client.py
+++ b/camphorrun/http1/tests/test_client.py
@@ -116,6 +116,25 @@
         with pytest.raises(HttpError):
             exchange(answer, end)
 
+    @pytest.mark.parametrize(
+        ("answer", "least"),
+        [
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 0),
+            (
+                b"HTTP/1.1 200 OK\r\nX-A: b\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"2\r\nok\r\n0\r\n\r\n",
+                0,
+            ),
+            # Without framing, only the head shows where the answer was cut.
+            (b"HTTP/1.1 200 OK\r\nX-A: b\r\n\r\nok", 2),
+        ],
+    )
+    def test_answer_cut_at_any_byte_raises(self, answer, least):
+        """Guards against a part of a head or body that is returned as complete."""
+        for length in range(1, len(answer) - least):
+            with pytest.raises(HttpError):
+                exchange(answer[:length], "close")
+
     def test_bytes_after_the_answer_make_the_connection_unusable(self):
         """Guards against taking a surplus response for that of the next request."""
         answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
