Let an answer that has begun go on when its cause is blocked

A request whose replica has sent the head of a plain answer was ended by a block, since only event streams recorded their start. A replica that answers has not crashed, so the answer refutes the block. Found by reading; test_begun_answer_goes_on covers the stream.

--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -207,6 +207,7 @@
     ) -> None:
         started_at = self._timers.now()
         ctx.stream_started_at = 0.0
+        ctx.answer_begun = False
         ctx.has_cleared = False
         handle.endpoint.on_dispatch()
         succeeded = None
@@ -329,6 +330,7 @@
                 raise _rejection_error(info)
             if not info.id_matches or (200 <= head.status < 300 and not info.has_stamp):
                 raise AttemptFailedError("foreign_answer", not_run=False)
+            ctx.answer_begun = True
             await self._relay.relay(
                 ctx, head, conn, responder, may_fail_over=self._may_fail_over(ctx)
             )
--- a/camphorrun/gateway/context.py
+++ b/camphorrun/gateway/context.py
@@ -63,6 +63,8 @@
         Fingerprints of the parts of the prompt that other requests may have, too.
     fingerprint : str
         Fingerprint of the request, the same for each attempt of the caller.
+    answer_begun : bool
+        Whether a replica has begun to answer in the current attempt.
     has_cleared : bool
         Whether the answer of the current attempt has cleared the fingerprints.
     trial : Trial or None
@@ -93,6 +95,7 @@
     rejected_on: list[ClientConnection] = field(default_factory=list)
     shared_parts: Suspects = field(init=False)
     fingerprint: str = field(init=False)
+    answer_begun: bool = False
     has_cleared: bool = False
     trial: Trial | None = None
     blocked_by: Cause | None = None
--- a/camphorrun/gateway/request_handler.py
+++ b/camphorrun/gateway/request_handler.py
@@ -129,7 +129,7 @@
         Those that a replica answers already are not cancelled.
         """
         for task, ctx in list(self._context_by_task.items()):
-            if ctx is None or ctx.stream_started_at or not cause <= set(ctx.suspects):
+            if ctx is None or ctx.answer_begun or not cause <= set(ctx.suspects):
                 continue
             ctx.blocked_by = cause
             task.cancel()
