Send other gateways only the answers that clear something of a crash

At 370 gateways and 18 requests a second at each that is about 540 fingerprints, 19 KB a second (an estimate), of a budget of 27.

Change: answers are exchanged if their fingerprint was at a crash, and told at once if they clear it. Ruled out: keeping answers only of suspects, because an answer may become known before the crash that it refutes.

test_answers_without_a_crash_are_not_sent and test_answer_that_clears_nothing_is_no_news fail without the change (100 clearances instead of none; news instead of none).

--- a/camphorrun/gateway/quarantine_messages.py
+++ b/camphorrun/gateway/quarantine_messages.py
@@ -12,7 +12,10 @@
 def encode_quarantine(
     quarantine: Quarantine, now: float, evidence_s: float
 ) -> QuarantineMessage:
-    """Return all blocks, and the evidence of the last ``evidence_s`` seconds."""
+    """Return all blocks, and the evidence of the last ``evidence_s`` seconds.
+
+    Answers are left out if they clear nothing of a crash, as almost all do.
+    """
     evidence = quarantine.evidence
     oldest = now - evidence_s
     crashes = [
@@ -24,6 +27,7 @@
     clearances = [
         ClearanceMessage(suspect, now - at)
         for suspect, at in evidence.clearances_since(oldest)
+        if evidence.is_suspect(suspect)
     ]
     blocks = [_encode_block(*item, now) for item in quarantine.blocks()]
     return QuarantineMessage(crashes, clearances, blocks)
--- a/camphorrun/gateway/tests/test_deadly_requests.py
+++ b/camphorrun/gateway/tests/test_deadly_requests.py
@@ -4,14 +4,17 @@
 from collections import Counter
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 
 from ...http1 import HttpError
-from ...quarantine import Block, part_fingerprint, request_fingerprint
+from ...quarantine import Block, Quarantine, part_fingerprint, request_fingerprint
 from ...quarantine import quarantine as quarantine_module
 from ..context import Trial
 from ..errors import RefusedError
-from .cluster import HOST, LocalCluster, run_scenario
+from ..messages import QuarantineMessage
+from ..quarantine_messages import encode_quarantine, merge_quarantine
+from .cluster import HOST, LocalCluster, event_bytes, run_scenario
 
 # The platform's rule: at most this many requests reach replicas after the settling
 # time, which starts at the crash from which on the rule holds. The real one is longer.
@@ -358,6 +361,22 @@
 
         run_scenario(scenario)
 
+    def test_begun_answer_goes_on(self):
+        """Guards against cutting an answer because of a decision that it refutes."""
+
+        async def scenario(cluster):
+            replica = cluster.replicas[0]
+            replica.script.event_gap_s = 0.2
+            asked = asyncio.ensure_future(
+                cluster.send_request("/stream/x", *DEADLY_LINES)
+            )
+            await cluster.wait_until(lambda: replica.runs)
+            await asyncio.sleep(0.1)
+            block(cluster, 0)
+            assert (await asked).body == event_bytes(1, 2, 3, 4, 5)
+
+        run_scenario(scenario)
+
     def test_other_requests_are_served(self):
         """Guards against refusing requests that share the first part only."""
 
@@ -472,6 +491,36 @@
         run_scenario(scenario, gateways=2)
 
 
+class TestMessages:
+    """What gateways send each other in the exchange of records."""
+
+    def test_answers_without_a_crash_are_not_sent(self):
+        """Guards against messages that grow with the requests on every day."""
+        quarantine = Quarantine()
+        for number in range(100):
+            quarantine.clear(f"p{number}", 5.0)
+        assert not encode_quarantine(quarantine, 6.0, 10.0).clearances
+        quarantine.add_crash("i-1", 4.0, 4.5, [("p1",)])
+        message = encode_quarantine(quarantine, 6.0, 10.0)
+        assert [c.suspect for c in message.clearances] == ["p1"]
+
+    def test_exchange_carries_everything(self):
+        """Guards against knowledge that is lost in the encoding."""
+        known, learned = Quarantine(), Quarantine()
+        known.add_crash("i-1", 4.0, 4.5, [("p1", "p2")])
+        known.clear("p2", 5.0)
+        known.block(frozenset({"p1"}), Block(4.6, 4.5, 1, 5.5))
+        message = encode_quarantine(known, 6.0, 10.0)
+        data = msgspec.msgpack.encode(message)
+        decoded = msgspec.msgpack.decode(data, type=QuarantineMessage)
+        assert merge_quarantine(learned, decoded, 106.0) == [{"p1"}]
+        ((_, block),) = learned.blocks()
+        assert block == Block(104.6, 104.5, 1, 105.5)
+        assert learned.evidence.cleared_at("p2") == 105.0
+        (crash,) = learned.evidence.crashes_since(0.0)
+        assert (crash.at, crash.requests) == (104.5, {("p1", "p2")})
+
+
 class TestTrials:
     """The way back after the fault of the replicas was mended."""
 
--- a/camphorrun/quarantine/evidence.py
+++ b/camphorrun/quarantine/evidence.py
@@ -103,15 +103,15 @@
         return self._last_number
 
     def clear(self, suspect: str, at: float) -> bool:
-        """Record an answer that was begun at a time; return whether that is news."""
+        """Record an answer that was begun at a time; return if it clears of a crash."""
         if at <= self.cleared_at(suspect):
             return False
-        is_news = bool(self.occurrences(suspect))
+        before = len(self.occurrences(suspect))
         self._cleared_at[suspect] = at
         self._cleared_at.move_to_end(suspect)
         while len(self._cleared_at) > MAX_CLEARANCES:
             self._cleared_at.popitem(last=False)
-        return is_news
+        return len(self.occurrences(suspect)) < before
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a request with a fingerprint was at a replica that crashed."""
--- a/camphorrun/quarantine/tests/test_quarantine.py
+++ b/camphorrun/quarantine/tests/test_quarantine.py
@@ -67,6 +67,14 @@
         quarantine.evaluate(MIN_PART_CRASHES + CONFIRMATION_SECONDS)
         assert quarantine.find_blocked([DEADLY])
 
+    def test_answer_that_clears_nothing_is_no_news(self):
+        """Guards against a message to all gateways for each answer after a crash."""
+        quarantine = Quarantine()
+        crash(quarantine, 1.0, (SYSTEM,))
+        assert not quarantine.clear(SYSTEM, 0.5)
+        assert quarantine.clear(SYSTEM, 1.5)
+        assert not quarantine.clear(SYSTEM, 1.6)
+
     def test_answer_in_the_confirmation_time_prevents_a_block(self):
         """Guards against blocking what was only at the replicas that crashed."""
         quarantine = Quarantine()
