Split the tests of deadly requests by subject

Crash detection and what gateways tell each other get a file of their own, and the traffic a module. The mutations name the new file.

--- a/tools/mutations_crashes.py
+++ b/tools/mutations_crashes.py
@@ -7,6 +7,7 @@
 
 CAUSES = "camphorrun/quarantine/tests/test_quarantine.py"
 DEADLY = "camphorrun/gateway/tests/test_deadly_requests.py"
+REPORTS = "camphorrun/gateway/tests/test_crash_reports.py"
 EVIDENCE = "camphorrun/quarantine/evidence.py"
 QUARANTINE = "camphorrun/quarantine/quarantine.py"
 GUARD = "camphorrun/gateway/quarantine_guard.py"
@@ -89,7 +90,7 @@
         "camphorrun/gateway/quarantine_store.py",
         "            if record.value:",
         "            if False:",
-        DEADLY,
+        REPORTS,
     ),
     Mutation(
         "crashes: one gateway decides on trials",
@@ -131,27 +132,27 @@
         DETECTOR,
         "        else:\n            conn.abort()\n",
         '        else:\n            self._confirm(replica.boot, crash, "refused")\n',
-        DEADLY,
+        REPORTS,
     ),
     Mutation(
         "crashes: a planned end is none",
         DETECTOR,
         'frozenset({"draining", "leaving"})',
         "frozenset()",
-        DEADLY,
+        REPORTS,
     ),
     Mutation(
         "crashes: a new start shows one",
         DETECTOR,
         '                self._confirm(boot, crash, "restarted")',
         "                pass",
-        DEADLY,
+        REPORTS,
     ),
     Mutation(
         "crashes: a new gateway learns the causes",
         "camphorrun/gateway/peers.py",
         "        if answer.quarantine is not None:",
         "        if False:",
-        DEADLY,
+        REPORTS,
     ),
 )
