--- a/camphorrun/gateway/tests/cluster.py
+++ b/camphorrun/gateway/tests/cluster.py
@@ -173,11 +173,13 @@
         seeds: tuple[str, ...] = (),
         host: GatewayHostSettings | None = None,
         zone: str = "z1",
+        store: str = "",
     ) -> GatewayDaemon:
+        """Start a gateway; ``store`` is the store's address, if not its own one."""
         settings = GatewaySettings(
             host
             or GatewayHostSettings(name, "127.0.0.1", zone, *_reserve_addresses(4)),
-            StoreSettings(self.store.address, 1.0),
+            StoreSettings(store or self.store.address, 1.0),
             seeds,
             BoundSettings(stop_s=self.stop_s),
         )
--- a/camphorrun/standins/tcp_forwarder.py
+++ b/camphorrun/standins/tcp_forwarder.py
@@ -35,6 +35,8 @@
     ----------
     accepted : int
         Connections accepted so far.
+    is_cut : bool
+        Whether connections are silent from their start, as behind a partition.
     """
 
     def __init__(self, target: str):
@@ -43,6 +45,7 @@
         self._server = StreamServer(self._accept)
         self._connections: set[_Connection] = set()
         self.accepted = 0
+        self.is_cut = False
 
     async def start(self, host: str, port: int = 0) -> str:
         """Listen and return the ``ip:port`` in use."""
@@ -56,6 +59,16 @@
         self._connections.clear()
         return count
 
+    def cut(self) -> None:
+        """Silence the connections of now and all later ones, until ``heal``."""
+        self.is_cut = True
+        self.silence()
+
+    def heal(self) -> None:
+        """Forward on new connections again; those of the cut stay silent."""
+        self.is_cut = False
+        self.silence()
+
     async def stop(self) -> None:
         """Close the listener and all connections."""
         await self._server.stop()
@@ -75,6 +88,8 @@
     ) -> None:
         far_reader, far_writer = await asyncio.open_connection(*self._target)
         connection = _Connection(writer, far_writer)
+        if self.is_cut:
+            connection.forwards.clear()
         self._connections.add(connection)
         pumps = [
             asyncio.ensure_future(_pump(connection, reader, far_writer)),
