End reads of the store soon after the disruption that they were sent into

Callers saw routes of an older version, at hosts that nothing had disturbed for three seconds. The long poll for configurations asked the store to wait for 3 s and was given up 1.5 s after that. One that had been sent just before the end of an outage or of a cut, or whose connection went silent, was never answered, and the next one came up to 4.75 s later.

The store is asked to wait for 1 s now, the head of a response to a read is waited for 1 s more, and its body has a time-out of its own, so that a large configuration over a slow link isn't cut off by the time-out of the head. The sum with the delay of a retry is 2.3 s; the bound is 3 s.

--- a/camphorrun/gateway/store_sync.py
+++ b/camphorrun/gateway/store_sync.py
@@ -22,9 +22,10 @@
 # Joins without a partition before a member moves to the next topic. Partitions are only
 # reassigned when their holders join again, so the first joins may bring none.
 MAX_EMPTY_JOINS = 4
-# Time-out of a long poll. A changed configuration ends the poll at once; the time-out
-# bounds how long a dead connection to the store goes unnoticed.
-CONFIGURATION_WAIT_SECONDS = 3.0
+# Time that the store waits for a changed configuration, which ends the poll at once.
+# Together with the time-outs of a read it bounds how late a version is known after the
+# end of an outage or a cut.
+CONFIGURATION_WAIT_SECONDS = 1.0
 # Replicas write about every second, and each write would end a long poll. A fixed
 # interval costs fewer calls and is short enough to notice draining replicas in time.
 REPLICA_POLL_SECONDS = 0.5
--- a/camphorrun/platform/store.py
+++ b/camphorrun/platform/store.py
@@ -20,6 +20,12 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 CALL_TIMEOUT_SECONDS = 1.5
+# Time-out of the head of a response to a read, besides the time that the store is asked
+# to wait. A read that was sent into an outage is never answered, so this bounds how
+# long the end of the outage goes unnoticed.
+READ_TIMEOUT_SECONDS = 1.0
+# Time-out of the body after the head: a large configuration over a slow link.
+BODY_TIMEOUT_SECONDS = 3.0
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 MAX_PAGES = 200
 _RECORD_LENGTH = struct.Struct(">I")
@@ -109,7 +115,7 @@
         if wait_s > 0:
             query["WaitMs"] = int(wait_s * 1000)
         status, body, response_era = await self._call(
-            "GET", "/log-read", query, wait_s=wait_s
+            "GET", "/log-read", query, timeout_s=wait_s + READ_TIMEOUT_SECONDS
         )
         if response_era < era:
             raise StoreError(
@@ -215,7 +221,7 @@
         path: str,
         query: dict[str, object],
         body: object = None,
-        wait_s: float = 0.0,
+        timeout_s: float = CALL_TIMEOUT_SECONDS,
     ) -> tuple[int, bytes, int]:
         target = f"{path}?{urlencode(query)}" if query else path
         is_raw = isinstance(body, bytes)
@@ -235,9 +241,7 @@
         try:
             # Any failure closes the connection, because a connection that lost one
             # response returns no further ones.
-            return await self._exchange(
-                conn, head.encode() + b"\r\n" + data, CALL_TIMEOUT_SECONDS + wait_s
-            )
+            return await self._exchange(conn, head.encode() + b"\r\n" + data, timeout_s)
         except (HttpError, TimeoutError) as exc:
             conn.abort()
             code = "new_era" if self.era > era > 0 else "uncertain"
@@ -254,18 +258,18 @@
     ) -> tuple[int, bytes, int]:
         """Send a request and return status, body and era of the response.
 
-        A response that shows a new era also ends all other calls in progress.
+        ``timeout_s`` is the time-out of the head. A response that shows a new era also
+        ends all other calls in progress.
         """
-
-        async def exchange() -> tuple[int, bytes, int]:
-            head = await conn.request(data)
-            previous_era = self.era
-            era = self._era.observe(head)
-            if era > previous_era > 0:
-                self._abort_other_calls(conn)
-            return head.status, await conn.read_all(MAX_RESPONSE_BYTES), era
-
-        return await with_timeout(self._timers, exchange(), timeout_s)
+        head = await with_timeout(self._timers, conn.request(data), timeout_s)
+        previous_era = self.era
+        era = self._era.observe(head)
+        if era > previous_era > 0:
+            self._abort_other_calls(conn)
+        body = await with_timeout(
+            self._timers, conn.read_all(MAX_RESPONSE_BYTES), BODY_TIMEOUT_SECONDS
+        )
+        return head.status, body, era
 
     def _abort_other_calls(self, conn: ClientConnection) -> None:
         """Abort the other calls, which were sent before the store was restored."""
