Date confirmations of records from the request, not from the answer

After a pause of the process, requests are refused until the records are confirmed again. An answer that had been sent before the pause and was read after it confirmed them: that of a reader, whose age was counted from the moment of reading, and that of a long poll. So a withdrawn key or route could serve for up to one more query.

Confirmations count from the request, and one from before the pause does not end it. Both cases of TestPauses failed before.

--- a/camphorrun/gateway/state.py
+++ b/camphorrun/gateway/state.py
@@ -71,6 +71,8 @@
         # Time at which a registration was first missing from the current era.
         self._missing_since: dict[str, float] = {}
         self._unconfirmed_topics: set[str] = set()
+        # Confirmations from before this time don't count after a pause.
+        self._confirmation_required_at = float("-inf")
         self._metrics = metrics
         self._events = events
         self._deployment_listeners: list[Listener] = []
@@ -93,8 +95,9 @@
         """Whether a topic is unconfirmed since the last pause of the process."""
         return bool(self._unconfirmed_topics)
 
-    def require_confirmation(self) -> None:
-        """Clear ``ready`` until every known topic has been confirmed again."""
+    def require_confirmation(self, now: float) -> None:
+        """Clear ``ready`` until every known topic is confirmed as of ``now``."""
+        self._confirmation_required_at = now
         self._unconfirmed_topics = {
             topic for topic, view in self.views.items() if view.is_initialised
         }
@@ -171,7 +174,8 @@
     def confirm(self, topic: str, at: float) -> None:
         """Record that the known records of a topic matched the store at ``at``."""
         self._confirmed_at[topic] = max(at, self._confirmed_at.get(topic, at))
-        self._unconfirmed_topics.discard(topic)
+        if at >= self._confirmation_required_at:
+            self._unconfirmed_topics.discard(topic)
         if topic == REPLICA_TOPIC:
             self._remove_unregistered(self._confirmed_at[topic])
 
--- a/camphorrun/gateway/store_sync.py
+++ b/camphorrun/gateway/store_sync.py
@@ -111,7 +111,7 @@
         the store has answered, for at most ``CONFIRMATION_TIMEOUT_SECONDS``.
         """
         self._readers.stop_following()
-        self._state.require_confirmation()
+        self._state.require_confirmation(self._timers.now())
         try:
             await with_timeout(
                 self._timers, self._read_until_confirmed(), CONFIRMATION_TIMEOUT_SECONDS
@@ -226,9 +226,8 @@
         self._record_recovery(topic)
         self._state.apply(topic, page, "store")
         if page.complete:
-            # The store answers a long poll after a write or at the time-out, so the
-            # records are those of the answer; otherwise those of the request.
-            self._state.confirm(topic, self._timers.now() if wait_s else requested_at)
+            # The process may have been paused since the answer was sent.
+            self._state.confirm(topic, requested_at)
         return page.complete
 
     async def _retry_with_listing(self, topic: str) -> bool:
--- a/camphorrun/gateway/tests/test_reader_bounds.py
+++ b/camphorrun/gateway/tests/test_reader_bounds.py
@@ -162,3 +162,69 @@
 def _last_in_order(names: list[str]) -> str:
     last = _order([name.split("|")[1] for name in names])[-1]
     return next(name for name in names if name.split("|")[1] == last)
+
+
+class TestPauses:
+    """Answers that were sent before a pause of the process and are read after it."""
+
+    @pytest.mark.parametrize("source", ["reader", "store"])
+    def test_answer_from_before_a_pause_confirms_nothing(self, source):
+        """Guards against requests served with what was known before a pause."""
+
+        async def scenario():
+            timers = ManualTimerService()
+            shared = {
+                "timers": timers,
+                "metrics": Metrics(),
+                "events": EventLog("g", timers, None),
+            }
+            names = [member_name(f"g{n}", f"10.0.0.{n}:1", "x", "z") for n in (1, 2)]
+            state = GatewayState(
+                _last_in_order(names), shared["metrics"], shared["events"]
+            )
+            store = SimulatedStore(timers, changed_at=1000.0)
+            peers = SimulatedPeers(timers, state, store, 1000.0, frozenset())
+            readers = ZoneReaders(state, peers, "z", **shared)
+            sync = StoreSync(store, state, readers, ttl_s=3.0, **shared)
+            state.peers_queried = state.quarantine_queried = True
+            for topic in state.views:
+                state.apply(topic, store.page(topic, 0), "store")
+            state.set_members(tuple(names))
+            assert state.ready
+
+            async def pause(*_args):
+                """Suspend the process while an answer is on its way."""
+                timers.advance(30.0)
+                state.require_confirmation(timers.now())
+
+            if source == "reader":
+                peers.sync_from = _after(peers.sync_from, pause)
+                assert await readers.refresh()
+            else:
+                read = store.read_records
+                store.read_records = _after(read, pause)
+                await _run(timers, sync._read_topic(CONFIGURATION_TOPIC, 1.0))
+                store.read_records = read
+            assert state._unconfirmed_topics == set(state.views)
+            for topic in state.views:
+                await _run(timers, sync._read_topic(topic, 0.0))
+            assert not state.awaits_confirmation
+
+        asyncio.run(scenario())
+
+
+def _after(call, then):
+    """Return a coroutine function that runs ``then`` between a call and its result."""
+
+    async def wrapped(*args):
+        result = await call(*args)
+        await then()
+        return result
+
+    return wrapped
+
+
+async def _run(timers: ManualTimerService, awaitable) -> None:
+    task = asyncio.ensure_future(awaitable)
+    await _advance_until(timers, task.done)
+    task.result()
--- a/camphorrun/gateway/zone_readers.py
+++ b/camphorrun/gateway/zone_readers.py
@@ -21,10 +21,11 @@
 # large. The readers have only the same large answer until the store was read.
 LARGE_ANSWER_SECONDS = 2.0
 # Greatest time since the confirmation by the store at which records are accepted.
-# Registrations are polled twice a second, and the configuration is read by long polls
-# of one second. Together with the interval of the queries and a read of the store, the
-# limit must stay below the time within which a new version is in force.
-MAX_AGE_SECONDS = {REPLICA_TOPIC: 1.0, CONFIGURATION_TOPIC: 1.6}
+# Registrations are polled twice a second; with the interval of the queries and a read
+# of the store, their limit must stay below the time within which a new version is in
+# force. The configuration is read by long polls of one second. A confirmation counts
+# from the request, so the last one may be two polls old.
+MAX_AGE_SECONDS = {REPLICA_TOPIC: 1.0, CONFIGURATION_TOPIC: 2.6}
 
 
 class ZoneReaders:
@@ -105,6 +106,7 @@
         return False
 
     async def _sync_from(self, address: str) -> bool:
+        asked_at = self._timers.now()
         try:
             answer = await self._peers.sync_from(
                 address, READER_TIMEOUT_SECONDS, MAX_SYNC_BYTES
@@ -122,9 +124,9 @@
             # have seen the new era by the next query.
             self._metrics.drops.labels("reader_behind").inc()
             return True
-        now = self._timers.now()
         for topic, age_s in answer.ages_s.items():
-            self._state.confirm(topic, now - max(0.0, age_s))
+            # The process may have been paused since the answer was sent.
+            self._state.confirm(topic, asked_at - max(0.0, age_s))
         if answer.members:
             self._state.set_members(tuple(answer.members))
         return True
