Reject a configuration with a route that can't be followed

decode_deployment accepted routes without a service, with a split of weight 0, without a prefix, with no time at all and with stages that need themselves. Such a version came in force as a whole; requests of the route failed one by one, and one stage that needs itself ended each of them with an error. Now the version in force stays, as it did for a version that can't be decoded, and the next valid one comes through.

--- /dev/null
+++ b/camphorrun/gateway/tests/test_configuration_versions.py
@@ -0,0 +1,107 @@
+"""Tests of configurations that are older than the one in force, or invalid."""
+
+import msgspec
+import pytest
+
+from ...catalog import Record, RecordPage
+from ...core import EventLog, ManualTimerService
+from ...metrics import Metrics
+from ...platform import CONFIGURATION_TOPIC
+from ..state import GatewayState
+from .cluster import configuration, route, run_scenario
+
+UNREADABLE = b"{broken"
+LOOP = [{"Service": "stage", "After": [0], "PayloadBytes": 1}]
+INVALID_ROUTES = {
+    "stage-needs-itself": route("r", "/x/", "streaming", "plain", Stages=LOOP),
+    "no-service": route("r", "/x/", "safe", ""),
+    "no-weight": route(
+        "r", "/x/", "safe", "", Split=[{"Service": "plain", "Weight": 0}]
+    ),
+    "no-prefix": route("r", "", "safe", "plain"),
+    "no-time": route("r", "/x/", "safe", "plain", TimeoutMs=0),
+    "unknown-type": route("r", "/x/", "other", "plain"),
+}
+
+
+def make_state() -> GatewayState:
+    events = EventLog("g", ManualTimerService(), None)
+    return GatewayState("g|10.0.0.1:1|x|z", Metrics(), events)
+
+
+def apply_value(
+    state: GatewayState, value: bytes, offset: int, *, era: int = 1, rank=()
+) -> None:
+    record = Record("config", offset, value, era, rank)
+    page = RecordPage((record,), offset + 1, is_listing=True, era=era)
+    state.apply(CONFIGURATION_TOPIC, page, "test")
+
+
+def encode(version: int, **changes) -> bytes:
+    return msgspec.json.encode(configuration(version, **changes))
+
+
+class TestInvalidVersions:
+    """Versions that can't be followed."""
+
+    @pytest.mark.parametrize("name", INVALID_ROUTES)
+    def test_version_with_an_invalid_route(self, name):
+        """Guards against an invalid version that is in force, even in a part."""
+
+        async def scenario(cluster):
+            routes = [route("new", "/new/", "safe", "plain"), INVALID_ROUTES[name]]
+            cluster.store.put("keyed.op", "config", configuration(2, Routes=routes))
+            valid = configuration(3, Routes=[route("next", "/next/", "safe", "plain")])
+            daemon = cluster.daemons[0]
+            await cluster.wait_until(
+                lambda: daemon.state.views[CONFIGURATION_TOPIC].end == 2
+            )
+            assert daemon.state.deployment.version == 1
+            assert (await cluster.send_request("/safe/x")).status == 200
+            assert (await cluster.send_request("/new/x")).status == 404
+            cluster.store.put("keyed.op", "config", valid)
+            await cluster.wait_until(lambda: daemon.state.deployment.version == 3, 1.0)
+            assert (await cluster.send_request("/next/x")).status == 200
+
+        run_scenario(scenario)
+
+    def test_start_with_an_invalid_version(self):
+        """Guards against a gateway that ends or never serves after such a start."""
+
+        async def scenario(cluster):
+            bad = configuration(2, Routes=[INVALID_ROUTES["no-service"]])
+            cluster.store.put("keyed.op", "config", bad)
+            late = cluster.add_gateway("late")
+            await cluster.wait_until(lambda: late.state.peers_queried)
+            assert late.state.deployment is None
+            assert (await cluster.send_request("/safe/x", gateway=0)).status == 503
+            cluster.store.put("keyed.op", "config", configuration(3))
+            await cluster.wait_until(lambda: late.state.ready)
+            assert (await cluster.send_request("/safe/x", gateway=0)).status == 200
+
+        run_scenario(scenario, gateways=0)
+
+
+class TestAddedRoutes:
+    """Routes of a new version."""
+
+    def test_added_route_is_served_beside_a_removed_one(self):
+        """Guards against an added route that is served later than the others."""
+
+        async def scenario(cluster):
+            added = route("added", "/safe/deep/", "unsafe", "plain")
+            kept = configuration()["Routes"][1:]
+            cluster.store.put(
+                "keyed.op", "config", configuration(2, Routes=[*kept, added])
+            )
+            for gateway, daemon in enumerate(cluster.daemons):
+                await cluster.wait_until(
+                    lambda d=daemon: d.state.deployment.version == 2, 1.5
+                )
+                answer = await cluster.send_request("/safe/deep/x", gateway=gateway)
+                assert answer.status == 200
+                assert (
+                    await cluster.send_request("/safe/x", gateway=gateway)
+                ).status == 404
+
+        run_scenario(scenario, gateways=3)
--- a/camphorrun/platform/configuration.py
+++ b/camphorrun/platform/configuration.py
@@ -18,6 +18,7 @@
     StageCapacity,
     StageTemplate,
 )
+from ..pipeline import PipelineError, check_dependencies
 from .errors import DecodeError
 
 _ROUTE_KINDS = {
@@ -112,8 +113,8 @@
     Raises
     ------
     DecodeError
-        If the configuration can't be decoded. The caller then keeps the newest valid
-        configuration in effect.
+        If the configuration can't be decoded, or if a route of it can't be followed.
+        The caller then keeps the newest valid configuration in effect as a whole.
     """
     try:
         raw = msgspec.json.decode(data, type=_Configuration)
@@ -129,12 +130,10 @@
 
 
 def _convert_route(raw: _Route) -> Route:
-    if raw.route_type not in _ROUTE_KINDS:
-        raise DecodeError(
-            f"expected safe, unsafe or streaming, got {raw.route_type!r}",
-            field=f"routes.{raw.name}.kind",
-        )
     services = tuple((s.service, int(s.weight)) for s in raw.split if s.weight > 0)
+    if not raw.split:
+        services = ((raw.service, 1),)
+    _check_route(raw, services)
     return Route(
         raw.name,
         raw.host.lower(),
@@ -143,7 +142,7 @@
         raw.timeout_ms / 1000,
         raw.target_latency_ms / 1000,
         raw.priority,
-        services or ((raw.service, 1),),
+        services,
         max(1, raw.max_attempts),
         tuple(
             StageTemplate(s.service, tuple(s.after), int(s.payload_bytes))
@@ -156,6 +155,34 @@
     )
 
 
+def _check_route(raw: _Route, services: tuple[tuple[str, float], ...]) -> None:
+    path = f"routes.{raw.name}"
+    if raw.route_type not in _ROUTE_KINDS:
+        raise DecodeError(
+            f"expected safe, unsafe or streaming, got {raw.route_type!r}",
+            field=f"{path}.kind",
+        )
+    if not services or not all(name for name, _ in services):
+        raise DecodeError(
+            "expected a service, or a split with a positive weight",
+            field=f"{path}.service",
+        )
+    if not raw.path_prefix.startswith("/"):
+        raise DecodeError(
+            f"expected a prefix with a leading slash, got {raw.path_prefix[:40]!r}",
+            field=f"{path}.path_prefix",
+        )
+    if raw.timeout_ms <= 0:
+        raise DecodeError(
+            f"expected a positive time, got {raw.timeout_ms}",
+            field=f"{path}.timeout_ms",
+        )
+    try:
+        check_dependencies([stage.after for stage in raw.stages])
+    except PipelineError as exc:
+        raise DecodeError(str(exc), field=f"{path}.stages") from exc
+
+
 def _convert_service(raw: _Service) -> Service:
     return Service(
         raw.name,
