Keep the fractions of the weights of a split

Weights were cut to whole numbers, so a split of 0.75 and 0.25 had no weight at all and sent everything to its last service. Found while the ways were listed in which an added route may not be served; test_weights_below_one failed before (0 of 100 instead of 75).

--- a/camphorrun/catalog/deployment.py
+++ b/camphorrun/catalog/deployment.py
@@ -41,8 +41,8 @@
         Latency objective in seconds; for a stream, the time to its first event.
     priority : int
         Priority of the requests; 0 is the highest.
-    services : tuple of (str, int)
-        Services and their weights in the split of requests.
+    services : tuple of (str, float)
+        Services and their positive weights in the split of requests.
     public : bool
         True if no API key is needed.
     uses_engine : bool
@@ -58,7 +58,7 @@
     timeout_s: float
     objective_s: float
     priority: int
-    services: tuple[tuple[str, int], ...]
+    services: tuple[tuple[str, float], ...]
     max_attempts: int = 1
     stages: tuple[StageTemplate, ...] = ()
     public: bool = False
--- a/camphorrun/gateway/tests/test_configuration_versions.py
+++ b/camphorrun/gateway/tests/test_configuration_versions.py
@@ -85,6 +85,19 @@
 class TestAddedRoutes:
     """Routes of a new version."""
 
+    def test_weights_below_one(self):
+        """Guards against a split whose fractions are cut to nothing."""
+        state = make_state()
+        split = [
+            {"Service": "plain", "Weight": 0.75},
+            {"Service": "stage", "Weight": 0.25},
+        ]
+        routes = [route("r", "/r/", "safe", "", Split=split)]
+        apply_value(state, encode(2, Routes=routes), 1, rank=(2,))
+        (added,) = state.deployment.routes
+        chosen = [added.service_for((n + 0.5) / 100) for n in range(100)]
+        assert chosen.count("plain") == 75
+
     def test_added_route_is_served_beside_a_removed_one(self):
         """Guards against an added route that is served later than the others."""
 
--- a/camphorrun/platform/configuration.py
+++ b/camphorrun/platform/configuration.py
@@ -130,7 +130,7 @@
 
 
 def _convert_route(raw: _Route) -> Route:
-    services = tuple((s.service, int(s.weight)) for s in raw.split if s.weight > 0)
+    services = tuple((s.service, s.weight) for s in raw.split if s.weight > 0)
     if not raw.split:
         services = ((raw.service, 1),)
     _check_route(raw, services)
