Never replace the configuration in force by an older version

A record that can't be read has no rank, so the copy of a restored store replaces it with any version, also one below that in force. A process keeps the highest version that it has had, now by the version itself and not only by the order of records; such a case is logged and counted. test_copy_of_the_store_after_an_unreadable_record failed before (5 instead of 7).

--- a/camphorrun/gateway/state.py
+++ b/camphorrun/gateway/state.py
@@ -243,6 +243,17 @@
                 "configuration_unreadable", offset=record.offset, error=str(exc)
             )
             return
+        in_force = self.deployment
+        if in_force is not None and deployment.version < in_force.version:
+            # A restored store may list an older version beside an unreadable one.
+            self._metrics.config_records.labels("older").inc()
+            self._events.log_state_change(
+                "configuration_older",
+                version=deployment.version,
+                in_force=in_force.version,
+                source=source,
+            )
+            return
         self.deployment = deployment
         self._metrics.config_records.labels("applied").inc()
         self._events.log_state_change(
--- a/camphorrun/gateway/tests/test_configuration_versions.py
+++ b/camphorrun/gateway/tests/test_configuration_versions.py
@@ -41,6 +41,29 @@
     return msgspec.json.encode(configuration(version, **changes))
 
 
+class TestOlderVersions:
+    """Versions that are lower than the one in force."""
+
+    def test_copy_of_the_store_after_an_unreadable_record(self):
+        """Guards against a version that comes back older.
+
+        The unreadable record has no rank, so any record of a later era replaces it.
+        """
+        state = make_state()
+        apply_value(state, encode(7), 3, rank=(7,))
+        apply_value(state, UNREADABLE, 4)
+        apply_value(state, encode(5), 2, era=2, rank=(5,))
+        assert state.deployment.version == 7
+
+    def test_higher_version_after_an_older_one(self):
+        """Guards against a gateway that ignores the versions after an older one."""
+        state = make_state()
+        apply_value(state, encode(7), 3, rank=(7,))
+        apply_value(state, encode(5), 4, rank=(5,))
+        apply_value(state, encode(8), 5, rank=(8,))
+        assert state.deployment.version == 8
+
+
 class TestInvalidVersions:
     """Versions that can't be followed."""
 
