--- a/camphorrun/standins/platform_replica.py
+++ b/camphorrun/standins/platform_replica.py
@@ -35,7 +35,7 @@
     After ``trickle_after`` events a stream sends a byte now and then and no event.
     The process crashes when it begins to answer a request whose prompt has the part
     ``deadly_part`` or whose body is ``deadly_body``, and starts again on its address
-    after ``down_s``.
+    after ``down_s``. ``label`` is the text of its events, before their number.
     """
 
     answer: str = "ok"
@@ -51,6 +51,7 @@
     deadly_part: str = ""
     deadly_body: bytes = b""
     down_s: float = 0.5
+    label: str = "e"
     lost_handles: set[str] = field(default_factory=set)
 
 
@@ -239,7 +240,8 @@
                 while True:
                     await responder.write(b":")
                     await self._timers.sleep(0.02)
-            await responder.write(b"id: %d\ndata: e%d\n\n" % (number, number))
+            event = f"id: {number}\ndata: {script.label}{number}\n\n"
+            await responder.write(event.encode())
             await self._timers.sleep(script.event_gap_s)
         responder.finish()
 
@@ -267,7 +269,12 @@
 
     def _report(self, responder: ServerResponder) -> None:
         self.reports += 1
-        report = {"Queued": 0, "Busy": False, "FreeMb": self.free_bytes // 1_000_000}
+        report = {
+            "Queued": 0,
+            "Busy": False,
+            "FreeMb": self.free_bytes // 1_000_000,
+            "born": len(self.crashes),
+        }
         fields = Headers(self._notices())
         responder.respond(200, fields, msgspec.json.encode(report))
 
--- a/camphorrun/standins/platform_store.py
+++ b/camphorrun/standins/platform_store.py
@@ -65,6 +65,10 @@
         self._written_at.setdefault(topic, []).append(self._timers.now())
         return len(log) - 1
 
+    def appended(self, topic: str) -> int:
+        """Return the number of records of a topic."""
+        return len(self._logs.get(topic, ()))
+
     def restore(self, copied_at: float) -> list[tuple[str, str, bytes]]:
         """Come back from a copy; return what it lacks, in order of topics and offsets.
 
