Take a stream up only at the software version that began it

A caller whose stream broke off takes it up with another request, at any gateway, also after all gateways were killed. Nobody knew which software version had begun it, so any replica got it, and the text was joined from two versions without a sign.

The store has the versions of each service (written by each gateway that sees a new one) and, while a service has several, the version of each resumable stream, written when the request is sent, so that the record is there before the first event. A gateway looks a stream up in its own memory, in the records of the store up to now, and with its peers. With one version only nothing is recorded and that version goes on. A stream without a record while there are several is refused with 503 (`version_unknown`): unknown isn't the same as any. Streams that began under a single version are recorded when a second one appears. A replica that registers under its identifier with another version makes its streams of the last 3 s unknown. After a return of the store from an older copy everything is written again. Writes are batched, and their rate is bounded over all gateways; versions that are gone for 300 s are removed.

Weighed and not taken: a record before the first event (a delay for each stream, and no stream while the store is away); versions by time (clocks differ, and during a release it decides nothing); a process beside each replica (one more program and its failures).

Two tests of crash reports counted all appends to the store; they count those of their own topic now, which is as strict.

--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -31,6 +31,7 @@
 from .replica_handle import ReplicaHandle
 from .replica_selection import MIN_ATTEMPT_SECONDS, ReplicaSelector, refusal_error
 from .response_relay import MAX_BUFFERED_RESPONSE_BYTES, ResponseRelay
+from .stream_records import StreamRecords
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 # Longest idle time of a connection that is reused for a non-idempotent request. If the
@@ -84,6 +85,8 @@
         Returns the retry budget of a service.
     guard : QuarantineGuard
         Refuses requests that crash replicas.
+    streams : StreamRecords
+        Records which software version begins a stream.
     """
 
     def __init__(
@@ -91,6 +94,7 @@
         selector: ReplicaSelector,
         budget_of,
         guard: QuarantineGuard,
+        streams: StreamRecords,
         *,
         timers: TimerService,
         metrics: Metrics,
@@ -99,7 +103,10 @@
         self._selector = selector
         self._budget_of = budget_of
         self._guard = guard
-        self._relay = ResponseRelay(budget_of, guard.observe_progress, timers, metrics)
+        self._streams = streams
+        self._relay = ResponseRelay(
+            budget_of, guard.observe_progress, streams.wait_for_record, timers, metrics
+        )
         self._timers = timers
         self._metrics = metrics
         self._events = events
@@ -316,6 +323,7 @@
         ctx.trial = None
         ctx.sent_at = now
         ctx.sent_version = handle.replica.version
+        self._streams.note_attempt(ctx, handle.replica)
         ctx.may_have_run = True
         ctx.possible_runs += 1
         try:
--- a/camphorrun/gateway/daemon.py
+++ b/camphorrun/gateway/daemon.py
@@ -29,6 +29,7 @@
 from .stage_runner import StageRunner
 from .state import GatewayState
 from .store_sync import StoreSync
+from .stream_records import StreamRecords
 from .zone_readers import ZoneReaders
 
 # The load balancer sends new connections for about this long after a drain has started.
@@ -162,13 +163,23 @@
             seed=self._rng.getrandbits(32),
         )
         self._quarantine_guard = QuarantineGuard(self.state, self._peers, **shared)
-        attempts = Attempts(selector, self._budget_of, self._quarantine_guard, **shared)
+        self._stream_records = StreamRecords(
+            self._store, self.state, self._peers, **shared
+        )
+        attempts = Attempts(
+            selector,
+            self._budget_of,
+            self._quarantine_guard,
+            self._stream_records,
+            **shared,
+        )
         self._request_handler = RequestHandler(
             self.state,
             self._stage_runner,
             selector,
             attempts,
             self._quarantine_guard,
+            self._stream_records,
             **shared,
         )
         self._supervisor.add("configuration", self._store_sync.follow_configuration)
@@ -178,6 +189,8 @@
         self._supervisor.add("permit-leases", permits.keep_leases)
         quarantine_store = QuarantineStore(self._store, self.state, **shared)
         self._supervisor.add("quarantine", quarantine_store.keep_blocks)
+        self._supervisor.add("versions", self._stream_records.keep_versions)
+        self._supervisor.add("stream-records", self._stream_records.keep_records)
         # The share of the common retry budget depends on the number of members.
         self.state.subscribe(deployment=self._apply_limits, members=self._budgets.clear)
         self._pause_detector = PauseDetector(self.timers, self._on_pause)
@@ -199,6 +212,7 @@
             self._permit_owner.answer,
             self._quarantine_guard.receive,
             self._quarantine_guard.answer_trial,
+            self._stream_records.answer,
             self.metrics.render,
             self.metrics,
         )
--- a/camphorrun/gateway/messages.py
+++ b/camphorrun/gateway/messages.py
@@ -111,6 +111,20 @@
     version: int = SCHEMA_VERSION
 
 
+class StreamQuery(msgspec.Struct):
+    """Asks which software version began a stream, given by its key."""
+
+    stream: str
+    version: int = SCHEMA_VERSION
+
+
+class StreamReply(msgspec.Struct):
+    """Answer to a stream query; ``software`` is empty if it is not known."""
+
+    software: str
+    version: int = SCHEMA_VERSION
+
+
 class PieceOrder(msgspec.Struct):
     """Asks the owner of a stage service for pieces of one stage of one request.
 
--- a/camphorrun/gateway/peers.py
+++ b/camphorrun/gateway/peers.py
@@ -20,6 +20,8 @@
     QuarantineMessage,
     RecordMessage,
     ReleaseOrder,
+    StreamQuery,
+    StreamReply,
     SyncMessage,
     TopicMessage,
     TrialOrder,
@@ -392,6 +394,7 @@
         answer_permit: Callable[[PermitOrder], PermitReply],
         receive_quarantine: Callable[[QuarantineMessage], None],
         answer_trial: Callable[[TrialOrder], TrialReply],
+        answer_stream: Callable[[StreamQuery], StreamReply],
         render_metrics: Callable[[], bytes],
         metrics: Metrics,
     ):
@@ -401,6 +404,7 @@
         self._answer_permit = answer_permit
         self._receive_quarantine = receive_quarantine
         self._answer_trial = answer_trial
+        self._answer_stream = answer_stream
         self._render_metrics = render_metrics
         self._metrics = metrics
 
@@ -441,6 +445,9 @@
         if path == "/trials":
             trial_order = msgspec.msgpack.decode(body, type=TrialOrder)
             return encode(self._answer_trial(trial_order))
+        if path == "/streams":
+            query = msgspec.msgpack.decode(body, type=StreamQuery)
+            return encode(self._answer_stream(query))
         if path == "/release":
             self._release(msgspec.msgpack.decode(body, type=ReleaseOrder))
             return b""
--- a/camphorrun/gateway/request_handler.py
+++ b/camphorrun/gateway/request_handler.py
@@ -24,6 +24,7 @@
 from .replica_selection import ReplicaSelector
 from .stage_runner import StageRunner
 from .state import GatewayState
+from .stream_records import StreamRecords
 
 # Retry-After of refusals while configuration or registrations are not known yet.
 NOT_READY_RETRY_AFTER_SECONDS = 0.5
@@ -61,6 +62,7 @@
         selector: ReplicaSelector,
         attempts: Attempts,
         guard: QuarantineGuard,
+        streams: StreamRecords,
         *,
         timers: TimerService,
         metrics: Metrics,
@@ -71,6 +73,7 @@
         self._selector = selector
         self._attempts = attempts
         self._guard = guard
+        self._streams = streams
         self._timers = timers
         self._metrics = metrics
         self._events = events
@@ -93,6 +96,7 @@
             ctx = self._context_by_task[task] = self._accept(caller)
             route_name = ctx.route.name
             await self._guard.admit(ctx)
+            await self._streams.resolve(ctx)
             await self._serve(ctx, responder)
             code = "broken" if responder.aborted else "ok"
         except DecodeError as exc:
--- /dev/null
+++ b/camphorrun/gateway/stream_records.py
@@ -0,0 +1,344 @@
+"""Records which software version began a stream, and looks it up for take-ups.
+
+A stream may go on only at the version that began it, at any gateway and also after all
+gateways were killed. The store has the versions of each service; while there are
+several, it also has the version of each stream.
+"""
+
+import asyncio
+
+import msgspec
+import xxhash
+
+from ..catalog import Replica, RouteKind
+from ..core import EventLog, TimerService, with_timeout
+from ..metrics import Metrics
+from ..platform import STREAM_TOPIC, VERSION_TOPIC, StoreClient, StoreError
+from ..routing import StreamStart, StreamVersions
+from .context import RequestContext
+from .errors import PeerError, RefusedError
+from .messages import StreamQuery, StreamReply
+from .peers import Peers
+from .replica_selection import VERSION_RETRY_AFTER_SECONDS
+from .state import GatewayState
+
+VERSION_UNKNOWN = "version_unknown"
+VERSION_INTERVAL_SECONDS = 1.0
+# A version that has not been registered for this long is removed from the store, and
+# gateways read the versions again after the same time.
+VERSION_REMOVAL_SECONDS = 300.0
+RETRY_SECONDS = 0.25
+# Interval between two writes of a gateway, and its growth with the number of gateways,
+# which bounds the writes of all of them.
+WRITE_INTERVAL_SECONDS = 0.02
+WRITE_SECONDS_PER_MEMBER = 0.005
+# Time that a first event waits for its record if an earlier record names another
+# version. Usually the record is written while the replica reads the prompt.
+MAX_RECORD_WAIT_SECONDS = 0.25
+RECORD_POLL_SECONDS = 0.01
+LOOKUP_TIMEOUT_SECONDS = 0.6
+PEER_TIMEOUT_SECONDS = 0.3
+MAX_QUERIED_PEERS = 8
+# A replica may have started again this long before its registration tells.
+RESTART_NOTICE_SECONDS = 3.0
+
+
+class StreamRecords:
+    """Keeps the versions of streams, and finds the one that a take-up needs."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        state: GatewayState,
+        peers: Peers,
+        *,
+        timers: TimerService,
+        metrics: Metrics,
+        events: EventLog,
+    ):
+        self._store = store
+        self._state = state
+        self._peers = peers
+        self._timers = timers
+        self._metrics = metrics
+        self._events = events
+        self._versions = StreamVersions()
+        self._registered: dict[str, Replica] = {}
+        self._listed_at = float("-inf")
+        self._era = 0
+        self._log_end = 0
+        self._log_lock = asyncio.Lock()
+        self._log_reads = 0
+        self._is_writing = False
+        self._has_news = asyncio.Event()
+        self._versions_changed = asyncio.Event()
+        state.subscribe(
+            replicas=self._update_versions, deployment=self._update_versions
+        )
+
+    # Streams that begin
+
+    def note_attempt(self, ctx: RequestContext, replica: Replica) -> None:
+        """Record the version of a replica before a stream is sent to it."""
+        if ctx.last_event_id or not _can_be_taken_up(ctx):
+            return
+        key = _stream_key(ctx.request_id)
+        previous = self._versions.find(key)
+        ctx.awaits_record = bool(previous) and previous != replica.version
+        self._versions.begin(
+            key,
+            StreamStart(
+                ctx.service, replica.version, replica.identifier, self._timers.now()
+            ),
+        )
+        if self._versions.has_unsaved:
+            self._has_news.set()
+
+    async def wait_for_record(self, ctx: RequestContext) -> None:
+        """Wait until the record of a stream is written that replaces another one."""
+        if not ctx.awaits_record:
+            return
+        end_at = self._timers.now() + MAX_RECORD_WAIT_SECONDS
+        while self._timers.now() < end_at and (
+            self._versions.has_unsaved or self._is_writing
+        ):
+            await self._timers.sleep(RECORD_POLL_SECONDS)
+
+    # Take-ups
+
+    async def resolve(self, ctx: RequestContext) -> None:
+        """Set the version that a stream needs which the caller takes up.
+
+        Raises
+        ------
+        RefusedError
+            If several versions may have begun the stream, and none is known to.
+        """
+        if ctx.route.kind is not RouteKind.STREAM or not ctx.caller.resume_after:
+            return
+        version, source = await self._find(ctx.service, ctx.caller.resumes)
+        self._events.log_decision(
+            "take_up",
+            ctx.request_id,
+            resumes=ctx.caller.resumes,
+            last_event=ctx.caller.resume_after,
+            version=version,
+            source=source,
+        )
+        if version is None:
+            raise RefusedError(
+                "the software version that began the stream is not known",
+                code=VERSION_UNKNOWN,
+                status=503,
+                retry_after_s=VERSION_RETRY_AFTER_SECONDS,
+            )
+        ctx.required_version = version
+
+    async def _find(self, service: str, attempt: str) -> tuple[str | None, str]:
+        """Return the version that began a stream, and how it is known."""
+        key = _stream_key(attempt)
+        if self._versions.began_here(key):
+            return self._versions.find(key) or None, "own"
+        await self._read_for_take_up(service)
+        version = self._versions.find(key)
+        if version:
+            return version, "store"
+        several = self._versions.of_service(service, self._timers.now())
+        if len(several) == 1:
+            return next(iter(several)), "only version"
+        version = await self._ask_peers(key) if attempt else ""
+        return version or None, "peer" if version else "unknown"
+
+    async def _read_for_take_up(self, service: str) -> None:
+        """Read the versions of services, and the records if there are several."""
+        try:
+            await with_timeout(
+                self._timers, self._read(service), LOOKUP_TIMEOUT_SECONDS
+            )
+        except (StoreError, TimeoutError) as exc:
+            self._metrics.retries.labels("store").inc()
+            self._events.log_state_change("streams_unread", error=str(exc))
+
+    async def _read(self, service: str) -> None:
+        if not self._versions.has_several(service, self._timers.now()):
+            await self._list_versions()
+        if self._versions.has_several(service, self._timers.now()):
+            await self._read_log()
+
+    async def _read_log(self) -> None:
+        """Read the records up to now; calls at the same time share a read."""
+        reads = self._log_reads
+        async with self._log_lock:
+            if self._log_reads > reads:
+                return
+            self._log_reads += 1
+            is_complete = False
+            while not is_complete:
+                is_complete = await self._read_log_page()
+
+    async def _read_log_page(self) -> bool:
+        try:
+            page = await self._store.read_records(
+                STREAM_TOPIC, self._era, self._log_end
+            )
+        except StoreError as exc:
+            if exc.code == "new_era":
+                self._begin_era()
+            elif exc.code == "trimmed" and exc.first_offset is not None:
+                self._log_end = exc.first_offset
+            else:
+                raise
+            return False
+        for record in page.records:
+            self._versions.learn(self._decode_streams(record.value))
+        self._log_end = page.end
+        return page.complete
+
+    def _decode_streams(self, value: bytes) -> list[tuple[str, str]]:
+        try:
+            return msgspec.msgpack.decode(value, type=list[tuple[str, str]])
+        except (msgspec.DecodeError, RecursionError):
+            self._metrics.drops.labels("stream_record").inc()
+            return []
+
+    async def _ask_peers(self, key: str) -> str:
+        """Return the version that a peer knows, which may not have written it yet."""
+        addresses = self._peers.addresses()[:MAX_QUERIED_PEERS]
+        answers = await asyncio.gather(
+            *(self._ask(address, key) for address in addresses)
+        )
+        return next(filter(None, answers), "")
+
+    async def _ask(self, address: str, key: str) -> str:
+        try:
+            data = await self._peers.link(address).call(
+                "/streams", StreamQuery(key), PEER_TIMEOUT_SECONDS
+            )
+            return msgspec.msgpack.decode(data, type=StreamReply).software
+        except (PeerError, msgspec.DecodeError):
+            self._metrics.drops.labels("stream_query").inc()
+            return ""
+
+    def answer(self, query: StreamQuery) -> StreamReply:
+        """Answer the query of another gateway."""
+        return StreamReply(self._versions.find(query.stream))
+
+    # Records in the store
+
+    async def keep_versions(self) -> None:
+        """Keep the versions of services in the store until cancelled."""
+        while True:
+            try:
+                await self._sync_versions()
+            except StoreError as exc:
+                self._metrics.retries.labels("store").inc()
+                self._events.log_state_change("versions_unsaved", error=str(exc))
+            try:
+                await with_timeout(
+                    self._timers,
+                    self._versions_changed.wait(),
+                    VERSION_INTERVAL_SECONDS,
+                )
+            except TimeoutError:
+                self._update_versions()
+            self._versions_changed.clear()
+
+    async def _sync_versions(self) -> None:
+        if self._store.era > self._era > 0:
+            self._begin_era()
+        now = self._timers.now()
+        if now - self._listed_at >= VERSION_REMOVAL_SECONDS:
+            await self._list_versions()
+        for service, version in sorted(self._versions.unstored(now)):
+            key = f"{service}/{version}"
+            await self._store.append_record(VERSION_TOPIC, key, b"1")
+            self._versions.add_stored({(service, version)}, now)
+        for service, version in self._versions.outdated(now, VERSION_REMOVAL_SECONDS):
+            await self._store.append_record(VERSION_TOPIC, f"{service}/{version}", b"")
+            self._versions.stored.discard((service, version))
+
+    async def _list_versions(self) -> None:
+        page = await self._store.list_records(VERSION_TOPIC)
+        now = self._timers.now()
+        keys = (record.key.rpartition("/") for record in page.records if record.value)
+        self._versions.add_stored(
+            {(service, version) for service, _, version in keys}, now
+        )
+        self._listed_at = now
+        self._era = max(self._era, page.era)
+        if self._versions.has_unsaved:
+            self._has_news.set()
+
+    def _begin_era(self) -> None:
+        """Write everything again: the restored store may lack it."""
+        self._era = self._store.era
+        self._log_end = 0
+        self._versions.save_again(self._timers.now())
+        self._versions_changed.set()
+        self._has_news.set()
+
+    async def keep_records(self) -> None:
+        """Write the records of streams to the store until cancelled."""
+        while True:
+            await self._has_news.wait()
+            self._has_news.clear()
+            records = self._versions.take_unsaved()
+            if not records:
+                continue
+            self._is_writing = True
+            try:
+                await self._store.append_record(
+                    STREAM_TOPIC, "", msgspec.msgpack.encode(records)
+                )
+            except StoreError as exc:
+                self._metrics.retries.labels("store").inc()
+                self._events.log_state_change("streams_unsaved", error=str(exc))
+                self._versions.put_back(records)
+                self._has_news.set()
+                await self._timers.sleep(RETRY_SECONDS)
+            finally:
+                self._is_writing = False
+            await self._timers.sleep(
+                WRITE_INTERVAL_SECONDS
+                + WRITE_SECONDS_PER_MEMBER * len(self._state.members)
+            )
+
+    def _update_versions(self) -> None:
+        """Apply the registered versions of the services that have streams."""
+        deployment = self._state.deployment
+        if deployment is None:
+            return
+        services = {
+            service
+            for route in deployment.routes
+            if route.kind is RouteKind.STREAM
+            for service, _ in route.services
+        }
+        now = self._timers.now()
+        replicas = dict(self._state.replicas)
+        for identifier, replica in replicas.items():
+            previous = self._registered.get(identifier)
+            if previous is not None and previous.version != replica.version:
+                self._versions.forget_replica(identifier, now - RESTART_NOTICE_SECONDS)
+        self._registered = replicas
+        self._versions.observe(
+            {
+                (r.service, r.version)
+                for r in replicas.values()
+                if r.service in services
+            },
+            now,
+        )
+        if self._versions.unstored(now):
+            self._versions_changed.set()
+        if self._versions.has_unsaved:
+            self._has_news.set()
+
+
+def _stream_key(attempt: str) -> str:
+    """Return a short key of the attempt that begins a stream."""
+    return xxhash.xxh3_64_hexdigest(attempt)
+
+
+def _can_be_taken_up(ctx: RequestContext) -> bool:
+    return ctx.route.kind is RouteKind.STREAM and ctx.route.resumable
--- a/camphorrun/gateway/tests/test_crash_reports.py
+++ b/camphorrun/gateway/tests/test_crash_reports.py
@@ -123,7 +123,7 @@
         async def scenario(cluster):
             block(cluster, 0, 1)
             # Listing the topic has the block as soon as one of the gateways stored it.
-            await cluster.wait_until(lambda: cluster.store.calls.get("/log-append"))
+            await cluster.wait_until(lambda: cluster.store.appended("keyed.quarantine"))
             for task in cluster.tasks:
                 task.cancel()
             await asyncio.gather(*cluster.tasks, return_exceptions=True)
@@ -139,12 +139,12 @@
 
         async def scenario(cluster):
             block(cluster, 0)
-            calls = cluster.store.calls
-            await cluster.wait_until(lambda: calls.get("/log-append") == 1)
+            appended = cluster.store.appended
+            await cluster.wait_until(lambda: appended("keyed.quarantine") == 1)
             (suspect,) = CAUSE
             at = cluster.timers.now()
             cluster.daemons[0].state.quarantine.clear(suspect, at)
-            await cluster.wait_until(lambda: calls["/log-append"] == 2)
+            await cluster.wait_until(lambda: appended("keyed.quarantine") == 2)
             assert b'"Items":[]' in cluster.store._newest("keyed.quarantine")
 
         run_scenario(scenario)
--- a/camphorrun/gateway/tests/test_stream_versions.py
+++ b/camphorrun/gateway/tests/test_stream_versions.py
@@ -12,11 +12,6 @@
 from ...http1 import HttpError
 from .cluster import LocalCluster, run_scenario
 
-# See KNOWN-RED.txt.
-versions_unknown = pytest.mark.xfail(
-    reason="issue 34: streams go on at any version", strict=True
-)
-
 
 async def add_version(cluster: LocalCluster, version: str, count: int = 1, **script):
     """Add replicas of a software version, known to all gateways."""
@@ -135,7 +130,6 @@
     """Streams that a caller takes up again with another request."""
 
     @pytest.mark.parametrize("gateway", [0, 1])
-    @versions_unknown
     def test_take_up_goes_on_at_its_version(self, gateway):
         """Guards against a take-up, at any gateway, that joins two versions."""
 
@@ -150,7 +144,6 @@
 
         run_scenario(scenario, plain=0, gateways=2)
 
-    @versions_unknown
     def test_take_up_after_all_gateways_were_killed(self):
         """Guards against versions that only the gateways knew.
 
@@ -180,7 +173,6 @@
 
         run_scenario(scenario, plain=0, gateways=2)
 
-    @versions_unknown
     def test_version_that_left_while_all_gateways_were_killed(self):
         """Guards against the only version that is left being taken for the first."""
 
@@ -195,7 +187,6 @@
 
         run_scenario(scenario, plain=0)
 
-    @versions_unknown
     def test_stream_of_an_unknown_version_is_refused(self):
         """Guards against a guess while two versions serve."""
 
@@ -223,7 +214,6 @@
 
         run_scenario(scenario, plain=0, gateways=2)
 
-    @versions_unknown
     def test_second_version_after_the_stream_began(self):
         """Guards against streams that are unknown because one version served then."""
 
@@ -239,7 +229,6 @@
 
         run_scenario(scenario, plain=0, gateways=2)
 
-    @versions_unknown
     def test_third_try_names_either_attempt(self):
         """Guards against a take-up of a take-up that joins two versions."""
 
--- a/camphorrun/platform/__init__.py
+++ b/camphorrun/platform/__init__.py
@@ -43,6 +43,8 @@
     CONFIGURATION_TOPIC,
     QUARANTINE_TOPIC,
     REPLICA_TOPIC,
+    STREAM_TOPIC,
+    VERSION_TOPIC,
 )
 
 __all__ = [
@@ -50,6 +52,8 @@
     "CONFIGURATION_TOPIC",
     "QUARANTINE_TOPIC",
     "REPLICA_TOPIC",
+    "STREAM_TOPIC",
+    "VERSION_TOPIC",
     "CallerRequest",
     "DecodeError",
     "ReplicaNotice",
--- a/camphorrun/platform/exchange.py
+++ b/camphorrun/platform/exchange.py
@@ -53,6 +53,9 @@
         API key of a client account, empty if none.
     resume_after : str
         Identifier of the last event that the caller has received, empty if none.
+    resumes : str
+        Identifier of the attempt that brought the first event of the stream which is
+        taken up, empty if none.
     prompt : tuple of PromptPart
         Parts of the prompt, for routing by cached prefix.
     pieces : tuple of int
@@ -73,6 +76,7 @@
     output_tokens: int
     pieces: tuple[int, ...]
     piece_key: str
+    resumes: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +135,7 @@
         tokens[1] if len(tokens) > 1 else 0,
         _decode_counts(_single_value(headers, "x-pieces"), "pieces"),
         _single_value(headers, "x-piece-key"),
+        _single_value(headers, "resumes"),
     )
 
 
--- a/camphorrun/platform/store.py
+++ b/camphorrun/platform/store.py
@@ -44,6 +44,10 @@
     has_more: bool = False
 
 
+class _DeletedRecords(msgspec.Struct, rename="pascal"):
+    first: int | None = None
+
+
 class _JoinResponse(msgspec.Struct):
     generation: int = msgspec.field(name="Generation")
     parts: list[list[object]] = []
@@ -100,7 +104,7 @@
     async def read_records(
         self, topic: str, era: int, offset: int, wait_s: float = 0.0
     ) -> RecordPage:
-        """Return the records of a keyed topic from an offset on.
+        """Return the records of a topic from an offset on; each has a key.
 
         At the end of the topic the store waits up to ``wait_s`` seconds for a record.
 
@@ -129,7 +133,9 @@
             )
         if status == 410:
             raise StoreError(
-                f"{topic}: records at {offset} were deleted", code="trimmed"
+                f"{topic}: records at {offset} were deleted",
+                code="trimmed",
+                first_offset=_decode(body, _DeletedRecords).first,
             )
         self._require_success(status, body)
         return _decode_records(topic, era, body, offset)
--- a/camphorrun/routing/__init__.py
+++ b/camphorrun/routing/__init__.py
@@ -20,6 +20,7 @@
 from .prefixes import PrefixIndex
 from .readers import reader_preference
 from .router import NoEndpoint, RouteChoice, Router
+from .stream_versions import StreamStart, StreamVersions
 
 __all__ = [
     "UNSHARDED",
@@ -37,6 +38,8 @@
     "Router",
     "StageEstimator",
     "StageRequest",
+    "StreamStart",
+    "StreamVersions",
     "load_share",
     "owner_preferences",
     "reader_preference",
