Admit a stream that is taken up by its deadline

A take-up counted as a retry, whose objective is shortened to 0.7 of the time to the first event, and the owners of the stages turn away at arrival what would miss it. Its caller has had that event.

A take-up is refused only if its deadline can't be met, and its stages compete by twice the objective.

--- a/camphorrun/gateway/request_handler.py
+++ b/camphorrun/gateway/request_handler.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from ..admission import RetryDetector, check_feasibility
-from ..catalog import Account, Deployment, Route
+from ..catalog import Account, Deployment, Route, RouteKind
 from ..core import EventLog, TimerService
 from ..http1 import ServerRequest, ServerResponder
 from ..metrics import Metrics
@@ -41,6 +41,9 @@
 # Shortens the latency objective of a retry, so that its stages are scheduled before
 # those of first attempts of the same rank.
 RETRY_OBJECTIVE_FACTOR = 0.7
+# Lengthens the latency objective of a stream that is taken up. Its caller has had the
+# first event, so its stages must not be refused for missing the time of that one.
+TAKE_UP_OBJECTIVE_FACTOR = 2.0
 STAGE_FAILED = "stage_failed"
 # Refusal codes by the code of the ``StageError``.
 _REFUSAL_CODES = {
@@ -260,8 +263,13 @@
         received_at = caller.raw.first_byte_at
         deadline_s = caller.deadline_s or DEFAULT_DEADLINE_SECONDS
         now = self._timers.now()
-        is_retry = self._retry_detector.is_retry(route.name, deadline_s, now)
-        objective_s = route.objective_s * (RETRY_OBJECTIVE_FACTOR if is_retry else 1.0)
+        objective_s = route.objective_s
+        if route.kind is RouteKind.STREAM and caller.resume_after:
+            is_retry = True
+            objective_s *= TAKE_UP_OBJECTIVE_FACTOR
+        else:
+            is_retry = self._retry_detector.is_retry(route.name, deadline_s, now)
+            objective_s *= RETRY_OBJECTIVE_FACTOR if is_retry else 1.0
         hash_fraction = xxhash.xxh32_intdigest(caller.attempt_id) / 2**32
         return RequestContext(
             caller,
--- a/camphorrun/gateway/tests/test_stream_versions.py
+++ b/camphorrun/gateway/tests/test_stream_versions.py
@@ -10,7 +10,8 @@
 import pytest
 
 from ...http1 import HttpError
-from .cluster import LocalCluster, run_scenario
+from ..stage_waits import StageForecast
+from .cluster import STAGES, LocalCluster, configuration, route, run_scenario
 
 
 async def add_version(cluster: LocalCluster, version: str, count: int = 1, **script):
@@ -259,6 +260,48 @@
         run_scenario(scenario, plain=0)
 
 
+class TestAdmission:
+    """Take-ups while new streams are refused."""
+
+    def test_take_up_is_admitted_by_its_deadline(self):
+        """Guards against take-ups that are refused for missing their first event."""
+
+        async def scenario(cluster):
+            staged = route(
+                "resume",
+                "/resume/",
+                "streaming",
+                "plain",
+                Resumable=True,
+                Stages=STAGES,
+            )
+            cluster.store.put("keyed.op", "config", configuration(2, Routes=[staged]))
+            daemon = cluster.daemons[0]
+            await cluster.wait_until(lambda: daemon.state.deployment.version == 2)
+            runner = daemon._stage_runner
+            run = runner.run
+            objectives_s = []
+
+            async def forecast(*_args):
+                return StageForecast(total_s=0.8, wait_s=0.5)
+
+            async def observe(*args, **fields):
+                objectives_s.append(fields["objective_at"] - cluster.timers.now())
+                return await run(*args, **fields)
+
+            runner.forecast, runner.run = forecast, observe
+            pieces = ("X-Pieces: 1,1", "X-Piece-Key: k")
+            assert (await send_stream(cluster, "s1", *pieces))[0] == 503
+            status, body, _ = await send_stream(
+                cluster, "t1", *pieces, "Resumes: s0", "Last-Event-Id: 2"
+            )
+            assert (status, body.count(b"id: ")) == (200, 3)
+            # The objective of the route is 0.5 s.
+            assert 0.7 < min(objectives_s) <= 1.0
+
+        run_scenario(scenario, stage=1)
+
+
 async def read_events(
     cluster: LocalCluster, attempt: str, *, gateway: int, count: int
 ) -> bytes:
