Let an odd entry of another writer cost that entry alone

Another writer may leave an entry that is nested deeply, has a number with thousands of digits or out of range, or a port that doesn't exist. msgspec raises RecursionError and ValueError for the first two, which no decoder turned into its error: the task that reads the registrations failed again and again, and the process ended with it. A port of 99999 failed each request that chose the entry, a listing with one malformed item failed as a whole, and an identifier could add header fields to requests.

Versions in the store are found by a digest.

--- a/camphorrun/gateway/quarantine_store.py
+++ b/camphorrun/gateway/quarantine_store.py
@@ -74,7 +74,7 @@
     def _add(self, key: str, value: bytes) -> None:
         try:
             stored = msgspec.json.decode(value, type=_StoredBlock)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError, ValueError) as exc:
             self._metrics.drops.labels("quarantine_record").inc()
             self._events.log_state_change(
                 "quarantine_unreadable", key=key, error=str(exc)
--- a/camphorrun/gateway/stream_records.py
+++ b/camphorrun/gateway/stream_records.py
@@ -250,25 +250,32 @@
         if now - self._listed_at >= VERSION_REMOVAL_SECONDS:
             await self._list_versions()
         for service, version in sorted(self._versions.unstored(now)):
-            key = f"{service}/{version}"
-            await self._store.append_record(VERSION_TOPIC, key, b"1")
+            key = _version_key(service, version)
+            value = msgspec.msgpack.encode((service, version))
+            await self._store.append_record(VERSION_TOPIC, key, value)
             self._versions.add_stored({(service, version)}, now)
         for service, version in self._versions.outdated(now, VERSION_REMOVAL_SECONDS):
-            await self._store.append_record(VERSION_TOPIC, f"{service}/{version}", b"")
+            key = _version_key(service, version)
+            await self._store.append_record(VERSION_TOPIC, key, b"")
             self._versions.stored.discard((service, version))
 
     async def _list_versions(self) -> None:
         page = await self._store.list_records(VERSION_TOPIC)
         now = self._timers.now()
-        keys = (record.key.rpartition("/") for record in page.records if record.value)
-        self._versions.add_stored(
-            {(service, version) for service, _, version in keys}, now
-        )
+        stored = (self._decode_version(r.value) for r in page.records if r.value)
+        self._versions.add_stored(set(filter(None, stored)), now)
         self._listed_at = now
         self._era = max(self._era, page.era)
         if self._versions.has_unsaved:
             self._has_news.set()
 
+    def _decode_version(self, value: bytes) -> tuple[str, str] | None:
+        try:
+            return msgspec.msgpack.decode(value, type=tuple[str, str])
+        except (msgspec.DecodeError, RecursionError):
+            self._metrics.drops.labels("version_record").inc()
+            return None
+
     def _begin_era(self) -> None:
         """Write everything again: the restored store may lack it."""
         self._era = self._store.era
@@ -335,6 +342,11 @@
             self._has_news.set()
 
 
+def _version_key(service: str, version: str) -> str:
+    """Return a short key of a version; its value has the full texts."""
+    return xxhash.xxh3_64_hexdigest(f"{service}\0{version}")
+
+
 def _stream_key(attempt: str) -> str:
     """Return a short key of the attempt that begins a stream."""
     return xxhash.xxh3_64_hexdigest(attempt)
--- a/camphorrun/gateway/tests/test_state.py
+++ b/camphorrun/gateway/tests/test_state.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import msgspec
+import pytest
 
 from ...catalog import Record, RecordPage
 from ...http1 import ClientConnection
@@ -151,6 +152,19 @@
         run_scenario(scenario)
 
 
+def record_task_failures(daemon) -> list[str]:
+    """Return a list that gets the name of each task of a gateway that fails."""
+    failures = []
+    delay_s = daemon._supervisor._restart_delay_s
+
+    def observe(name, *args):
+        failures.append(name)
+        return delay_s(name, *args)
+
+    daemon._supervisor._restart_delay_s = observe
+    return failures
+
+
 class TestReplicas:
     """Registrations of replicas."""
 
@@ -193,6 +207,40 @@
 
         run_scenario(scenario)
 
+    @pytest.mark.parametrize("moment", ["at the start", "later"])
+    def test_odd_entry_costs_itself_alone(self, moment):
+        """Guards against gateways that end, or stop to follow the entries."""
+
+        async def scenario(cluster):
+            template = cluster.replicas[0].registration("plain")
+            odd = {
+                "deep": b'{"Service":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+                "digits": b'{"Service":"plain","Sequence":1' + b"0" * 5000 + b"}",
+                "large": {**template, "born": 2**64 - 1, "Slots": 2**62},
+                "port": {**template, "Address": "127.0.0.1:99999"},
+                "name": {**template, "Address": "nowhere:80"},
+                "a\r\nX-Odd: 1": template,
+                "version": {**template, "Version": "v" * 300},
+            }
+            for key, entry in odd.items():
+                cluster.store.put("keyed.servers", key, entry)
+            if moment == "at the start":
+                cluster.add_gateway("late")
+            daemon = cluster.daemons[-1]
+            failures = record_task_failures(daemon)
+            await cluster.wait_until(lambda: daemon.state.ready)
+            added = await cluster.add_replica("plain")
+            cluster.replicas.append(added)
+            pool = daemon._replica_pool
+            await cluster.wait_until(lambda: pool.get(added.identifier))
+            assert odd.keys() & daemon.state.replicas.keys() == set()
+            for _ in range(8):
+                answer = await cluster.send_request("/safe/x", gateway=-1)
+                assert answer.status == 200
+            assert failures == []
+
+        run_scenario(scenario)
+
     def test_restarted_replica_gets_a_new_handle(self):
         """Guards against connections and statistics kept from before a restart."""
 
--- a/camphorrun/platform/configuration.py
+++ b/camphorrun/platform/configuration.py
@@ -19,6 +19,7 @@
     StageTemplate,
 )
 from ..pipeline import PipelineError, check_dependencies
+from .decoding import Count, Integer, Number, decode_json
 from .errors import DecodeError
 
 _ROUTE_KINDS = {
@@ -36,13 +37,13 @@
 
 class _Stage(_WireObject):
     service: str
-    after: list[int] = []
-    payload_bytes: float = 0
+    after: list[Count] = []
+    payload_bytes: Number = 0
 
 
 class _Split(_WireObject):
     service: str
-    weight: float = 1
+    weight: Number = 1
 
 
 class _Route(_WireObject):
@@ -50,38 +51,38 @@
     host: str
     path_prefix: str
     route_type: str
-    timeout_ms: float = _DEFAULT_TIMEOUT_MS
-    target_latency_ms: float = 0
-    priority: int = 5
+    timeout_ms: Number = _DEFAULT_TIMEOUT_MS
+    target_latency_ms: Number = 0
+    priority: Count = 5
     service: str = ""
     split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: Count = 1
     stages: list[_Stage] = []
     public: bool = False
     sticky: bool = False
     resumable: bool = False
-    gap_target_ms: float = 0
+    gap_target_ms: Number = 0
 
 
 class _Pieces(_WireObject):
-    slots: int = 1
-    queue: int = 0
-    batch: int = 1
-    call_ms: float = 0
-    item_ms: float = 0
-    headroom_mb: float = 0
-    handle_s: float = 0
+    slots: Count = 1
+    queue: Count = 0
+    batch: Count = 1
+    call_ms: Number = 0
+    item_ms: Number = 0
+    headroom_mb: Number = 0
+    handle_s: Number = 0
 
 
 class _Engine(_WireObject):
-    slots: int = 1
-    kv_capacity: int = 0
+    slots: Count = 1
+    kv_capacity: Integer = 0
 
 
 class _Service(_WireObject):
     name: str
     health_path: str = ""
-    max_conns: int = 64
+    max_conns: Count = 64
     pieces: _Pieces | None = None
     engine: _Engine | None = None
 
@@ -89,18 +90,18 @@
 class _Tenant(_WireObject):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Count | None = None
 
 
 class _Limits(_WireObject):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15000
+    max_header_bytes: Count = 16384
+    max_body_bytes: Count = 4194304
+    header_timeout_ms: Number = 3000
+    idle_timeout_ms: Number = 15000
 
 
 class _Configuration(_WireObject):
-    version: int
+    version: Integer
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits | None = None
@@ -116,10 +117,7 @@
         If the configuration can't be decoded, or if a route of it can't be followed.
         The caller then keeps the newest valid configuration in effect as a whole.
     """
-    try:
-        raw = msgspec.json.decode(data, type=_Configuration)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise DecodeError(f"configuration: {exc}", field="$") from exc
+    raw = decode_json(data, _Configuration, "configuration")
     return Deployment(
         raw.version,
         tuple(_convert_route(item) for item in raw.routes),
--- a/camphorrun/platform/eras.py
+++ b/camphorrun/platform/eras.py
@@ -10,6 +10,7 @@
 _ERA_FIELD = "store-era"
 # A larger era is rejected as an error, because the era counts restores.
 MAX_ERA = 2**53
+MAX_ERA_DIGITS = 16
 # Restores that may happen between two responses. A larger step is rejected as an
 # error, because after a wrong era all later responses would look outdated.
 MAX_ERA_STEP = 1000
@@ -57,7 +58,8 @@
                     code="bad_era",
                 )
             return 0
-        if not text.isascii() or not text.isdigit() or int(text) > MAX_ERA:
+        is_number = text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS
+        if not is_number or int(text) > MAX_ERA:
             raise StoreError(
                 f"store: expected an era from 0 to {MAX_ERA}, got {text[:40]!r}",
                 code="bad_era",
--- a/camphorrun/platform/exchange.py
+++ b/camphorrun/platform/exchange.py
@@ -27,6 +27,7 @@
     }
 )
 MAX_DEADLINE_SECONDS = 600.0
+MAX_COUNT_DIGITS = 12
 LOWEST_PRIORITY = 9
 
 
@@ -272,7 +273,8 @@
     parts = []
     for entry in filter(None, text.split(",")):
         identifier, _, tokens = entry.strip().partition(":")
-        if not tokens.isascii() or not tokens.isdigit():
+        is_number = tokens.isascii() and tokens.isdigit()
+        if not is_number or len(tokens) > MAX_COUNT_DIGITS:
             raise _bad_request("prompt", "expected comma-separated ID:TOKENS entries")
         parts.append(PromptPart(identifier, int(tokens)))
     return tuple(parts)
--- a/camphorrun/platform/ranks.py
+++ b/camphorrun/platform/ranks.py
@@ -2,17 +2,19 @@
 
 import msgspec
 
+from .decoding import Integer, decode_json
+from .errors import DecodeError
 from .topics import CONFIGURATION_KEY, CONFIGURATION_TOPIC, REPLICA_TOPIC
 
 
 class _ConfigurationVersion(msgspec.Struct):
-    version: int = msgspec.field(name="Version")
+    version: Integer = msgspec.field(name="Version")
 
 
 class _RegistrationSequence(msgspec.Struct):
-    sequence: int = msgspec.field(name="Sequence", default=0)
+    sequence: Integer = msgspec.field(name="Sequence", default=0)
     # Start time of the replica in Unix milliseconds.
-    born: int = 0
+    born: Integer = 0
 
 
 def record_rank(topic: str, key: str, value: bytes) -> tuple[int, ...]:
@@ -32,10 +34,10 @@
     """
     try:
         if topic == CONFIGURATION_TOPIC and key == CONFIGURATION_KEY:
-            return (msgspec.json.decode(value, type=_ConfigurationVersion).version,)
+            return (decode_json(value, _ConfigurationVersion, "version").version,)
         if topic == REPLICA_TOPIC:
-            entry = msgspec.json.decode(value, type=_RegistrationSequence)
+            entry = decode_json(value, _RegistrationSequence, "sequence")
             return entry.born, entry.sequence
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DecodeError:
         return ()
     return ()
--- a/camphorrun/platform/registrations.py
+++ b/camphorrun/platform/registrations.py
@@ -4,26 +4,32 @@
 registration is rejected with ``DecodeError``.
 """
 
+import ipaddress
+
 import msgspec
 
 from ..catalog import Replica, ReplicaState
+from .decoding import Count, Integer, Number, Text, decode_json, is_plain_text
 from .errors import DecodeError
 
+MAX_PORT = 2**16 - 1
+MAX_PORT_DIGITS = 5
+
 _REPLICA_STATES = {"ready": ReplicaState.READY, "draining": ReplicaState.DRAINING}
 
 
 class _Registration(msgspec.Struct, rename="pascal"):
-    service: str
-    address: str
-    zone: str
-    slots: int
-    state: str
-    cold_remaining_ms: float = 0
+    service: Text
+    address: Text
+    zone: Text
+    slots: Count
+    state: Text
+    cold_remaining_ms: Number = 0
     # Version of the replica's software.
-    version: str = ""
+    version: Text = ""
     # Start time of the replica in Unix milliseconds. It is the only field whose name
     # is in lower case.
-    born: int = msgspec.field(name="born", default=0)
+    born: Integer = msgspec.field(name="born", default=0)
 
 
 def decode_replica(identifier: str, data: bytes) -> Replica:
@@ -34,20 +40,18 @@
     DecodeError
         If the record is not a valid registration.
     """
-    try:
-        raw = msgspec.json.decode(data, type=_Registration)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise DecodeError(f"registration {identifier!r}: {exc}") from exc
-    host, _, port = raw.address.rpartition(":")
+    subject = f"registration {identifier[:40]!r}"
+    if not is_plain_text(identifier):
+        raise DecodeError(f"{subject}: expected an identifier of printable characters")
+    raw = decode_json(data, _Registration, subject)
     if raw.state not in _REPLICA_STATES:
         raise DecodeError(
-            f"registration {identifier!r}: expected state ready or draining, "
-            f"got {raw.state!r}",
+            f"{subject}: expected state ready or draining, got {raw.state!r}",
             field="state",
         )
-    if not host or not port.isascii() or not port.isdigit() or not raw.service:
+    if not _is_address(raw.address) or not raw.service:
         raise DecodeError(
-            f"registration {identifier!r}: expected a service and an address IP:PORT, "
+            f"{subject}: expected a service and an address IP:PORT, "
             f"got {raw.service!r} at {raw.address!r}",
             field="address",
         )
@@ -62,3 +66,14 @@
         raw.cold_remaining_ms / 1000,
         raw.version,
     )
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    if not port.isascii() or not port.isdigit() or len(port) > MAX_PORT_DIGITS:
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return 0 < int(port) <= MAX_PORT
--- a/camphorrun/platform/stages.py
+++ b/camphorrun/platform/stages.py
@@ -7,9 +7,11 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
+from .decoding import MAX_NUMBER, decode_json
 from .errors import DecodeError
 
 _BYTES_PER_MEGABYTE = 1_000_000
@@ -66,7 +68,8 @@
 
 
 class _FreeSpaceReport(msgspec.Struct, rename="pascal"):
-    free_mb: float
+    # Negative if more space is in use than the replica allows for results.
+    free_mb: Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 
 
 class _StageResponse(msgspec.Struct, rename="pascal"):
@@ -87,10 +90,7 @@
     DecodeError
         If the response does not hold exactly one result for each piece.
     """
-    try:
-        raw = msgspec.json.decode(body, type=_StageResponse)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise DecodeError(f"stage response: {exc}") from exc
+    raw = decode_json(body, _StageResponse, "stage response")
     if len(raw.items) != count:
         raise DecodeError(
             f"stage response: expected {count} items, got {len(raw.items)}"
@@ -119,10 +119,7 @@
     DecodeError
         If the response does not hold the free space.
     """
-    try:
-        raw = msgspec.json.decode(body, type=_FreeSpaceReport)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise DecodeError(f"free space of a stage replica: {exc}") from exc
+    raw = decode_json(body, _FreeSpaceReport, "free space of a stage replica")
     return (max(0, int(raw.free_mb)) + 1) * _BYTES_PER_MEGABYTE - 1
 
 
--- a/camphorrun/platform/store.py
+++ b/camphorrun/platform/store.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import binascii
 import struct
 from dataclasses import dataclass
 from urllib.parse import urlencode
@@ -14,8 +15,9 @@
 from ..catalog import Record, RecordPage
 from ..core import TimerService, with_timeout
 from ..http1 import ClientConnection, ConnectionPool, HttpError
+from .decoding import Integer, decode_json
 from .eras import StoreEra
-from .errors import StoreError
+from .errors import DecodeError, StoreError
 from .ranks import record_rank
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -35,12 +37,13 @@
 class _ListedRecord(msgspec.Struct, rename="pascal"):
     key: str
     value: str
-    offset: int
+    offset: Integer
 
 
 class _ListingPage(msgspec.Struct, rename="pascal"):
-    items: list[_ListedRecord]
-    end: int
+    # Decoded one by one, because an entry of another writer may be malformed.
+    items: list[msgspec.Raw]
+    end: Integer
     has_more: bool = False
 
 
@@ -168,12 +171,12 @@
                 )
             page = _decode(body, _ListingPage)
             end, era = page.end if end is None else end, response_era
-            records.extend(
-                _convert_listed_record(topic, era, item) for item in page.items
-            )
-            if not page.has_more or not page.items:
+            listed = [_convert_listed_record(topic, era, item) for item in page.items]
+            records.extend(filter(None, listed))
+            last = next((r.key for r in reversed(listed) if r is not None), "")
+            if not page.has_more or not last:
                 return RecordPage(tuple(records), end, is_listing=True, era=era)
-            after = page.items[-1].key
+            after = last
         raise StoreError(f"{topic}: listing has more than {MAX_PAGES} pages")
 
     async def append_record(self, topic: str, key: str, value: bytes) -> None:
@@ -219,7 +222,8 @@
         self._require_success(status, body)
         # The columns of a row are topic, partition, member and offset.
         rows = _owner_rows(_decode(body, object))
-        return tuple(sorted({row[2] for row in rows if len(row) > 2 and row[2]}))
+        names = {row[2] for row in rows if len(row) > 2 and isinstance(row[2], str)}
+        return tuple(sorted(names - {""}))
 
     async def _call(
         self,
@@ -290,8 +294,8 @@
 
 def _decode(body: bytes, kind: type):
     try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return decode_json(body, kind, "response")
+    except DecodeError as exc:
         raise StoreError(
             f"store: response can't be decoded: {exc}", code="uncertain"
         ) from exc
@@ -311,8 +315,13 @@
     return [row for row in response if isinstance(row, list)]
 
 
-def _convert_listed_record(topic: str, era: int, item: _ListedRecord) -> Record:
-    value = base64.b64decode(item.value)
+def _convert_listed_record(topic: str, era: int, data: bytes) -> Record | None:
+    """Return the record of an item of a listing, None if it is malformed."""
+    try:
+        item = decode_json(data, _ListedRecord, "listed record")
+        value = base64.b64decode(item.value)
+    except (DecodeError, binascii.Error):
+        return None
     rank = record_rank(topic, item.key, value)
     return Record(item.key, item.offset, value, era, rank)
 
