--- /dev/null
+++ b/tests/process_rig.py
@@ -0,0 +1,389 @@
+"""Gateways as processes of their own, with callers, replicas and faults around them.
+
+Requests must run at most once, and never after an answer that promises otherwise. The
+rig counts the runs of each request at the replicas beside what its caller was told.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import signal
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+from camphorrun.core import LoopTimerService
+from camphorrun.gateway.tests.cluster import (
+    HOST,
+    KEY,
+    _reserve_addresses,
+    configuration,
+    route,
+)
+from camphorrun.standins.platform_store import PlatformStore
+from camphorrun.standins.tcp_forwarder import TcpForwarder
+
+PROMISES = (408, 421, 429, 503)
+READY_SECONDS = 15.0
+ANSWER_SECONDS = 4.0
+# After the last request, for replicas that run what they received late.
+SETTLE_SECONDS = 2.0
+MAX_BODY_BYTES = 60_000
+ROOT = Path(__file__).parent.parent
+
+
+@dataclass(slots=True)
+class RigReport:
+    """Runs of each request at the replicas, and the status that its caller got."""
+
+    runs: dict[str, int] = field(default_factory=dict)
+    statuses: dict[str, int] = field(default_factory=dict)
+    faults: list[str] = field(default_factory=list)
+
+    @property
+    def twice(self) -> list[str]:
+        """Requests that ran more than once."""
+        return sorted(name for name, count in self.runs.items() if count > 1)
+
+    @property
+    def run_though_refused(self) -> list[str]:
+        """Requests that ran although the answer promised that they never will."""
+        return sorted(
+            name
+            for name, status in self.statuses.items()
+            if status in PROMISES and self.runs.get(name)
+        )
+
+
+class UnreliableReplica:
+    """Replica that rejects, resets, answers late, and repeats rejections.
+
+    A repeated rejection is written in place of the answer to the next request on the
+    connection, as a faulty replica does; that request runs.
+    """
+
+    def __init__(self, rng: Random, report: RigReport):
+        self._rng = rng
+        self._report = report
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> str:
+        """Listen on loopback and return ``ip:port``."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        """Stop listening and end all connections."""
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(self, reader, writer) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                await self._serve(reader, writer)
+        finally:
+            self._tasks.discard(task)
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer) -> None:
+        repeated = b""
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            fields = _parse_fields(head)
+            await reader.readexactly(int(fields.get("content-length", 0)))
+            attempt = fields.get("x-attempt-id", "")
+            rejection = _answer(503, attempt, b"X-Not-Executed: 1\r\n")
+            kind = self._rng.choices(
+                ("ok", "reject", "reset", "unrun reset", "late"), (60, 25, 4, 4, 7)
+            )[0]
+            if kind == "reject" and not repeated:
+                writer.write(rejection)
+                repeated = rejection if self._rng.random() < 0.5 else b""
+                continue
+            if kind == "unrun reset":
+                return
+            self._report.runs[attempt] = self._report.runs.get(attempt, 0) + 1
+            if kind == "reset":
+                return
+            if kind == "late":
+                await asyncio.sleep(self._rng.uniform(0.3, 2.0))
+            writer.write(repeated + _answer(200, attempt, b"X-Replica-Stamp: s\r\n"))
+            repeated = b""
+            await writer.drain()
+
+
+def _parse_fields(head: str) -> dict[str, str]:
+    rows = (line.partition(":") for line in head.split("\r\n")[1:] if line)
+    return {name.lower(): value.strip() for name, _, value in rows}
+
+
+def _answer(status: int, attempt: str, fields: bytes) -> bytes:
+    line = b"HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\n" % (status, attempt.encode())
+    return line + fields + b"Content-Length: 2\r\n\r\nok"
+
+
+class GatewayProcess:
+    """A gateway that is started as a process, and again after each end.
+
+    ``tree`` is the source tree of the program; by default that of this file.
+    """
+
+    def __init__(self, number: int, folder: Path, store: str, tree: Path):
+        self._tree = tree
+        self._addresses = _reserve_addresses(5)
+        names = ("callers", "readiness", "peers", "control", "metrics")
+        host = dict(zip(names, self._addresses, strict=True))
+        host |= {"name": f"g{number}", "address": "127.0.0.1"}
+        host["availability_zone"] = "z1"
+        self._settings = folder / f"g{number}.json"
+        self._log = folder / f"g{number}.log"
+        self._settings.write_text(
+            json.dumps(
+                {
+                    "host": host,
+                    "store": {"address": store},
+                    "seeds": [],
+                    "bounds": {"stop_s": 4.0},
+                }
+            )
+        )
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def callers(self) -> tuple[str, int]:
+        """Address for callers."""
+        host, _, port = self._addresses[0].rpartition(":")
+        return host, int(port)
+
+    async def start(self) -> None:
+        """Start the process and wait until it is ready."""
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "camphorrun",
+                "gateway",
+                "--settings",
+                str(self._settings),
+                stdout=log,
+                stderr=log,
+                cwd=self._tree,
+            )
+        async with asyncio.timeout(READY_SECONDS):
+            while not await self._is_ready():
+                await asyncio.sleep(0.05)
+
+    async def _is_ready(self) -> bool:
+        host, _, port = self._addresses[1].rpartition(":")
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return False
+        try:
+            writer.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+            return b" 200 " in await reader.readline()
+        except OSError:
+            return False
+        finally:
+            writer.transport.abort()
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        with contextlib.suppress(ProcessLookupError):
+            self._process.send_signal(number)
+
+    async def wait(self) -> None:
+        """Wait until the process has ended."""
+        await self._process.wait()
+
+    async def stop(self) -> None:
+        """End the process at once."""
+        if self._process is not None and self._process.returncode is None:
+            self.send_signal(signal.SIGKILL)
+            await self.wait()
+
+
+class ProcessRig:
+    """Plays callers and faults against gateway processes for some seconds.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder for settings and logs.
+    seed : int
+        Seed of callers, replicas and faults.
+    tree : Path
+        Source tree of the gateways, for instance of an earlier version.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        seed: int,
+        *,
+        gateways: int = 2,
+        replicas: int = 3,
+        callers: int = 12,
+        tree: Path = ROOT,
+    ):
+        self.report = RigReport()
+        self._folder = folder
+        self._rng = Random(seed)
+        self._counts = (gateways, replicas, callers)
+        self._number = 0
+        self._tree = tree
+        self._forwarders: list[TcpForwarder] = []
+        self._gateways: list[GatewayProcess] = []
+
+    async def run(self, seconds: float) -> RigReport:
+        """Play and return what was counted."""
+        gateways, replicas, callers = self._counts
+        store = PlatformStore(LoopTimerService())
+        address = await store.start()
+        routes = [route("unsafe", "/unsafe/", "unsafe", "plain", MaxAttempts=3)]
+        store.put("keyed.op", "config", configuration(Routes=routes))
+        servers = []
+        try:
+            for number in range(replicas):
+                servers.append(await self._add_replica(store, number))
+            self._gateways = [
+                GatewayProcess(n, self._folder, address, self._tree)
+                for n in range(gateways)
+            ]
+            await asyncio.gather(*(gateway.start() for gateway in self._gateways))
+            end_at = asyncio.get_running_loop().time() + seconds
+            await asyncio.gather(
+                *(self._call_until(end_at) for _ in range(callers)),
+                *(self._disturb_until(gateway, end_at) for gateway in self._gateways),
+                self._cut_until(end_at),
+            )
+            await asyncio.sleep(SETTLE_SECONDS)
+        finally:
+            for gateway in self._gateways:
+                await gateway.stop()
+            for server in [*self._forwarders, *servers]:
+                await server.stop()
+            store.close()
+        return self.report
+
+    async def _add_replica(self, store: PlatformStore, number: int):
+        server = UnreliableReplica(Random(self._rng.random()), self.report)
+        forwarder = TcpForwarder(await server.start())
+        address = await forwarder.start("127.0.0.1")
+        self._forwarders.append(forwarder)
+        entry = {"Service": "plain", "Address": address, "Zone": "z1", "Slots": 8}
+        entry |= {"State": "ready", "Version": "v1", "Sequence": 1, "born": 1}
+        store.put("keyed.servers", f"i-{number}", entry)
+        return server
+
+    # Faults
+
+    async def _disturb_until(self, gateway: GatewayProcess, end_at: float) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < end_at:
+            await asyncio.sleep(self._rng.uniform(0.2, 1.5))
+            kind = self._rng.choice(("pause", "pause", "hangup", "term", "kill"))
+            self.report.faults.append(kind)
+            if kind == "pause":
+                gateway.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(self._rng.uniform(0.1, 2.6))
+                gateway.send_signal(signal.SIGCONT)
+            elif kind == "hangup":
+                gateway.send_signal(signal.SIGHUP)
+            else:
+                number = signal.SIGTERM if kind == "term" else signal.SIGKILL
+                gateway.send_signal(number)
+                await gateway.wait()
+                await gateway.start()
+
+    async def _cut_until(self, end_at: float) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < end_at:
+            await asyncio.sleep(self._rng.uniform(0.3, 1.5))
+            forwarder = self._rng.choice(self._forwarders)
+            if self._rng.random() < 0.5:
+                self.report.faults.append("silence")
+                forwarder.silence()
+                continue
+            self.report.faults.append("cut")
+            forwarder.cut()
+            await asyncio.sleep(self._rng.uniform(0.1, 1.0))
+            forwarder.heal()
+
+    # Callers
+
+    async def _call_until(self, end_at: float) -> None:
+        loop = asyncio.get_running_loop()
+        writer = None
+        while loop.time() < end_at:
+            if writer is None:
+                gateway = self._rng.choice(self._gateways)
+                try:
+                    reader, writer = await asyncio.open_connection(*gateway.callers)
+                except OSError:
+                    await asyncio.sleep(0.05)
+                    continue
+            if not await self._call(reader, writer):
+                writer.transport.abort()
+                writer = None
+        if writer is not None:
+            writer.transport.abort()
+
+    async def _call(self, reader, writer) -> bool:
+        """Send one request; return whether the connection can be used again."""
+        self._number += 1
+        attempt = f"r{self._number}"
+        body = bytes(self._rng.choice((0, 10, 2000, MAX_BODY_BYTES)))
+        head = (
+            f"POST /unsafe/x HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\n"
+            f"X-Attempt-Id: {attempt}\r\nX-Deadline-Ms: 1500\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        data = head.encode() + body
+        part = self._rng.randint(1, len(data))
+        try:
+            async with asyncio.timeout(ANSWER_SECONDS):
+                writer.write(data[:part])
+                if self._rng.random() < 0.2:
+                    await asyncio.sleep(self._rng.uniform(0.0, 0.3))
+                writer.write(data[part:])
+                answer = await reader.readuntil(b"\r\n\r\n")
+                fields = _parse_fields(answer.decode("latin-1"))
+                await reader.readexactly(int(fields.get("content-length", 0)))
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            return False
+        self.report.statuses[attempt] = int(answer.split()[1])
+        return fields.get("connection", "").lower() != "close"
+
+
+def main() -> None:
+    """Play seeds and print what was counted."""
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    parser.add_argument("first", type=int, help="first seed")
+    parser.add_argument("last", type=int, help="last seed")
+    parser.add_argument("--seconds", type=float, default=10.0, help="of each seed")
+    parser.add_argument("--tree", type=Path, default=ROOT, help="of the gateways")
+    args = parser.parse_args()
+    for seed in range(args.first, args.last + 1):
+        with tempfile.TemporaryDirectory() as folder:
+            rig = ProcessRig(Path(folder), seed, tree=args.tree)
+            report = asyncio.run(rig.run(args.seconds))
+        print(
+            f"seed {seed}: {len(report.statuses)} answers, "
+            f"{sum(s in PROMISES for s in report.statuses.values())} promises, "
+            f"{len(report.runs)} run, {len(report.faults)} faults, "
+            f"twice {report.twice}, refused {report.run_though_refused}",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    main()
