Prove the start of a replica before a stream goes on at it

A replica may start again under its identifier and address with another software version. Until its registration tells, up to a second later, a stream could go on there, or begin under a version that it doesn't have. The answer to a request doesn't tell the start; the report of a replica does (`born`), and all requests on one connection reach the same process. So while several versions serve, and for each stream that goes on, a connection is used only after a report on it named the registered start; once for each connection, 0.3 s at most. Replicas with a rate limit are not asked, since a report needs a permit.

test_replica_that_has_started_again_unnoticed fails without the check (the second version wrote the rest). With one version nothing is asked.

--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ..catalog import RouteKind
+from ..catalog import Replica, RouteKind
 from ..core import EventLog, TimerService, with_timeout
 from ..http1 import (
     ClientConnection,
@@ -13,8 +13,11 @@
 from ..metrics import Metrics
 from ..pipeline import FirstEventTimes
 from ..platform import (
+    DecodeError,
     ResponseInfo,
     decode_response_info,
+    decode_start_ms,
+    encode_report_request,
     encode_request,
 )
 from ..retries import RetryBudget
@@ -44,6 +47,7 @@
 # The same for a stream, whose time-out is its latency objective or this minimum.
 MIN_STREAM_HEAD_TIMEOUT_SECONDS = 2.5
 MAX_REJECTIONS = 4
+PROOF_TIMEOUT_SECONDS = 0.3
 # A replica that rejected a request is avoided for this time, unless no other replica is
 # available.
 REJECTION_BACKOFF_SECONDS = 0.25
@@ -57,7 +61,9 @@
         "replica_draining",
         "replica_leaving",
         "replica_limited",
+        "replica_restarted",
         "replica_resting",
+        "replica_unproven",
     }
 )
 # Failures that don't count in the health statistics of the replica.
@@ -256,11 +262,44 @@
             conn = await self._acquire(ctx, handle)
         try:
             self._check_after_wait(ctx, handle, permit)
+            await self._prove_start(ctx, handle, conn)
         except (AttemptFailedError, RefusedError):
             handle.pool.release(conn)
             raise
         return conn
 
+    async def _prove_start(
+        self, ctx: RequestContext, handle: ReplicaHandle, conn: ClientConnection
+    ) -> None:
+        """Check that a connection leads to the registered start of a replica.
+
+        A replica may start again under its identifier and address with another software
+        version, before its registration tells. All requests on a connection reach the
+        same process, so one report proves it for the lifetime of the connection. A
+        replica with a rate limit is not asked, because each report needs a permit.
+
+        Raises
+        ------
+        AttemptFailedError
+            If the replica has started again, or does not answer.
+        """
+        replica = handle.replica
+        is_known = conn in handle.proven or handle.is_limited or not replica.started_ms
+        if is_known or not self._streams.needs_proof(ctx):
+            return
+        try:
+            started_ms = await with_timeout(
+                self._timers, _read_start_ms(conn, replica), PROOF_TIMEOUT_SECONDS
+            )
+        except (HttpError, TimeoutError, DecodeError) as exc:
+            conn.abort()
+            raise AttemptFailedError("replica_unproven", not_run=True) from exc
+        if started_ms not in (None, replica.started_ms):
+            conn.abort()
+            handle.pool.close_idle()
+            raise AttemptFailedError("replica_restarted", not_run=True)
+        handle.proven.add(conn)
+
     async def _acquire(
         self, ctx: RequestContext, handle: ReplicaHandle
     ) -> ClientConnection:
@@ -416,6 +455,12 @@
             conn.abort()
 
 
+async def _read_start_ms(conn: ClientConnection, replica: Replica) -> int | None:
+    """Return when the process at the end of a connection started, if it tells."""
+    await conn.request(encode_report_request(replica.address))
+    return decode_start_ms(await conn.read_all(MAX_BUFFERED_RESPONSE_BYTES))
+
+
 def _is_attributable(info: ResponseInfo, conn: ClientConnection) -> bool:
     """Return whether a rejection answers the request that was sent.
 
--- a/camphorrun/gateway/replica_handle.py
+++ b/camphorrun/gateway/replica_handle.py
@@ -2,10 +2,11 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
+from weakref import WeakSet
 
 from ..catalog import Replica, ReplicaState
 from ..core import TimerService
-from ..http1 import ConnectionPool, ResponseHead
+from ..http1 import ClientConnection, ConnectionPool, ResponseHead
 from ..platform import ReplicaNotice, decode_replica_notice
 from ..routing import EndpointState
 from .errors import PermitRefusedError, ReplicaUnavailableError
@@ -91,6 +92,8 @@
     rejection_backoff_until : float
         End of the back-off after the replica rejected a request. Without it, its low
         load would attract all further requests.
+    proven : WeakSet of ClientConnection
+        Connections that are known to lead to this start of the replica.
     permit_refused_until : float
         Until when no permit is requested, if the replica has a rate limit.
     permit_expected_at : float
@@ -106,6 +109,7 @@
         "permit_expected_at",
         "permit_refused_until",
         "pool",
+        "proven",
         "rejection_backoff_until",
         "replica",
         "recent_results",
@@ -126,6 +130,7 @@
         self._timers = timers
         self._permits = permits
         self._on_notice = on_notice
+        self.proven: WeakSet[ClientConnection] = WeakSet()
         self.permit_refused_until = float("-inf")
         self.permit_expected_at = float("-inf")
         self.rejection_backoff_until = float("-inf")
--- a/camphorrun/gateway/stage_calls.py
+++ b/camphorrun/gateway/stage_calls.py
@@ -11,8 +11,8 @@
     StageItemResult,
     decode_free_space,
     decode_stage_response,
-    encode_free_space_request,
     encode_release,
+    encode_report_request,
     encode_stage_call,
 )
 from .errors import ReplicaUnavailableError
@@ -66,7 +66,7 @@
     HttpError, DecodeError, ReplicaUnavailableError, TimeoutError
         As for ``make_results``.
     """
-    data = encode_free_space_request(handle.replica.address)
+    data = encode_report_request(handle.replica.address)
     return await _exchange(
         handle, data, timers, SPACE_TIMEOUT_SECONDS, decode_free_space
     )
--- a/camphorrun/gateway/stream_records.py
+++ b/camphorrun/gateway/stream_records.py
@@ -94,6 +94,13 @@
         if self._versions.has_unsaved:
             self._has_news.set()
 
+    def needs_proof(self, ctx: RequestContext) -> bool:
+        """Return whether the version of the replica must be certain for a request."""
+        if ctx.required_version is not None:
+            return True
+        now = self._timers.now()
+        return _can_be_taken_up(ctx) and self._versions.has_several(ctx.service, now)
+
     async def wait_for_record(self, ctx: RequestContext) -> None:
         """Wait until the record of a stream is written that replaces another one."""
         if not ctx.awaits_record:
--- a/camphorrun/gateway/tests/test_stream_versions.py
+++ b/camphorrun/gateway/tests/test_stream_versions.py
@@ -260,6 +260,29 @@
         run_scenario(scenario, plain=0)
 
 
+class TestRestarts:
+    """A replica that starts again under its identifier with another version."""
+
+    def test_replica_that_has_started_again_unnoticed(self):
+        """Guards against the belief in a registration of an earlier start."""
+
+        async def scenario(cluster):
+            first, second, *_ = await add_version(cluster, "v1", 2)
+            await begin_stream(cluster, "s1", first)
+            await add_version(cluster, "v2")
+            # The first one returns as v2, and its registration is not renewed.
+            first.on_restart = None
+            first.script.label, first.script.down_s = "v2.", 0.05
+            first.crash()
+            await asyncio.sleep(0.2)
+            for number in range(8):
+                status, body, _ = await take_up(cluster, f"t{number}", "s1")
+                assert (status, versions_in(body)) == (200, {b"v1"})
+            assert second.runs
+
+        run_scenario(scenario, plain=0)
+
+
 class TestAdmission:
     """Take-ups while new streams are refused."""
 
--- a/camphorrun/platform/__init__.py
+++ b/camphorrun/platform/__init__.py
@@ -9,7 +9,7 @@
 ``ResponseInfo``, ``decode_response_info``, ``relay_headers``, ``refusal_headers``,
 ``event_id``, ``ReplicaNotice``, ``decode_replica_notice``,
 ``StageItem``, ``StageItemResult``, ``StageFault``, ``encode_stage_call``,
-``decode_stage_response``, ``encode_release``, ``encode_free_space_request``,
+``decode_stage_response``, ``encode_release``, ``encode_report_request``,
 ``decode_free_space``.
 """
 
@@ -33,8 +33,9 @@
     StageItemResult,
     decode_free_space,
     decode_stage_response,
-    encode_free_space_request,
+    decode_start_ms,
     encode_release,
+    encode_report_request,
     encode_stage_call,
 )
 from .store import StoreClient
@@ -68,9 +69,10 @@
     "decode_replica",
     "decode_free_space",
     "decode_stage_response",
+    "decode_start_ms",
     "encode_release",
     "encode_request",
-    "encode_free_space_request",
+    "encode_report_request",
     "encode_stage_call",
     "event_id",
     "refusal_headers",
--- a/camphorrun/platform/stages.py
+++ b/camphorrun/platform/stages.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from .decoding import MAX_NUMBER, decode_json
+from .decoding import MAX_NUMBER, Integer, decode_json
 from .errors import DecodeError
 
 _BYTES_PER_MEGABYTE = 1_000_000
@@ -72,6 +72,10 @@
     free_mb: Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 
 
+class _StartReport(msgspec.Struct):
+    born: Integer | None = None
+
+
 class _StageResponse(msgspec.Struct, rename="pascal"):
     items: list[_WireResult]
 
@@ -104,8 +108,22 @@
     return _encode_post(address, "/stage-free", body, "")
 
 
-def encode_free_space_request(address: str) -> bytes:
-    """Return the HTTP request that asks a replica for its free space."""
+def decode_start_ms(body: bytes) -> int | None:
+    """Return when the process that reports started, None if it does not tell.
+
+    Raises
+    ------
+    DecodeError
+        If the response is no report.
+    """
+    return decode_json(body, _StartReport, "report of a replica").born
+
+
+def encode_report_request(address: str) -> bytes:
+    """Return the HTTP request that asks a replica for its report.
+
+    It tells the free space for results, and when the process started.
+    """
     return f"GET /report HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
 
 
--- a/camphorrun/standins/platform_replica.py
+++ b/camphorrun/standins/platform_replica.py
@@ -82,6 +82,11 @@
         self._server = HttpServer(self._handle, timers)
         self._restart_task: asyncio.Task | None = None
 
+    @property
+    def born(self) -> int:
+        """Start time that the process tells, in milliseconds; it rises with a start."""
+        return 1 + len(self.crashes)
+
     @property
     def asked(self) -> int:
         """Number of requests of any kind, rejected ones too."""
@@ -125,7 +130,7 @@
             "State": "ready",
             "ColdRemainingMs": 0,
             "Sequence": 1,
-            "born": len(self.crashes),
+            "born": self.born,
             **fields,
         }
 
@@ -273,7 +278,7 @@
             "Queued": 0,
             "Busy": False,
             "FreeMb": self.free_bytes // 1_000_000,
-            "born": len(self.crashes),
+            "born": self.born,
         }
         fields = Headers(self._notices())
         responder.respond(200, fields, msgspec.json.encode(report))
