Let a route that can't be followed cost that route alone

The store had accepted that version, so it is in force, and all other routes of it must be served.

Requests of such a route are refused with 503 (`invalid_route`); the rest of the version is in force. A version that can't be decoded is still ignored as a whole. A prefix without a slash matches no path and needs no check.

--- a/camphorrun/catalog/deployment.py
+++ b/camphorrun/catalog/deployment.py
@@ -49,6 +49,9 @@
         True if the services run a language model.
     gap_objective_s : float
         Objective for the gap between two events of a stream, in seconds.
+    fault : str
+        Why requests of the route can't be served, empty if they can. The other routes
+        of the configuration are not affected.
     """
 
     name: str
@@ -65,6 +68,7 @@
     resumable: bool = False
     uses_engine: bool = False
     gap_objective_s: float = 0.0
+    fault: str = ""
 
     @property
     def repeatable(self) -> bool:
--- a/camphorrun/gateway/request_handler.py
+++ b/camphorrun/gateway/request_handler.py
@@ -30,6 +30,8 @@
 NOT_READY_RETRY_AFTER_SECONDS = 0.5
 # Lower bound of Retry-After when a stage of the request failed.
 MIN_STAGE_RETRY_AFTER_SECONDS = 0.5
+# A route that can't be followed waits for the operator's next configuration.
+INVALID_ROUTE_RETRY_AFTER_SECONDS = 5.0
 DRAINING = "draining"
 # Outcomes after which the caller does not send the request again.
 CODES_WITHOUT_RETRY = frozenset({"ok", "left", QUARANTINED})
@@ -205,8 +207,9 @@
         Raises
         ------
         RefusedError
-            If the gateway is draining or not ready, if no route matches, or if the
-            route requires an account and the API key belongs to none.
+            If the gateway is draining or not ready, if no route matches or the route
+            can't be followed, or if it requires an account and the API key belongs to
+            none.
         """
         if self._refuses_new_requests:
             raise RefusedError(
@@ -231,6 +234,13 @@
                 status=404,
             )
         account = self._find_account(deployment, route, caller)
+        if route.fault:
+            raise RefusedError(
+                f"route {route.name}: {route.fault}",
+                code="invalid_route",
+                status=503,
+                retry_after_s=INVALID_ROUTE_RETRY_AFTER_SECONDS,
+            )
         ctx = self._create_context(
             caller, route, account, deployment.rank(route, account)
         )
--- a/camphorrun/platform/configuration.py
+++ b/camphorrun/platform/configuration.py
@@ -114,8 +114,8 @@
     Raises
     ------
     DecodeError
-        If the configuration can't be decoded, or if a route of it can't be followed.
-        The caller then keeps the newest valid configuration in effect as a whole.
+        If the configuration can't be decoded. The caller then keeps the newest valid
+        configuration in effect.
     """
     raw = decode_json(data, _Configuration, "configuration")
     return Deployment(
@@ -131,7 +131,11 @@
     services = tuple((s.service, s.weight) for s in raw.split if s.weight > 0)
     if not raw.split:
         services = ((raw.service, 1),)
-    _check_route(raw, services)
+    if raw.route_type not in _ROUTE_KINDS:
+        raise DecodeError(
+            f"expected safe, unsafe or streaming, got {raw.route_type!r}",
+            field=f"routes.{raw.name}.kind",
+        )
     return Route(
         raw.name,
         raw.host.lower(),
@@ -150,35 +154,21 @@
         raw.resumable,
         raw.sticky,
         raw.gap_target_ms / 1000,
+        _route_fault(raw, services),
     )
 
 
-def _check_route(raw: _Route, services: tuple[tuple[str, float], ...]) -> None:
-    path = f"routes.{raw.name}"
-    if raw.route_type not in _ROUTE_KINDS:
-        raise DecodeError(
-            f"expected safe, unsafe or streaming, got {raw.route_type!r}",
-            field=f"{path}.kind",
-        )
+def _route_fault(raw: _Route, services: tuple[tuple[str, float], ...]) -> str:
+    """Return why the requests of a route can't be served, empty if they can."""
     if not services or not all(name for name, _ in services):
-        raise DecodeError(
-            "expected a service, or a split with a positive weight",
-            field=f"{path}.service",
-        )
-    if not raw.path_prefix.startswith("/"):
-        raise DecodeError(
-            f"expected a prefix with a leading slash, got {raw.path_prefix[:40]!r}",
-            field=f"{path}.path_prefix",
-        )
+        return "expected a service, or a split with a positive weight"
     if raw.timeout_ms <= 0:
-        raise DecodeError(
-            f"expected a positive time, got {raw.timeout_ms}",
-            field=f"{path}.timeout_ms",
-        )
+        return f"expected a positive time-out, got {raw.timeout_ms} ms"
     try:
         check_dependencies([stage.after for stage in raw.stages])
     except PipelineError as exc:
-        raise DecodeError(str(exc), field=f"{path}.stages") from exc
+        return str(exc)
+    return ""
 
 
 def _convert_service(raw: _Service) -> Service:
