Don't share a failed read of the stream records

Take-ups that wait for the same read of the store counted it as done also if it had failed, and went on with older records. And a stream of replicas whose registrations name no version was refused at the gateway that began it.

--- a/camphorrun/gateway/stream_records.py
+++ b/camphorrun/gateway/stream_records.py
@@ -68,7 +68,9 @@
         self._era = 0
         self._log_end = 0
         self._log_lock = asyncio.Lock()
+        # Number of reads that have begun, and of the last one that was complete.
         self._log_reads = 0
+        self._last_log_read = 0
         self._is_writing = False
         self._has_news = asyncio.Event()
         self._versions_changed = asyncio.Event()
@@ -144,8 +146,9 @@
     async def _find(self, service: str, attempt: str) -> tuple[str | None, str]:
         """Return the version that began a stream, and how it is known."""
         key = _stream_key(attempt)
-        if self._versions.began_here(key):
-            return self._versions.find(key) or None, "own"
+        version = self._versions.find(key)
+        if version and self._versions.began_here(key):
+            return version, "own"
         await self._read_for_take_up(service)
         version = self._versions.find(key)
         if version:
@@ -173,15 +176,17 @@
             await self._read_log()
 
     async def _read_log(self) -> None:
-        """Read the records up to now; calls at the same time share a read."""
-        reads = self._log_reads
+        """Read the records up to now; a read that began after this call will do."""
+        begun = self._log_reads
         async with self._log_lock:
-            if self._log_reads > reads:
+            if self._last_log_read > begun:
                 return
             self._log_reads += 1
+            number = self._log_reads
             is_complete = False
             while not is_complete:
                 is_complete = await self._read_log_page()
+            self._last_log_read = number
 
     async def _read_log_page(self) -> bool:
         try:
--- a/camphorrun/gateway/tests/test_stream_versions.py
+++ b/camphorrun/gateway/tests/test_stream_versions.py
@@ -10,6 +10,7 @@
 import pytest
 
 from ...http1 import HttpError
+from ...platform import StoreError
 from ..stage_waits import StageForecast
 from .cluster import STAGES, LocalCluster, configuration, route, run_scenario
 
@@ -247,6 +248,42 @@
 
         run_scenario(scenario, plain=0, gateways=2)
 
+    def test_replicas_without_a_version(self):
+        """Guards against refusals where registrations name no version."""
+
+        async def scenario(cluster):
+            (first,) = await add_version(cluster, "")
+            await begin_stream(cluster, "s1", first)
+            await add_version(cluster, "")
+            for gateway in (0, 1):
+                status, _, _ = await take_up(cluster, f"t{gateway}", "s1", gateway)
+                assert status == 200
+
+        run_scenario(scenario, plain=0, gateways=2)
+
+    def test_failed_read_is_not_shared(self):
+        """Guards against take-ups that rely on a read of the store that failed."""
+
+        async def scenario(cluster):
+            records = cluster.daemons[0]._stream_records
+            pages = []
+
+            async def read_page():
+                pages.append(len(pages))
+                await asyncio.sleep(0.01)
+                if len(pages) == 1:
+                    raise StoreError("cut off")
+                return True
+
+            records._read_log_page = read_page
+            reads = [records._read_log() for _ in range(4)]
+            results = await asyncio.gather(*reads, return_exceptions=True)
+            assert [type(result) for result in results].count(StoreError) == 1
+            # The second read began after the other three calls.
+            assert len(pages) == 2
+
+        run_scenario(scenario)
+
     def test_request_that_brought_no_event_starts_anew(self):
         """Guards against refusals of a retry that takes nothing up."""
 
