Let the shared read that fails be the one that others wait for

It lets the second one fail now, and fails on the code before (two reads instead of three). The code is unchanged.

--- a/camphorrun/gateway/tests/test_stream_versions.py
+++ b/camphorrun/gateway/tests/test_stream_versions.py
@@ -271,7 +271,7 @@
             async def read_page():
                 pages.append(len(pages))
                 await asyncio.sleep(0.01)
-                if len(pages) == 1:
+                if len(pages) == 2:
                     raise StoreError("cut off")
                 return True
 
@@ -279,8 +279,8 @@
             reads = [records._read_log() for _ in range(4)]
             results = await asyncio.gather(*reads, return_exceptions=True)
             assert [type(result) for result in results].count(StoreError) == 1
-            # The second read began after the other three calls.
-            assert len(pages) == 2
+            # The second read began after the last two calls; the third one is theirs.
+            assert len(pages) == 3
 
         run_scenario(scenario)
 
