Give a connection back if the caller leaves while its replica is proven

The report before a stream goes on is awaited with a connection in hand. A caller that left meanwhile took the connection's place in the pool with it, so a replica's pool ran dry one place at a time. The place is given back now, and permit, replica and quarantine are checked again after the report, as after every wait.

--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -263,9 +263,14 @@
         try:
             self._check_after_wait(ctx, handle, permit)
             await self._prove_start(ctx, handle, conn)
+            self._check_after_wait(ctx, handle, permit)
         except (AttemptFailedError, RefusedError):
             handle.pool.release(conn)
             raise
+        except BaseException:
+            conn.abort()
+            handle.pool.release(conn)
+            raise
         return conn
 
     async def _prove_start(
--- a/camphorrun/gateway/tests/test_stream_versions.py
+++ b/camphorrun/gateway/tests/test_stream_versions.py
@@ -11,6 +11,7 @@
 
 from ...http1 import HttpError
 from ...platform import StoreError
+from .. import attempts
 from ..stage_waits import StageForecast
 from .cluster import STAGES, LocalCluster, configuration, route, run_scenario
 
@@ -319,6 +320,29 @@
 
         run_scenario(scenario, plain=0)
 
+    def test_caller_that_leaves_during_the_proof(self, monkeypatch):
+        """Guards against connections that are lost to the pool of a replica."""
+
+        async def scenario(cluster):
+            (first,) = await add_version(cluster, "v1")
+            await begin_stream(cluster, "s1", first)
+            pool = cluster.daemons[0]._replica_pool.get(first.identifier).pool
+            free = pool._slots._value
+            asked = asyncio.Event()
+
+            async def hang(*_args):
+                asked.set()
+                await asyncio.Event().wait()
+
+            monkeypatch.setattr(attempts, "_read_start_ms", hang)
+            monkeypatch.setattr(attempts, "PROOF_TIMEOUT_SECONDS", 5.0)
+            caller = asyncio.ensure_future(take_up(cluster, "t1", "s1"))
+            await asked.wait()
+            caller.cancel()
+            await cluster.wait_until(lambda: pool._slots._value == free)
+
+        run_scenario(scenario, plain=0)
+
 
 class TestAdmission:
     """Take-ups while new streams are refused."""
