List a topic again also if the store doesn't say what is left of it

Since the answer to a read of deleted records is decoded for the first offset that is left. If it couldn't be decoded, the read counted as failed and the topic was never listed again. And since a page of a listing on which no item is valid ended the listing as if it were complete, which removes the keys of later pages.

--- a/camphorrun/platform/store.py
+++ b/camphorrun/platform/store.py
@@ -138,7 +138,7 @@
             raise StoreError(
                 f"{topic}: records at {offset} were deleted",
                 code="trimmed",
-                first_offset=_decode(body, _DeletedRecords).first,
+                first_offset=_first_offset(body),
             )
         self._require_success(status, body)
         return _decode_records(topic, era, body, offset)
@@ -174,8 +174,10 @@
             listed = [_convert_listed_record(topic, era, item) for item in page.items]
             records.extend(filter(None, listed))
             last = next((r.key for r in reversed(listed) if r is not None), "")
-            if not page.has_more or not last:
+            if not page.has_more or not page.items:
                 return RecordPage(tuple(records), end, is_listing=True, era=era)
+            if not last:
+                raise StoreError(f"{topic}: page of a listing without a valid key")
             after = last
         raise StoreError(f"{topic}: listing has more than {MAX_PAGES} pages")
 
@@ -301,6 +303,14 @@
         ) from exc
 
 
+def _first_offset(body: bytes) -> int | None:
+    """Return the first offset that is left, None if the response does not tell it."""
+    try:
+        return decode_json(body, _DeletedRecords, "response").first
+    except DecodeError:
+        return None
+
+
 def _owner_rows(response: object) -> list[list]:
     """Return the rows of a group listing.
 
--- a/camphorrun/platform/tests/test_foreign_bytes.py
+++ b/camphorrun/platform/tests/test_foreign_bytes.py
@@ -188,6 +188,21 @@
         page = asyncio.run(_client(200, body).list_records(REPLICA_TOPIC))
         assert "i-1" in {record.key for record in page.records}
 
+    @pytest.mark.parametrize(
+        ("body", "first"), [(b'{"First":7}', 7), (b"", None), (b'{"First":"x"}', None)]
+    )
+    def test_deleted_records(self, body, first):
+        """Guards against a topic that is not listed again after its records went."""
+        with pytest.raises(StoreError) as caught:
+            asyncio.run(_client(410, body).read_records(REPLICA_TOPIC, 0, 3))
+        assert (caught.value.code, caught.value.first_offset) == ("trimmed", first)
+
+    def test_page_without_a_valid_key(self):
+        """Guards against a listing that ends early and removes what it lacks."""
+        body = b'{"Items":[{"Key":1}],"HasMore":true,"End":9}'
+        with pytest.raises(StoreError):
+            asyncio.run(_client(200, body).list_records(REPLICA_TOPIC))
+
     @given(text=st.one_of(st.text(max_size=8), st.sampled_from(["9" * 5000, "٣"])))
     def test_odd_era(self, text):
         """Guards against an era that ends the reading of the store."""
