--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -16,6 +16,7 @@
 
 from .mutations_crashes import CRASH_MUTATIONS
 from .mutations_fleet import FLEET_MUTATIONS, Mutation
+from .mutations_streams import STREAM_MUTATIONS
 
 ROOT = Path(__file__).resolve().parent.parent
 TIMEOUT_SECONDS = 120
@@ -510,7 +511,12 @@
     args = parser.parse_args()
     chosen = [
         each
-        for each in MUTATIONS + FLEET_MUTATIONS + CRASH_MUTATIONS
+        for each in (
+            *MUTATIONS,
+            *FLEET_MUTATIONS,
+            *CRASH_MUTATIONS,
+            *STREAM_MUTATIONS,
+        )
         if args.only in each.mechanism
     ]
     bad = 0
--- a/tools/mutations_fleet.py
+++ b/tools/mutations_fleet.py
@@ -90,8 +90,7 @@
     Mutation(
         "limits: a new gateway learns the limits before it is ready",
         "camphorrun/gateway/peers.py",
-        "        self._state.merge_rate_limits(answer.rate_limits, "
-        "self._timers.now(), address)\n",
+        "        self._state.merge_rate_limits(answer.rate_limits, now, address)\n",
         "",
         LIMITS,
     ),
@@ -127,8 +126,8 @@
     Mutation(
         "fleet: what waited for a connection is checked again",
         "camphorrun/gateway/attempts.py",
-        "            self._check_after_wait(ctx, handle, permit)\n",
-        "            pass\n",
+        "        self._guard.check(ctx)\n        if ctx.end_at",
+        "        return\n        if ctx.end_at",
         f"{NOTICES} {READERS}",
     ),
     Mutation(
@@ -197,7 +196,7 @@
     Mutation(
         "fleet: a stream cut in the middle of an event is broken",
         "camphorrun/gateway/response_relay.py",
-        "        if buffer.remainder and not conn.has_framed_body:",
+        "        if buffer.is_within_event:",
         "        if False:",
         SLOW,
     ),
@@ -211,8 +210,8 @@
     Mutation(
         "fleet: one gateway of a zone reads the store",
         "camphorrun/gateway/zone_readers.py",
-        "            if await self._sync_from(address):",
-        "            if False:",
+        "                is_fresh = await self._sync_from(address)\n",
+        "                is_fresh = False\n",
         READERS,
     ),
     Mutation(
@@ -232,7 +231,7 @@
     Mutation(
         "fleet: nothing is served after a pause before it is confirmed",
         "camphorrun/gateway/store_sync.py",
-        "        self._state.require_confirmation()\n",
+        "        self._state.require_confirmation(self._timers.now())\n",
         "        pass\n",
         READERS,
     ),
@@ -309,8 +308,8 @@
     Mutation(
         "eras: a new process asks its peers before it serves",
         "camphorrun/gateway/state.py",
-        "known and self.peers_queried and not self.awaits_confirmation",
-        "known and not self.awaits_confirmation",
+        "queried = self.peers_queried and self.quarantine_queried",
+        "queried = self.quarantine_queried",
         ERAS,
     ),
     Mutation(
--- /dev/null
+++ b/tools/mutations_streams.py
@@ -0,0 +1,100 @@
+"""Mutations of what keeps software versions apart, and configurations in time.
+
+Run by ``python -m tools.mutations`` with those of the other mechanisms.
+"""
+
+from .mutations_fleet import Mutation
+
+STREAMS = "camphorrun/gateway/tests/test_stream_versions.py"
+BOUNDS = "camphorrun/gateway/tests/test_reader_bounds.py"
+LATE = "camphorrun/gateway/tests/test_late_configuration.py"
+VERSIONS = "camphorrun/gateway/tests/test_configuration_versions.py"
+FOREIGN = "camphorrun/platform/tests/test_foreign_bytes.py"
+RECORDS = "camphorrun/gateway/stream_records.py"
+
+STREAM_MUTATIONS = (
+    Mutation(
+        "versions: a stream goes on at its version within an answer",
+        "camphorrun/gateway/response_relay.py",
+        "            ctx.required_version = ctx.sent_version\n",
+        "            pass\n",
+        STREAMS,
+    ),
+    Mutation(
+        "versions: a take-up needs the version that began it",
+        RECORDS,
+        "        ctx.required_version = version\n",
+        "        pass\n",
+        STREAMS,
+    ),
+    Mutation(
+        "versions: the store has the versions of a service",
+        RECORDS,
+        "            await self._store.append_record(VERSION_TOPIC, key, value)\n",
+        "            pass\n",
+        STREAMS,
+    ),
+    Mutation(
+        "versions: the store has the versions of streams",
+        RECORDS,
+        "            records = self._versions.take_unsaved()\n",
+        "            records = []\n",
+        STREAMS,
+    ),
+    Mutation(
+        "versions: earlier streams are recorded when a second version appears",
+        "camphorrun/routing/stream_versions.py",
+        "                self._unsaved[attempt] = None\n\n    def of_service",
+        "                pass\n\n    def of_service",
+        STREAMS,
+    ),
+    Mutation(
+        "versions: the start of a replica is proven",
+        "camphorrun/gateway/attempts.py",
+        "        if is_known or not self._streams.needs_proof(ctx):\n",
+        "        if True:\n",
+        STREAMS,
+    ),
+    Mutation(
+        "versions: a take-up is admitted by its deadline",
+        "camphorrun/gateway/request_handler.py",
+        "            objective_s *= TAKE_UP_OBJECTIVE_FACTOR\n",
+        "            is_retry = False\n",
+        STREAMS,
+    ),
+    Mutation(
+        "configuration: polls are short",
+        "camphorrun/gateway/store_sync.py",
+        "CONFIGURATION_WAIT_SECONDS = 1.0\n",
+        "CONFIGURATION_WAIT_SECONDS = 3.0\n",
+        LATE,
+    ),
+    Mutation(
+        "configuration: a reader without fresh registrations is left",
+        "camphorrun/gateway/zone_readers.py",
+        "{REPLICA_TOPIC: 1.0, ",
+        "{REPLICA_TOPIC: 1.6, ",
+        BOUNDS,
+    ),
+    Mutation(
+        "configuration: a confirmation counts from the request",
+        "camphorrun/gateway/zone_readers.py",
+        "self._state.confirm(topic, asked_at - max(0.0, age_s))",
+        "self._state.confirm(topic, self._timers.now() - max(0.0, age_s))",
+        BOUNDS,
+    ),
+    Mutation(
+        "configuration: versions only grow",
+        "camphorrun/gateway/state.py",
+        "deployment.version < in_force.version:",
+        "False:",
+        VERSIONS,
+    ),
+    Mutation(
+        "foreign bytes: deep nesting and digits end in the decoder's error",
+        "camphorrun/platform/decoding.py",
+        "    except (msgspec.DecodeError, RecursionError, ValueError) as exc:\n",
+        "    except msgspec.DecodeError as exc:\n",
+        FOREIGN,
+    ),
+)
