--- a/review/rig.py
+++ b/review/rig.py
@@ -32,6 +32,9 @@
 EXIT_BROKEN = 1
 EXIT_FAILED = 2
 
+# Ports that were given out, on which nothing may listen yet.
+_given_ports: set[int] = set()
+
 REASONS = {200: "OK", 404: "Not Found", 410: "Gone", 421: "Misdirected Request"}
 LIMITS = {
     "MaxHeaderBytes": 16384,
@@ -108,8 +111,11 @@
     """Return a loopback address on which nothing listens."""
     while True:
         port = random.randint(*PORT_RANGE)
+        if port in _given_ports:
+            continue
         with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind(("127.0.0.1", port))
+            _given_ports.add(port)
             return f"127.0.0.1:{port}"
 
 
