Accept no API key once the last one is revoked

Cause: a key was asked for only if the table of keys was not empty, and the decoder made the same empty table from a configuration without client accounts and from one whose accounts have no key left.

Change: the table is None without client accounts; an empty one accepts no key. The presence of the field decides. An empty key in a configuration belongs to no account; it would have let requests without a key run for it, which is the same confusion of nothing and anyone.

Ruled out: a peer or a copy of the store that brings an older configuration; both gateways had the last version in force.

--- a/camphorrun/catalog/deployment.py
+++ b/camphorrun/catalog/deployment.py
@@ -177,20 +177,28 @@
 class Deployment:
     """One version of the configuration.
 
+    Attributes
+    ----------
+    accounts : dict of str to Account, or None
+        Client accounts by API key; None if the configuration has no client accounts, so
+        that requests need no key. Without any key, an empty dict, none is accepted.
+
     Examples
     --------
     >>> route = Route("r", "a.test", "/x/", RouteKind.SAFE, 1.0, 0.2, 1, (("s", 1),))
-    >>> deployment = Deployment(7, (route,), {})
+    >>> deployment = Deployment(7, (route,), {}, {"k": Account("acc")})
     >>> deployment.route("a.test", "/x/y").name
     'r'
     >>> deployment.route("a.test", "/y/") is None
     True
+    >>> deployment.account("k").name, deployment.accepts(route, "other")
+    ('acc', False)
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
-    accounts: dict[str, Account] = field(default_factory=dict)
+    accounts: dict[str, Account] | None = None
     limits: CallerLimits | None = None
     _routes_by_host: dict[str, list[Route]] = field(default_factory=dict)
 
@@ -207,6 +215,16 @@
                 return route
         return None
 
+    def account(self, key: str) -> Account | None:
+        """Return the client account that holds an API key, None if there is none."""
+        # Requests without a key have an empty one, which belongs to no account.
+        return (self.accounts or {}).get(key) if key else None
+
+    def accepts(self, route: Route, key: str) -> bool:
+        """Return whether requests of a route may run with an API key."""
+        needs_key = self.accounts is not None and not route.public
+        return not needs_key or self.account(key) is not None
+
     def rank(self, route: Route, account: Account | None) -> int:
         """Return the rank of a request; 0 is the most urgent.
 
@@ -217,7 +235,7 @@
 
     @cached_property
     def _lowest_rank(self) -> int:
-        accounts = list(self.accounts.values()) or [None]
+        accounts = list((self.accounts or {}).values()) or [None]
         ranks = (
             _request_rank(route, account)
             for route in self.routes
--- a/camphorrun/gateway/request_handler.py
+++ b/camphorrun/gateway/request_handler.py
@@ -260,12 +260,11 @@
     def _find_account(
         self, deployment: Deployment, route: Route, caller: CallerRequest
     ) -> Account | None:
-        account = deployment.accounts.get(caller.credential)
-        if account is None and deployment.accounts and not route.public:
+        if not deployment.accepts(route, caller.credential):
             raise RefusedError(
                 "the API key belongs to no account", code="unknown_key", status=401
             )
-        return account
+        return deployment.account(caller.credential)
 
     def _create_context(
         self, caller: CallerRequest, route: Route, account: Account | None, rank: int
--- a/camphorrun/platform/configuration.py
+++ b/camphorrun/platform/configuration.py
@@ -105,7 +105,8 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits | None = None
-    tenants: list[_Tenant] = []
+    # API keys are needed if the field is there, also if nothing is in it.
+    tenants: list[_Tenant] | msgspec.UnsetType = msgspec.UNSET
 
 
 def decode_deployment(data: bytes) -> Deployment:
@@ -122,11 +123,19 @@
         raw.version,
         tuple(_convert_route(item) for item in raw.routes),
         {item.name: _convert_service(item) for item in raw.services},
-        {key: Account(t.name, t.priority) for t in raw.tenants for key in t.api_keys},
+        _convert_accounts(raw.tenants),
         _convert_limits(raw.limits),
     )
 
 
+def _convert_accounts(
+    tenants: list[_Tenant] | msgspec.UnsetType,
+) -> dict[str, Account] | None:
+    if tenants is msgspec.UNSET:
+        return None
+    return {key: Account(t.name, t.priority) for t in tenants for key in t.api_keys}
+
+
 def _convert_route(raw: _Route) -> Route:
     services = tuple((s.service, s.weight) for s in raw.split if s.weight > 0)
     if not raw.split:
--- a/tools/mutations_fleet.py
+++ b/tools/mutations_fleet.py
@@ -20,6 +20,7 @@
 NOTICES = "camphorrun/gateway/tests/test_notices.py"
 READERS = "camphorrun/gateway/tests/test_readers.py"
 ERAS = "camphorrun/gateway/tests/test_eras.py"
+ACCOUNTS = "camphorrun/gateway/tests/test_accounts.py"
 VIEW_ERAS = "camphorrun/catalog/tests/test_eras.py"
 TRANSFERS = "camphorrun/pipeline/tests/test_transfers.py"
 SLOW = "camphorrun/gateway/tests/test_slow_streams.py"
@@ -354,4 +355,18 @@
         "        if False:",
         TRANSFERS,
     ),
+    Mutation(
+        "keys: an empty table of keys accepts none",
+        "camphorrun/catalog/deployment.py",
+        "needs_key = self.accounts is not None and not route.public",
+        "needs_key = bool(self.accounts) and not route.public",
+        ACCOUNTS,
+    ),
+    Mutation(
+        "keys: an empty key belongs to no account",
+        "camphorrun/catalog/deployment.py",
+        "return (self.accounts or {}).get(key) if key else None",
+        "return (self.accounts or {}).get(key)",
+        ACCOUNTS,
+    ),
 )
