End requests that wait for shared work at their time-out

Cause: the owner of a stage service awaited the pieces of a request for as long as their call took, three times its expected time and 0.3 s. Deadlines ended only pieces in the queue. The class: each wait of a request had a bound of its own, or none, and nothing ended the request itself.

Change: the owner awaits the pieces until their deadline. The call goes on for other requests, and results that arrive later are released. No owner is asked after the deadline of an order. And a request that still waits 0.05 s after its deadline or time-out, for a permit, a record, a connection, a proof, a trial or its stages, is cancelled and answered with `overdue`: 503 if it can't have run, else 504. An answer that a replica has begun is not cut.

Ruled out: a shorter time-out of the call. It would fail slow but sound calls for all requests in them, and a request may have less time left than any sensible call.

--- a/camphorrun/gateway/context.py
+++ b/camphorrun/gateway/context.py
@@ -79,6 +79,8 @@
         Right to send the request although it is quarantined.
     blocked_by : frozenset of str or None
         Cause that was blocked while the request waited, None if none was.
+    is_overdue : bool
+        Whether the request was ended because it still waited at ``end_at``.
     """
 
     caller: CallerRequest
@@ -110,6 +112,7 @@
     has_cleared: bool = False
     trial: Trial | None = None
     blocked_by: Cause | None = None
+    is_overdue: bool = False
 
     def __post_init__(self):
         # The last part belongs to the request itself or to its session.
--- a/camphorrun/gateway/owner_calls.py
+++ b/camphorrun/gateway/owner_calls.py
@@ -19,6 +19,7 @@
 # Fault codes of a reply that the requesting gateway handles itself.
 MOVED = "moved"
 BUSY = "busy"
+LATE = "late"
 
 
 class OwnerCalls:
@@ -60,7 +61,8 @@
 
         If the owners are unreachable, this daemon makes the pieces. Pieces that an
         owner made before the service moved to another one are kept. If the request
-        fails, the results that exist are released.
+        fails, the results that exist are released. No owner is asked after the
+        deadline.
         """
         started_at = self._timers.now()
         handles: dict[int, str] = {}
@@ -70,6 +72,9 @@
         try:
             while True:
                 elapsed_s = self._timers.now() - started_at
+                if elapsed_s >= order.deadline_left_s:
+                    reply = PieceReply({}, LATE)
+                    break
                 forced = bool(unreachable) or redirects >= MAX_REDIRECTS
                 remaining_order = _order_for_missing(order, handles, elapsed_s, forced)
                 reply = await self._call_owner(owner, remaining_order)
--- a/camphorrun/gateway/request_handler.py
+++ b/camphorrun/gateway/request_handler.py
@@ -47,6 +47,11 @@
 # first event, so its stages must not be refused for missing the time of that one.
 TAKE_UP_OBJECTIVE_FACTOR = 2.0
 STAGE_FAILED = "stage_failed"
+OVERDUE = "overdue"
+OVERDUE_RETRY_AFTER_SECONDS = 0.5
+# Time after the end of a request in which its own time-outs end it. They know better
+# what it waited for.
+OVERDUE_DELAY_SECONDS = 0.05
 # Refusal codes by the code of the ``StageError``.
 _REFUSAL_CODES = {
     "late": "stage_late",
@@ -95,11 +100,16 @@
         attempt_id = ""
         route_name = ""
         code = "left"
+        overdue_timer = None
         try:
             caller = decode_caller_request(req)
             attempt_id = caller.attempt_id
             ctx = self._context_by_task[task] = self._accept(caller)
             route_name = ctx.route.name
+            overdue_timer = self._timers.call_after(
+                ctx.end_at + OVERDUE_DELAY_SECONDS - self._timers.now(),
+                partial(self._end_overdue_request, task, ctx),
+            )
             await self._guard.admit(ctx)
             await self._streams.resolve(ctx)
             await self._serve(ctx, responder)
@@ -117,6 +127,8 @@
             code = exc.code
             self._refuse(responder, attempt_id, exc.status, exc.code, exc.retry_after_s)
         finally:
+            if overdue_timer is not None:
+                overdue_timer.cancel()
             ctx = self._context_by_task.pop(task)
             if route_name and code not in CODES_WITHOUT_RETRY:
                 self._retry_detector.expect_retry(route_name, self._timers.now())
@@ -143,12 +155,29 @@
             ctx.blocked_by = cause
             task.cancel()
 
+    def _end_overdue_request(self, task: asyncio.Task, ctx: RequestContext) -> None:
+        """Cancel and answer a request that still waits at its deadline or time-out.
+
+        It may wait for work that it shares with others: a call, an order, a permit, a
+        connection or a record. A replica's answer is relayed with time-outs of its own.
+        """
+        if not ctx.answer_begun:
+            ctx.is_overdue = True
+            task.cancel()
+
     def _refusal_after_cancellation(
         self, ctx: RequestContext | None
     ) -> RefusedError | None:
         """Return why this gateway cancelled a request, None if the caller left."""
         if ctx is not None and ctx.blocked_by is not None:
             return self._guard.refusal(ctx, ctx.blocked_by)
+        if ctx is not None and ctx.is_overdue:
+            return RefusedError(
+                "the request was not answered by its deadline or time-out",
+                code=OVERDUE,
+                status=504 if ctx.may_have_run else 503,
+                retry_after_s=0.0 if ctx.may_have_run else OVERDUE_RETRY_AFTER_SECONDS,
+            )
         if not self._is_ending:
             return None
         # 503 promises that the request has not run; otherwise the status is 502.
--- a/camphorrun/gateway/stage_owner.py
+++ b/camphorrun/gateway/stage_owner.py
@@ -8,7 +8,7 @@
 from functools import partial
 
 from ..catalog import StageCapacity
-from ..core import EventLog, TimerService
+from ..core import EventLog, TimerService, with_timeout
 from ..http1 import HttpError
 from ..metrics import Metrics
 from ..pipeline import BatchQueue, CallPacer, PieceGroup
@@ -157,10 +157,13 @@
         ``forced`` group are never handed over. Without ``accept_late``, a group that
         would miss its objective is rejected with the code ``busy``.
 
+        A call that is in progress at the deadline of the group goes on, as other groups
+        may have pieces in it; the results of this one are released when they arrive.
+
         Raises
         ------
         StageError
-            If a piece can't be made.
+            If a piece can't be made, or with code ``late`` at the deadline.
         """
         if not accept_late:
             self._reject_if_late(group)
@@ -172,8 +175,11 @@
         self._pacer.on_arrival(self._timers.now())
         self._dispatch()
         try:
-            await job.future
+            left_s = group.deadline_at - self._timers.now()
+            await with_timeout(self._timers, job.future, left_s)
             return job.results
+        except TimeoutError:
+            raise self._stage_error(group, "late") from None
         finally:
             del jobs[group]
             self._queue.remove(group)
@@ -560,12 +566,16 @@
     def _fail(self, group: PieceGroup, code: str, retry_after_s: float = 0.0) -> None:
         job = self._find_job(group)
         if job is not None and not job.future.done():
-            text = f"stage {group.stage} of service {self._service} failed: {code}"
-            error = StageError(text, code=code, retry_after_s=retry_after_s)
-            job.future.set_exception(error)
+            job.future.set_exception(self._stage_error(group, code, retry_after_s))
         group.waiting_pieces = deque()
         self._queue.remove(group)
 
+    def _stage_error(
+        self, group: PieceGroup, code: str, retry_after_s: float = 0.0
+    ) -> StageError:
+        text = f"stage {group.stage} of service {self._service} failed: {code}"
+        return StageError(text, code=code, retry_after_s=retry_after_s)
+
 
 def _cross_zone_bytes(batch: list[tuple[PieceGroup, int]], zone: str) -> int:
     """Return the bytes that the groups of a call move between zones."""
--- a/tools/mutations_fleet.py
+++ b/tools/mutations_fleet.py
@@ -21,6 +21,7 @@
 READERS = "camphorrun/gateway/tests/test_readers.py"
 ERAS = "camphorrun/gateway/tests/test_eras.py"
 ACCOUNTS = "camphorrun/gateway/tests/test_accounts.py"
+OVERDUE = "camphorrun/gateway/tests/test_overdue_requests.py"
 VIEW_ERAS = "camphorrun/catalog/tests/test_eras.py"
 TRANSFERS = "camphorrun/pipeline/tests/test_transfers.py"
 SLOW = "camphorrun/gateway/tests/test_slow_streams.py"
@@ -369,4 +370,25 @@
         "return (self.accounts or {}).get(key)",
         ACCOUNTS,
     ),
+    Mutation(
+        "time-outs: pieces in a call are awaited until their deadline",
+        "camphorrun/gateway/stage_owner.py",
+        "            await with_timeout(self._timers, job.future, left_s)\n",
+        "            await job.future\n",
+        OVERDUE + "::TestStageCalls",
+    ),
+    Mutation(
+        "time-outs: no owner is asked after the deadline",
+        "camphorrun/gateway/owner_calls.py",
+        "                if elapsed_s >= order.deadline_left_s:",
+        "                if False:",
+        OVERDUE,
+    ),
+    Mutation(
+        "time-outs: a request that still waits is ended",
+        "camphorrun/gateway/request_handler.py",
+        "        if not ctx.answer_begun:\n            ctx.is_overdue",
+        "        if False:\n            ctx.is_overdue",
+        OVERDUE + "::TestSharedWork",
+    ),
 )
