--- a/camphorrun/gateway/tests/test_overdue_requests.py
+++ b/camphorrun/gateway/tests/test_overdue_requests.py
@@ -1,7 +1,6 @@
 """Tests of requests that wait for shared work when their time-out passes."""
 
 import asyncio
-
 from unittest.mock import AsyncMock, Mock
 
 import pytest
