Let only current knowledge decide at which version a stream goes on

What callers saw: streams of 200 that held events of two software versions. A stream's first attempt failed at one version, another version began it, and the record of the first attempt was replaced; or a gateway that was cut off during a release got the take-up of a stream which another gateway had begun at the new version.

Cause: what may have been replaced decided. A take-up believed the first answer of a peer that was not empty, from an earlier read of the peer; its own earlier read, if the store could not be read now; the only version that it knew, though nobody could tell whether another one had joined; and the first record in a copy of the store that lacks the second.

Change: these decide: the gateway that has sent the stream; a read of the store that began after the take-up arrived; one version in all of what was read, but not within 3 s of the store's return from a copy; if this gateway can't read the store, two peers that can. Records carry the number of the attempt, and the highest counts, as a write that was given up may reach the store late; and the era, as a copy may lack what replaced them. An unknown version is None, apart from the empty one of replicas without a version. Take-ups have a module of their own.

Ruled out: ages of peers' answers. A record that was replaced is wrong at any age.

Evidence: ten of the thirteen cases of test_take_ups failed before: an outdated record of a peer and the own one, with the sender alive and gone, without the store, after an older copy; a version that joined while the gateway was cut off, with and without peers, sender alive and gone; and a take-up that a peer's read of the store could decide, which was refused. Three cases show that take-ups go on as before.

--- a/camphorrun/gateway/daemon.py
+++ b/camphorrun/gateway/daemon.py
@@ -30,6 +30,7 @@
 from .state import GatewayState
 from .store_sync import StoreSync
 from .stream_records import StreamRecords
+from .take_ups import TakeUps
 from .zone_readers import ZoneReaders
 
 # The load balancer sends new connections for about this long after a drain has started.
@@ -163,9 +164,8 @@
             seed=self._rng.getrandbits(32),
         )
         self._quarantine_guard = QuarantineGuard(self.state, self._peers, **shared)
-        self._stream_records = StreamRecords(
-            self._store, self.state, self._peers, **shared
-        )
+        self._stream_records = StreamRecords(self._store, self.state, **shared)
+        self._take_ups = TakeUps(self._stream_records, self._peers, **shared)
         attempts = Attempts(
             selector,
             self._budget_of,
@@ -179,7 +179,7 @@
             selector,
             attempts,
             self._quarantine_guard,
-            self._stream_records,
+            self._take_ups,
             **shared,
         )
         self._supervisor.add("configuration", self._store_sync.follow_configuration)
@@ -212,7 +212,7 @@
             self._permit_owner.answer,
             self._quarantine_guard.receive,
             self._quarantine_guard.answer_trial,
-            self._stream_records.answer,
+            self._take_ups.answer,
             self.metrics.render,
             self.metrics,
         )
--- a/camphorrun/gateway/messages.py
+++ b/camphorrun/gateway/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-SCHEMA_VERSION = 5
+SCHEMA_VERSION = 6
 
 
 class RecordMessage(msgspec.Struct, array_like=True):
@@ -111,17 +111,38 @@
     version: int = SCHEMA_VERSION
 
 
+class StreamBatch(msgspec.Struct):
+    """Record of the store: streams that a gateway has sent, with their versions.
+
+    ``era`` is that of the store when the record was written. A store that was restored
+    from a copy has records of earlier eras that may lack what replaced them.
+    """
+
+    era: int
+    streams: list[tuple[str, str | None, int]]
+
+
 class StreamQuery(msgspec.Struct):
-    """Asks which software version began a stream, given by its key."""
+    """Asks which software version began a stream, given by its key.
+
+    Asks a gateway that did not send the stream to read the store for it if ``service``
+    names the service of the stream.
+    """
 
     stream: str
+    service: str = ""
     version: int = SCHEMA_VERSION
 
 
 class StreamReply(msgspec.Struct):
-    """Answer to a stream query; ``software`` is empty if it is not known."""
+    """Answer to a stream query.
+
+    ``is_certain`` is set if the sender of the reply has sent the stream, or has read
+    the store since it was asked. Gateways before schema 6 do not tell it.
+    """
 
     software: str
+    is_certain: bool = False
     version: int = SCHEMA_VERSION
 
 
--- a/camphorrun/gateway/peers.py
+++ b/camphorrun/gateway/peers.py
@@ -1,7 +1,7 @@
 """Calls between gateways over their internal addresses."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 
 import msgspec
@@ -394,7 +394,7 @@
         answer_permit: Callable[[PermitOrder], PermitReply],
         receive_quarantine: Callable[[QuarantineMessage], None],
         answer_trial: Callable[[TrialOrder], TrialReply],
-        answer_stream: Callable[[StreamQuery], StreamReply],
+        answer_stream: Callable[[StreamQuery], Awaitable[StreamReply]],
         render_metrics: Callable[[], bytes],
         metrics: Metrics,
     ):
@@ -447,7 +447,7 @@
             return encode(self._answer_trial(trial_order))
         if path == "/streams":
             query = msgspec.msgpack.decode(body, type=StreamQuery)
-            return encode(self._answer_stream(query))
+            return encode(await self._answer_stream(query))
         if path == "/release":
             self._release(msgspec.msgpack.decode(body, type=ReleaseOrder))
             return b""
--- a/camphorrun/gateway/request_handler.py
+++ b/camphorrun/gateway/request_handler.py
@@ -24,7 +24,7 @@
 from .replica_selection import ReplicaSelector
 from .stage_runner import StageRunner
 from .state import GatewayState
-from .stream_records import StreamRecords
+from .take_ups import TakeUps
 
 # Retry-After of refusals while configuration or registrations are not known yet.
 NOT_READY_RETRY_AFTER_SECONDS = 0.5
@@ -72,7 +72,7 @@
         selector: ReplicaSelector,
         attempts: Attempts,
         guard: QuarantineGuard,
-        streams: StreamRecords,
+        take_ups: TakeUps,
         *,
         timers: TimerService,
         metrics: Metrics,
@@ -83,7 +83,7 @@
         self._selector = selector
         self._attempts = attempts
         self._guard = guard
-        self._streams = streams
+        self._take_ups = take_ups
         self._timers = timers
         self._metrics = metrics
         self._events = events
@@ -111,7 +111,7 @@
                 partial(self._end_overdue_request, task, ctx),
             )
             await self._guard.admit(ctx)
-            await self._streams.resolve(ctx)
+            await self._take_ups.resolve(ctx)
             await self._serve(ctx, responder)
             code = "broken" if responder.aborted else "ok"
         except DecodeError as exc:
--- a/camphorrun/gateway/stream_records.py
+++ b/camphorrun/gateway/stream_records.py
@@ -1,4 +1,4 @@
-"""Records which software version began a stream, and looks it up for take-ups.
+"""Records which software version began a stream, in the store.
 
 A stream may go on only at the version that began it, at any gateway and also after all
 gateways were killed. The store has the versions of each service; while there are
@@ -14,15 +14,11 @@
 from ..core import EventLog, TimerService, with_timeout
 from ..metrics import Metrics
 from ..platform import STREAM_TOPIC, VERSION_TOPIC, StoreClient, StoreError
-from ..routing import StreamStart, StreamVersions
+from ..routing import StreamRecord, StreamStart, StreamVersions
 from .context import RequestContext
-from .errors import PeerError, RefusedError
-from .messages import StreamQuery, StreamReply
-from .peers import Peers
-from .replica_selection import VERSION_RETRY_AFTER_SECONDS
-from .state import GatewayState
+from .messages import StreamBatch
+from .state import REREGISTRATION_SECONDS, GatewayState
 
-VERSION_UNKNOWN = "version_unknown"
 VERSION_INTERVAL_SECONDS = 1.0
 # A version that has not been registered for this long is removed from the store, and
 # gateways read the versions again after the same time.
@@ -36,21 +32,18 @@
 # version. Usually the record is written while the replica reads the prompt.
 MAX_RECORD_WAIT_SECONDS = 0.25
 RECORD_POLL_SECONDS = 0.01
-LOOKUP_TIMEOUT_SECONDS = 0.6
-PEER_TIMEOUT_SECONDS = 0.3
-MAX_QUERIED_PEERS = 8
+READ_TIMEOUT_SECONDS = 0.6
 # A replica may have started again this long before its registration tells.
 RESTART_NOTICE_SECONDS = 3.0
 
 
 class StreamRecords:
-    """Keeps the versions of streams, and finds the one that a take-up needs."""
+    """Keeps the versions of services and streams, here and in the store."""
 
     def __init__(
         self,
         store: StoreClient,
         state: GatewayState,
-        peers: Peers,
         *,
         timers: TimerService,
         metrics: Metrics,
@@ -58,7 +51,6 @@
     ):
         self._store = store
         self._state = state
-        self._peers = peers
         self._timers = timers
         self._metrics = metrics
         self._events = events
@@ -66,6 +58,8 @@
         self._registered: dict[str, Replica] = {}
         self._listed_at = float("-inf")
         self._era = 0
+        # When the store was last seen to have been restored from a copy.
+        self._restored_at = float("-inf")
         self._log_end = 0
         self._log_lock = asyncio.Lock()
         # Number of reads that have begun, and of the last one that was complete.
@@ -84,9 +78,9 @@
         """Record the version of a replica before a stream is sent to it."""
         if ctx.last_event_id or not _can_be_taken_up(ctx):
             return
-        key = _stream_key(ctx.request_id)
-        previous = self._versions.find(key)
-        ctx.awaits_record = bool(previous) and previous != replica.version
+        key = stream_key(ctx.request_id)
+        previous = self._versions.begun(key)
+        ctx.awaits_record = previous is not None and previous.version != replica.version
         self._versions.begin(
             key,
             StreamStart(
@@ -113,68 +107,46 @@
         ):
             await self._timers.sleep(RECORD_POLL_SECONDS)
 
-    # Take-ups
+    # Streams that are taken up
 
-    async def resolve(self, ctx: RequestContext) -> None:
-        """Set the version that a stream needs which the caller takes up.
+    def begun(self, key: str) -> StreamStart | None:
+        """Return the start of a stream that this gateway has sent, None otherwise."""
+        return self._versions.begun(key)
+
+    async def read(self, service: str) -> None:
+        """Read the versions of services, and the records if there are several.
 
         Raises
         ------
-        RefusedError
-            If several versions may have begun the stream, and none is known to.
+        StoreError
+            If the store can't be read; what is known may have been replaced.
+        TimeoutError
+            If it does not answer in time.
         """
-        if ctx.route.kind is not RouteKind.STREAM or not ctx.caller.resume_after:
-            return
-        version, source = await self._find(ctx.service, ctx.caller.resumes)
-        self._events.log_decision(
-            "take_up",
-            ctx.request_id,
-            resumes=ctx.caller.resumes,
-            last_event=ctx.caller.resume_after,
-            version=version,
-            source=source,
+        await with_timeout(
+            self._timers, self._read_service(service), READ_TIMEOUT_SECONDS
         )
-        if version is None:
-            raise RefusedError(
-                "the software version that began the stream is not known",
-                code=VERSION_UNKNOWN,
-                status=503,
-                retry_after_s=VERSION_RETRY_AFTER_SECONDS,
-            )
-        ctx.required_version = version
-
-    async def _find(self, service: str, attempt: str) -> tuple[str | None, str]:
-        """Return the version that began a stream, and how it is known."""
-        key = _stream_key(attempt)
-        version = self._versions.find(key)
-        if version and self._versions.began_here(key):
-            return version, "own"
-        await self._read_for_take_up(service)
-        version = self._versions.find(key)
-        if version:
-            return version, "store"
-        several = self._versions.of_service(service, self._timers.now())
-        if len(several) == 1:
-            return next(iter(several)), "only version"
-        version = await self._ask_peers(key) if attempt else ""
-        return version or None, "peer" if version else "unknown"
-
-    async def _read_for_take_up(self, service: str) -> None:
-        """Read the versions of services, and the records if there are several."""
-        try:
-            await with_timeout(
-                self._timers, self._read(service), LOOKUP_TIMEOUT_SECONDS
-            )
-        except (StoreError, TimeoutError) as exc:
-            self._metrics.retries.labels("store").inc()
-            self._events.log_state_change("streams_unread", error=str(exc))
 
-    async def _read(self, service: str) -> None:
+    async def _read_service(self, service: str) -> None:
         if not self._versions.has_several(service, self._timers.now()):
             await self._list_versions()
         if self._versions.has_several(service, self._timers.now()):
             await self._read_log()
 
+    def recorded_version(self, service: str, key: str) -> str | None:
+        """Return the version that began a stream, as of the last read of the store.
+
+        None if the store does not tell it.
+        """
+        record = self._versions.learned(key)
+        if record is not None:
+            return record[1]
+        now = self._timers.now()
+        several = self._versions.of_service(service, now)
+        # Replicas register again after a restore, with the versions that it has lost.
+        is_complete = now - self._restored_at >= REREGISTRATION_SECONDS
+        return next(iter(several)) if len(several) == 1 and is_complete else None
+
     async def _read_log(self) -> None:
         """Read the records up to now; a read that began after this call will do."""
         begun = self._log_reads
@@ -206,34 +178,14 @@
         self._log_end = page.end
         return page.complete
 
-    def _decode_streams(self, value: bytes) -> list[tuple[str, str]]:
+    def _decode_streams(self, value: bytes) -> list[StreamRecord]:
         try:
-            return msgspec.msgpack.decode(value, type=list[tuple[str, str]])
+            batch = msgspec.msgpack.decode(value, type=StreamBatch)
         except (msgspec.DecodeError, RecursionError):
             self._metrics.drops.labels("stream_record").inc()
             return []
-
-    async def _ask_peers(self, key: str) -> str:
-        """Return the version that a peer knows, which may not have written it yet."""
-        addresses = self._peers.addresses()[:MAX_QUERIED_PEERS]
-        answers = await asyncio.gather(
-            *(self._ask(address, key) for address in addresses)
-        )
-        return next(filter(None, answers), "")
-
-    async def _ask(self, address: str, key: str) -> str:
-        try:
-            data = await self._peers.link(address).call(
-                "/streams", StreamQuery(key), PEER_TIMEOUT_SECONDS
-            )
-            return msgspec.msgpack.decode(data, type=StreamReply).software
-        except (PeerError, msgspec.DecodeError):
-            self._metrics.drops.labels("stream_query").inc()
-            return ""
-
-    def answer(self, query: StreamQuery) -> StreamReply:
-        """Answer the query of another gateway."""
-        return StreamReply(self._versions.find(query.stream))
+        # Those who live write their records again in each era.
+        return batch.streams if batch.era == self._era else []
 
     # Records in the store
 
@@ -273,6 +225,8 @@
 
     async def _list_versions(self) -> None:
         page = await self._store.list_records(VERSION_TOPIC)
+        if page.era > self._era > 0:
+            self._begin_era()
         now = self._timers.now()
         stored = (self._decode_version(r.value) for r in page.records if r.value)
         self._versions.add_stored(set(filter(None, stored)), now)
@@ -290,6 +244,8 @@
 
     def _begin_era(self) -> None:
         """Write everything again: the restored store may lack it."""
+        if self._era:
+            self._restored_at = self._timers.now()
         self._era = self._store.era
         self._log_end = 0
         self._versions.save_again(self._timers.now())
@@ -305,9 +261,10 @@
             if not records:
                 continue
             self._is_writing = True
+            batch = StreamBatch(self._store.era, records)
             try:
                 await self._store.append_record(
-                    STREAM_TOPIC, "", msgspec.msgpack.encode(records)
+                    STREAM_TOPIC, "", msgspec.msgpack.encode(batch)
                 )
             except StoreError as exc:
                 self._metrics.retries.labels("store").inc()
@@ -359,7 +316,7 @@
     return xxhash.xxh3_64_hexdigest(f"{service}\0{version}")
 
 
-def _stream_key(attempt: str) -> str:
+def stream_key(attempt: str) -> str:
     """Return a short key of the attempt that begins a stream."""
     return xxhash.xxh3_64_hexdigest(attempt)
 
--- a/camphorrun/gateway/tests/test_overdue_requests.py
+++ b/camphorrun/gateway/tests/test_overdue_requests.py
@@ -18,7 +18,7 @@
 # What a request may wait for before it is sent, by part of the gateway and method.
 WAITS = {
     "trial": ("_quarantine_guard", "admit"),
-    "record": ("_stream_records", "resolve"),
+    "record": ("_take_ups", "resolve"),
     "forecast": ("_stage_runner", "forecast"),
     "stages": ("_stage_runner", "run"),
     "permit": ("_request_handler._selector", "reserve"),
--- a/camphorrun/routing/__init__.py
+++ b/camphorrun/routing/__init__.py
@@ -20,7 +20,7 @@
 from .prefixes import PrefixIndex
 from .readers import reader_preference
 from .router import NoEndpoint, RouteChoice, Router
-from .stream_versions import StreamStart, StreamVersions
+from .stream_versions import StreamRecord, StreamStart, StreamVersions
 
 __all__ = [
     "UNSHARDED",
@@ -39,6 +39,7 @@
     "StageEstimator",
     "StageRequest",
     "StreamStart",
+    "StreamRecord",
     "StreamVersions",
     "load_share",
     "owner_preferences",
--- a/camphorrun/routing/stream_versions.py
+++ b/camphorrun/routing/stream_versions.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 # A caller takes a stream up within its deadline; a version that has gone may have begun
 # a stream for as long.
@@ -15,19 +15,23 @@
 
 # Service and software version.
 ServiceVersion = tuple[str, str]
+# Attempt that began a stream, the version, and the number of the attempt.
+StreamRecord = tuple[str, str | None, int]
 
 
 @dataclass(frozen=True, slots=True)
 class StreamStart:
     """Start of a stream: the service, its version, and the replica that runs it.
 
-    The version is empty if it can't be told any more.
+    The version is None if it can't be told any more. ``number`` counts the attempts of
+    the request, as a later one replaces what an earlier one has recorded.
     """
 
     service: str
-    version: str
+    version: str | None
     replica: str
     at: float
+    number: int = 1
 
 
 class StreamVersions:
@@ -41,8 +45,11 @@
     >>> versions.observe({("engine", "v2")}, 1.0)
     >>> versions.of_service("engine", 1.0) == {"v1", "v2"}
     True
-    >>> versions.take_unsaved(), versions.find("a1")
-    ([('a1', 'v1')], 'v1')
+    >>> versions.take_unsaved(), versions.begun("a1").version
+    ([('a1', 'v1', 1)], 'v1')
+    >>> versions.learn([("a2", "v2", 2), ("a2", "v1", 1)])
+    >>> versions.learned("a2")
+    ('a2', 'v2', 2)
     """
 
     __slots__ = ("_begun", "_learned", "_seen_at", "_unsaved", "stored")
@@ -53,7 +60,7 @@
         self._seen_at: dict[ServiceVersion, float] = {}
         self._begun: OrderedDict[str, StreamStart] = OrderedDict()
         # Versions of the streams of all gateways, as read from the store.
-        self._learned: OrderedDict[str, str] = OrderedDict()
+        self._learned: OrderedDict[str, StreamRecord] = OrderedDict()
         # Streams whose record is to be written, in order.
         self._unsaved: dict[str, None] = {}
 
@@ -122,14 +129,15 @@
         """Whether a record is to be written."""
         return bool(self._unsaved)
 
-    def began_here(self, attempt: str) -> bool:
-        """Return whether this gateway has sent the stream of an attempt."""
-        return attempt in self._begun
+    def begun(self, attempt: str) -> StreamStart | None:
+        """Return the start of a stream that this gateway has sent, None otherwise."""
+        return self._begun.get(attempt)
 
     def begin(self, attempt: str, start: StreamStart) -> None:
         """Note that a stream is sent to a replica; a later note replaces it."""
-        self._begun.pop(attempt, None)
-        self._begun[attempt] = start
+        previous = self._begun.pop(attempt, None)
+        number = 1 if previous is None else previous.number + 1
+        self._begun[attempt] = replace(start, number=number)
         if self.has_several(start.service, start.at):
             self._unsaved.pop(attempt, None)
             self._unsaved[attempt] = None
@@ -139,34 +147,36 @@
         """Make the version unknown of the streams that a replica began lately."""
         for attempt, start in self._begun.items():
             if start.replica == replica and start.at >= since:
-                unknown = StreamStart(start.service, "", replica, start.at)
-                self._begun[attempt] = unknown
+                self._begun[attempt] = replace(
+                    start, version=None, number=start.number + 1
+                )
                 self._unsaved[attempt] = None
 
-    def learn(self, records: list[tuple[str, str]]) -> None:
-        """Add records of streams, in the order in which the store has them."""
-        for attempt, version in records:
-            self._learned.pop(attempt, None)
-            self._learned[attempt] = version
+    def learn(self, records: list[StreamRecord]) -> None:
+        """Add records of streams that the store has.
+
+        Of several records of a stream the one with the highest number counts: a write
+        that was given up may still reach the store after a later one.
+        """
+        for record in records:
+            known = self._learned.pop(record[0], record)
+            self._learned[record[0]] = max(known, record, key=lambda item: item[2])
         while len(self._learned) > MAX_STREAMS:
             self._learned.popitem(last=False)
 
-    def find(self, attempt: str) -> str:
-        """Return the version that began a stream, empty if it is unknown."""
-        start = self._begun.get(attempt)
-        if start is not None:
-            return start.version
-        return self._learned.get(attempt, "")
+    def learned(self, attempt: str) -> StreamRecord | None:
+        """Return the record of a stream as of the last read, None without one."""
+        return self._learned.get(attempt)
 
-    def take_unsaved(self) -> list[tuple[str, str]]:
+    def take_unsaved(self) -> list[StreamRecord]:
         """Return the records that are to be written, and regard them as written."""
-        records = [(name, self._begun[name].version) for name in self._unsaved]
+        starts = [(name, self._begun[name]) for name in self._unsaved]
         self._unsaved.clear()
-        return records
+        return [(name, start.version, start.number) for name, start in starts]
 
-    def put_back(self, records: list[tuple[str, str]]) -> None:
+    def put_back(self, records: list[StreamRecord]) -> None:
         """Regard records as unwritten that could not be written."""
-        known = {name: None for name, _ in records if name in self._begun}
+        known = {name: None for name, _, _ in records if name in self._begun}
         self._unsaved = known | self._unsaved
 
     def save_again(self, now: float) -> None:
--- a/tools/mutations_streams.py
+++ b/tools/mutations_streams.py
@@ -11,6 +11,8 @@
 VERSIONS = "camphorrun/gateway/tests/test_configuration_versions.py"
 FOREIGN = "camphorrun/platform/tests/test_foreign_bytes.py"
 RECORDS = "camphorrun/gateway/stream_records.py"
+TAKE_UPS = "camphorrun/gateway/take_ups.py"
+OLD_KNOWLEDGE = "camphorrun/gateway/tests/test_take_ups.py"
 
 STREAM_MUTATIONS = (
     Mutation(
@@ -22,7 +24,7 @@
     ),
     Mutation(
         "versions: a take-up needs the version that began it",
-        RECORDS,
+        TAKE_UPS,
         "        ctx.required_version = version\n",
         "        pass\n",
         STREAMS,
