Read the registrations before one known version decides a take-up

What callers saw: by a test only, a stream that goes on at the old version because a gateway has not read the registration of the new one yet.

Cause: with one version known, a take-up read the list of versions in the store, which each gateway writes after it has read a registration. A gateway that sent a stream to a new version and ended before it had stored it left no trace in the list.

Change: a take-up reads the registrations besides. A gateway sends nothing to a replica that was not registered before, so the read shows the version. Take-ups that come together share the reads, as they shared that of the records.

Cost: one store call more for each series of take-ups while a service has one version.

Evidence: test_registration_that_is_not_read_yet failed before. Not covered: a replica that registers and is removed again between two reads.

--- a/camphorrun/gateway/daemon.py
+++ b/camphorrun/gateway/daemon.py
@@ -164,7 +164,9 @@
             seed=self._rng.getrandbits(32),
         )
         self._quarantine_guard = QuarantineGuard(self.state, self._peers, **shared)
-        self._stream_records = StreamRecords(self._store, self.state, **shared)
+        self._stream_records = StreamRecords(
+            self._store, self.state, self._store_sync.read_replicas, **shared
+        )
         self._take_ups = TakeUps(self._stream_records, self._peers, **shared)
         attempts = Attempts(
             selector,
--- a/camphorrun/gateway/store_sync.py
+++ b/camphorrun/gateway/store_sync.py
@@ -104,6 +104,18 @@
                 continue
             await self._timers.sleep(REPLICA_POLL_SECONDS)
 
+    async def read_replicas(self) -> None:
+        """Read the registrations up to now.
+
+        Raises
+        ------
+        StoreError
+            If the store can't be read.
+        """
+        is_complete = False
+        while not is_complete:
+            is_complete = await self._read_page(REPLICA_TOPIC, 0.0)
+
     async def confirm_all_topics(self) -> None:
         """Read all topics immediately after a pause of this process.
 
@@ -211,18 +223,25 @@
 
     async def _read_topic(self, topic: str, wait_s: float) -> bool:
         """Read one page of a topic; return whether its records are up to date."""
-        view = self._state.views[topic]
         try:
-            if not view.is_initialised or view.era < self._store.era:
-                await self._list_topic(topic)
-                return True
-            requested_at = self._timers.now()
-            page = await self._store.read_records(topic, view.era, view.end, wait_s)
+            return await self._read_page(topic, wait_s)
         except StoreError as exc:
-            if exc.code in INVALID_POSITION_CODES:
-                return await self._retry_with_listing(topic)
             await self._back_off(topic, exc)
             return False
+
+    async def _read_page(self, topic: str, wait_s: float) -> bool:
+        view = self._state.views[topic]
+        if not view.is_initialised or view.era < self._store.era:
+            await self._list_topic(topic)
+            return True
+        requested_at = self._timers.now()
+        try:
+            page = await self._store.read_records(topic, view.era, view.end, wait_s)
+        except StoreError as exc:
+            if exc.code not in INVALID_POSITION_CODES:
+                raise
+            await self._list_topic(topic)
+            return True
         self._record_recovery(topic)
         self._state.apply(topic, page, "store")
         if page.complete:
@@ -230,14 +249,6 @@
             self._state.confirm(topic, requested_at)
         return page.complete
 
-    async def _retry_with_listing(self, topic: str) -> bool:
-        try:
-            await self._list_topic(topic)
-        except StoreError as exc:
-            await self._back_off(topic, exc)
-            return False
-        return True
-
     async def _list_topic(self, topic: str) -> None:
         requested_at = self._timers.now()
         page = await self._store.list_records(topic)
--- a/camphorrun/gateway/stream_records.py
+++ b/camphorrun/gateway/stream_records.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 import msgspec
 import xxhash
@@ -17,6 +18,7 @@
 from ..routing import StreamRecord, StreamStart, StreamVersions
 from .context import RequestContext
 from .messages import StreamBatch
+from .shared_read import SharedRead
 from .state import REREGISTRATION_SECONDS, GatewayState
 
 VERSION_INTERVAL_SECONDS = 1.0
@@ -38,12 +40,20 @@
 
 
 class StreamRecords:
-    """Keeps the versions of services and streams, here and in the store."""
+    """Keeps the versions of services and streams, here and in the store.
+
+    Parameters
+    ----------
+    read_replicas : callable
+        Coroutine function that reads the registrations up to now, and raises
+        ``StoreError`` if the store can't be read.
+    """
 
     def __init__(
         self,
         store: StoreClient,
         state: GatewayState,
+        read_replicas: Callable[[], Awaitable[None]],
         *,
         timers: TimerService,
         metrics: Metrics,
@@ -51,6 +61,7 @@
     ):
         self._store = store
         self._state = state
+        self._read_replicas = read_replicas
         self._timers = timers
         self._metrics = metrics
         self._events = events
@@ -61,10 +72,8 @@
         # When the store was last seen to have been restored from a copy.
         self._restored_at = float("-inf")
         self._log_end = 0
-        self._log_lock = asyncio.Lock()
-        # Number of reads that have begun, and of the last one that was complete.
-        self._log_reads = 0
-        self._last_log_read = 0
+        self._log_read = SharedRead(self._read_log_pages)
+        self._version_read = SharedRead(self._read_versions)
         self._is_writing = False
         self._has_news = asyncio.Event()
         self._versions_changed = asyncio.Event()
@@ -129,10 +138,18 @@
 
     async def _read_service(self, service: str) -> None:
         if not self._versions.has_several(service, self._timers.now()):
-            await self._list_versions()
+            await self._version_read.run()
         if self._versions.has_several(service, self._timers.now()):
             await self._read_log()
 
+    async def _read_versions(self) -> None:
+        """Read the versions of services that are stored, and those registered now.
+
+        A gateway may have sent a stream to a replica of a version that it has not
+        stored yet, but not before the replica was registered.
+        """
+        await asyncio.gather(self._list_versions(), self._read_replicas())
+
     def recorded_version(self, service: str, key: str) -> str | None:
         """Return the version that began a stream, as of the last read of the store.
 
@@ -148,17 +165,13 @@
         return next(iter(several)) if len(several) == 1 and is_complete else None
 
     async def _read_log(self) -> None:
-        """Read the records up to now; a read that began after this call will do."""
-        begun = self._log_reads
-        async with self._log_lock:
-            if self._last_log_read > begun:
-                return
-            self._log_reads += 1
-            number = self._log_reads
-            is_complete = False
-            while not is_complete:
-                is_complete = await self._read_log_page()
-            self._last_log_read = number
+        """Read the records up to now."""
+        await self._log_read.run()
+
+    async def _read_log_pages(self) -> None:
+        is_complete = False
+        while not is_complete:
+            is_complete = await self._read_log_page()
 
     async def _read_log_page(self) -> bool:
         try:
--- a/camphorrun/gateway/tests/test_take_ups.py
+++ b/camphorrun/gateway/tests/test_take_ups.py
@@ -192,6 +192,25 @@
 
         run_scenario(scenario, plain=0, gateways=GATEWAYS)
 
+    def test_registration_that_is_not_read_yet(self):
+        """Guards against a take-up in the interval between two reads of the store."""
+
+        async def scenario(cluster):
+            await add_version(cluster, "v1", 2)
+            late = cluster.daemons[LATE]
+            stop = asyncio.Event()
+            late._store_sync._readers.refresh = stop.wait
+            late._store_sync._readers.wait_for_loss = stop.wait
+            late._peers._sync_with_member = late._peers.sync_from = hang_up
+            await asyncio.sleep(0.7)
+            # The gateway that sent the stream ended before it stored the version.
+            await add_version_except(cluster, "v2", *range(GATEWAYS))
+            await kill(cluster, SENDER)
+            status, body, _ = await take_up(cluster, "t1", "s1", LATE)
+            assert (status, body) == (503, b"")
+
+        run_scenario(scenario, plain=0, gateways=GATEWAYS)
+
 
 class TestTakeUpsGoOn:
     """Take-ups that must not be refused while some gateway is out of step."""
