Prove the start of replicas while registrations are outdated

What callers saw: by a test only, a stream that began at a gateway which had missed the restart of its replica under another version, and was recorded under the earlier one; a take-up would join two versions.

Cause: the start of a replica was proven only while a service had several versions, as far as the gateway knew. One that is cut off knows of one. When the restart showed, the streams of the last 3 s became unknown, whatever the age of the registrations had been.

Change: a registration that the store has not confirmed for 2 s is not believed to show the latest start; it is proven on the connection before a stream that may be taken up begins. The streams that become unknown are those since the last confirmation and the second that a registration may take, or of the last 3 s.

Cost: while the store is away, one report for each new connection that begins such a stream.

Evidence: test_replica_that_restarts_while_registrations_are_old and test_restart_that_is_noticed_late failed before.

--- a/camphorrun/gateway/stream_records.py
+++ b/camphorrun/gateway/stream_records.py
@@ -14,7 +14,13 @@
 from ..catalog import Replica, RouteKind
 from ..core import EventLog, TimerService, with_timeout
 from ..metrics import Metrics
-from ..platform import STREAM_TOPIC, VERSION_TOPIC, StoreClient, StoreError
+from ..platform import (
+    REPLICA_TOPIC,
+    STREAM_TOPIC,
+    VERSION_TOPIC,
+    StoreClient,
+    StoreError,
+)
 from ..routing import StreamRecord, StreamStart, StreamVersions
 from .context import RequestContext
 from .messages import StreamBatch
@@ -37,6 +43,10 @@
 READ_TIMEOUT_SECONDS = 0.6
 # A replica may have started again this long before its registration tells.
 RESTART_NOTICE_SECONDS = 3.0
+# The same, from the last confirmation of the registrations to the restart.
+REGISTRATION_DELAY_SECONDS = 1.0
+# Registrations that the store has not confirmed for this long may lack a restart.
+MAX_REGISTRATION_AGE_SECONDS = 2.0
 
 
 class StreamRecords:
@@ -103,8 +113,17 @@
         """Return whether the version of the replica must be certain for a request."""
         if ctx.required_version is not None:
             return True
-        now = self._timers.now()
-        return _can_be_taken_up(ctx) and self._versions.has_several(ctx.service, now)
+        if not _can_be_taken_up(ctx):
+            return False
+        is_outdated = self._registration_age_s() > MAX_REGISTRATION_AGE_SECONDS
+        return is_outdated or self._versions.has_several(
+            ctx.service, self._timers.now()
+        )
+
+    def _registration_age_s(self) -> float:
+        """Return the time since the store last confirmed the registrations."""
+        ages_s = self._state.ages_s(self._timers.now())
+        return ages_s.get(REPLICA_TOPIC, float("inf"))
 
     async def wait_for_record(self, ctx: RequestContext) -> None:
         """Wait until the record of a stream is written that replaces another one."""
@@ -305,10 +324,14 @@
         }
         now = self._timers.now()
         replicas = dict(self._state.replicas)
+        unnoticed_s = max(
+            RESTART_NOTICE_SECONDS,
+            self._registration_age_s() + REGISTRATION_DELAY_SECONDS,
+        )
         for identifier, replica in replicas.items():
             previous = self._registered.get(identifier)
             if previous is not None and previous.version != replica.version:
-                self._versions.forget_replica(identifier, now - RESTART_NOTICE_SECONDS)
+                self._versions.forget_replica(identifier, now - unnoticed_s)
         self._registered = replicas
         self._versions.observe(
             {
--- a/camphorrun/gateway/tests/test_stream_versions.py
+++ b/camphorrun/gateway/tests/test_stream_versions.py
@@ -60,10 +60,12 @@
     return {line[6:].partition(b".")[0] for line in lines}
 
 
-async def begin_stream(cluster: LocalCluster, attempt: str, replica) -> bytes:
+async def begin_stream(
+    cluster: LocalCluster, attempt: str, replica, gateway: int = 0
+) -> bytes:
     """Begin a stream that breaks off after two events of a replica's version."""
     replica.script.cut_after = 2
-    status_and_body = await send_stream(cluster, attempt)
+    status_and_body = await send_stream(cluster, attempt, gateway=gateway)
     replica.script.cut_after = -1
     assert status_and_body[1].count(b"id: ") >= 2, status_and_body
     return status_and_body[1]
--- a/camphorrun/gateway/tests/test_take_ups.py
+++ b/camphorrun/gateway/tests/test_take_ups.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
 from ...platform import StoreError
 from ..errors import PeerError
+from ..stream_records import stream_key
 from .cluster import LocalCluster, run_scenario
 from .test_stream_versions import (
     add_version,
@@ -211,6 +213,49 @@
 
         run_scenario(scenario, plain=0, gateways=GATEWAYS)
 
+    def test_replica_that_restarts_while_registrations_are_old(self):
+        """Guards against streams whose sender missed the restart of their replica."""
+
+        async def scenario(cluster):
+            (first,) = await add_version(cluster, "v1")
+            late = cluster.daemons[LATE]
+            cut_from_store(cluster, LATE)
+            late._peers._sync_with_member = late._peers.sync_from = hang_up
+            await asyncio.sleep(2.0)
+            # The replica returns as v2 under its name, unknown to the late gateway.
+            first.on_restart = None
+            first.script.label, first.script.down_s = "v2.", 0.05
+            first.crash()
+            await asyncio.sleep(0.2)
+            first.script.cut_after = 2
+            status, body, _ = await send_stream(cluster, "s1", gateway=LATE)
+            assert not body, "the stream began at a version that is not known"
+            assert status in (502, 503)
+
+        run_scenario(scenario, plain=0, gateways=GATEWAYS)
+
+    def test_restart_that_is_noticed_late(self):
+        """Guards against streams that keep the version of an earlier start."""
+
+        async def scenario(cluster):
+            (first,) = await add_version(cluster, "v1")
+            late = cluster.daemons[LATE]
+            versions = late._stream_records._versions
+            await begin_stream(cluster, "warm-up", first, LATE)
+            real_age_s = late._stream_records._registration_age_s
+            # The registrations of the late gateway are four seconds old.
+            late._stream_records._registration_age_s = lambda: real_age_s() + 4.0
+            start = versions.begun(stream_key("warm-up"))
+            versions._begun[stream_key("s1")] = replace(start, at=start.at - 4.5)
+            entry = first.registration("plain", Version="v2")
+            cluster.store.put("keyed.servers", first.identifier, entry)
+            await cluster.wait_until(
+                lambda: late.state.replicas[first.identifier].version == "v2"
+            )
+            assert versions.begun(stream_key("s1")).version is None
+
+        run_scenario(scenario, plain=0, gateways=GATEWAYS)
+
 
 class TestTakeUpsGoOn:
     """Take-ups that must not be refused while some gateway is out of step."""
