Replace the record of a stream before another version begins it

Cause: a record is written while the replica reads the prompt. If it replaces one that names another version, the first event waited 0.25 s for it and then went out without it.

Change: the attempt at another version is sent only once its record is in the store, within 0.25 s, else not at all (`version_unrecorded`), and another replica is tried. While records can't be written, replicas of the version before are tried first, as no record has to be replaced there. The relay no longer waits.

Ruled out: holding the first event for longer, which keeps a caller from an answer that is there; writing the record with the first event, which delays each stream instead of the few that move.

Cost: an attempt that moves to another version waits for one write, about 30 ms, while several versions serve.

Evidence: test_record_is_replaced_before_another_version_begins failed before (the second version ran the stream).

--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -64,6 +64,7 @@
         "replica_restarted",
         "replica_resting",
         "replica_unproven",
+        "version_unrecorded",
     }
 )
 # Failures that don't count in the health statistics of the replica.
@@ -76,6 +77,7 @@
         "replica_leaving",
         "replica_limited",
         "replica_resting",
+        "version_unrecorded",
     }
 )
 
@@ -110,9 +112,7 @@
         self._budget_of = budget_of
         self._guard = guard
         self._streams = streams
-        self._relay = ResponseRelay(
-            budget_of, guard.observe_progress, streams.wait_for_record, timers, metrics
-        )
+        self._relay = ResponseRelay(budget_of, guard.observe_progress, timers, metrics)
         self._timers = timers
         self._metrics = metrics
         self._events = events
@@ -138,6 +138,7 @@
         reason = ""
         while True:
             self._guard.check(ctx)
+            ctx.preferred_version = self._streams.version_to_keep(ctx)
             handle, permit = await self._selector.reserve(ctx, reason)
             try:
                 await self._attempt(ctx, handle, permit, responder)
@@ -263,6 +264,8 @@
         try:
             self._check_after_wait(ctx, handle, permit)
             await self._prove_start(ctx, handle, conn)
+            if not await self._streams.record_attempt(ctx, handle.replica):
+                raise AttemptFailedError("version_unrecorded", not_run=True)
             self._check_after_wait(ctx, handle, permit)
         except (AttemptFailedError, RefusedError):
             handle.pool.release(conn)
@@ -367,7 +370,6 @@
         ctx.trial = None
         ctx.sent_at = now
         ctx.sent_version = handle.replica.version
-        self._streams.note_attempt(ctx, handle.replica)
         ctx.may_have_run = True
         ctx.possible_runs += 1
         try:
--- a/camphorrun/gateway/context.py
+++ b/camphorrun/gateway/context.py
@@ -56,9 +56,8 @@
         Identifier of the last event that was sent to the caller.
     sent_version : str
         Software version of the replica of the current attempt.
-    awaits_record : bool
-        Whether an earlier attempt was recorded with another version, so that the first
-        event waits for the new record.
+    preferred_version : str or None
+        Software version whose replicas are tried first, None if any will do.
     required_version : str or None
         The only software version that may go on with the stream, that of the replica
         which began it; None if any version may answer.
@@ -101,7 +100,7 @@
     possible_runs: int = 0
     last_event_id: str = ""
     sent_version: str = ""
-    awaits_record: bool = False
+    preferred_version: str | None = None
     required_version: str | None = None
     zone: str = ""
     tried_replicas: set[str] = field(default_factory=set)
--- a/camphorrun/gateway/replica_selection.py
+++ b/camphorrun/gateway/replica_selection.py
@@ -132,6 +132,7 @@
         avoided = {
             h.replica.identifier for h in handles if now < h.rejection_backoff_until
         } | ctx.tried_replicas
+        handles = _prefer_version(handles, ctx.preferred_version, avoided)
         request = self._stage_request(ctx, ctx.end_at - now, avoided)
         router = self._affinity_router if ctx.route.uses_engine else self._load_router
         choice = router.choose(endpoints(handles), request, now)
@@ -234,6 +235,15 @@
         )
 
 
+def _prefer_version(
+    handles: list[ReplicaHandle], version: str | None, avoided: set[str]
+) -> list[ReplicaHandle]:
+    """Return the replicas of a version if any is left that is not avoided."""
+    same_version = [h for h in handles if h.replica.version == version]
+    is_left = any(h.replica.identifier not in avoided for h in same_version)
+    return same_version if is_left else handles
+
+
 def refusal_error(
     ctx: RequestContext,
     reason: str,
--- a/camphorrun/gateway/response_relay.py
+++ b/camphorrun/gateway/response_relay.py
@@ -1,7 +1,7 @@
 """Relay of a replica's response to the caller."""
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from ..catalog import RouteKind
 from ..core import TimerService, with_timeout
@@ -55,22 +55,17 @@
         Returns the retry budget of a service.
     on_progress : callable
         Called with the request after each part of its event stream.
-    before_first_event : callable
-        Coroutine function that is called with the request before its first event is
-        sent to the caller.
     """
 
     def __init__(
         self,
         budget_of: Callable[[str], RetryBudget],
         on_progress: Callable[[RequestContext], None],
-        before_first_event: Callable[[RequestContext], Awaitable[None]],
         timers: TimerService,
         metrics: Metrics,
     ):
         self._budget_of = budget_of
         self._on_progress = on_progress
-        self._before_first_event = before_first_event
         self._timers = timers
         self._metrics = metrics
 
@@ -254,8 +249,6 @@
     ) -> None:
         if not responder.started:
             responder.start(head.status, relay_headers(head), None, head.reason)
-        if not ctx.last_event_id:
-            await self._before_first_event(ctx)
         if ctx.required_version is None:
             ctx.required_version = ctx.sent_version
         for event in events:
--- a/camphorrun/gateway/stream_records.py
+++ b/camphorrun/gateway/stream_records.py
@@ -36,8 +36,7 @@
 # which bounds the writes of all of them.
 WRITE_INTERVAL_SECONDS = 0.02
 WRITE_SECONDS_PER_MEMBER = 0.005
-# Time that a first event waits for its record if an earlier record names another
-# version. Usually the record is written while the replica reads the prompt.
+# Time that an attempt waits for its record if an earlier one had another version.
 MAX_RECORD_WAIT_SECONDS = 0.25
 RECORD_POLL_SECONDS = 0.01
 READ_TIMEOUT_SECONDS = 0.6
@@ -84,7 +83,10 @@
         self._log_end = 0
         self._log_read = SharedRead(self._read_log_pages)
         self._version_read = SharedRead(self._read_versions)
-        self._is_writing = False
+        # Streams whose record is being written.
+        self._written_now: frozenset[str] = frozenset()
+        # Whether the last write of records has failed.
+        self._is_failing = False
         self._has_news = asyncio.Event()
         self._versions_changed = asyncio.Event()
         state.subscribe(
@@ -93,13 +95,17 @@
 
     # Streams that begin
 
-    def note_attempt(self, ctx: RequestContext, replica: Replica) -> None:
-        """Record the version of a replica before a stream is sent to it."""
+    async def record_attempt(self, ctx: RequestContext, replica: Replica) -> bool:
+        """Record the version of a replica before a stream is sent to it.
+
+        If an earlier attempt had another version, waits until its record is replaced in
+        the store: the earlier one must not be found by a take-up. Returns whether the
+        stream may be sent.
+        """
         if ctx.last_event_id or not _can_be_taken_up(ctx):
-            return
+            return True
         key = stream_key(ctx.request_id)
         previous = self._versions.begun(key)
-        ctx.awaits_record = previous is not None and previous.version != replica.version
         self._versions.begin(
             key,
             StreamStart(
@@ -108,6 +114,22 @@
         )
         if self._versions.has_unsaved:
             self._has_news.set()
+        if previous is None or previous.version == replica.version:
+            return True
+        return await self._wait_until_saved(key)
+
+    def version_to_keep(self, ctx: RequestContext) -> str | None:
+        """Return the version of the last attempt if no record can be replaced now."""
+        start = self._versions.begun(stream_key(ctx.request_id))
+        return start.version if start is not None and self._is_failing else None
+
+    async def _wait_until_saved(self, key: str) -> bool:
+        end_at = self._timers.now() + MAX_RECORD_WAIT_SECONDS
+        while self._versions.is_unsaved(key) or key in self._written_now:
+            if self._timers.now() >= end_at:
+                return False
+            await self._timers.sleep(RECORD_POLL_SECONDS)
+        return True
 
     def needs_proof(self, ctx: RequestContext) -> bool:
         """Return whether the version of the replica must be certain for a request."""
@@ -125,16 +147,6 @@
         ages_s = self._state.ages_s(self._timers.now())
         return ages_s.get(REPLICA_TOPIC, float("inf"))
 
-    async def wait_for_record(self, ctx: RequestContext) -> None:
-        """Wait until the record of a stream is written that replaces another one."""
-        if not ctx.awaits_record:
-            return
-        end_at = self._timers.now() + MAX_RECORD_WAIT_SECONDS
-        while self._timers.now() < end_at and (
-            self._versions.has_unsaved or self._is_writing
-        ):
-            await self._timers.sleep(RECORD_POLL_SECONDS)
-
     # Streams that are taken up
 
     def begun(self, key: str) -> StreamStart | None:
@@ -292,20 +304,22 @@
             records = self._versions.take_unsaved()
             if not records:
                 continue
-            self._is_writing = True
+            self._written_now = frozenset(key for key, _, _ in records)
             batch = StreamBatch(self._store.era, records)
             try:
                 await self._store.append_record(
                     STREAM_TOPIC, "", msgspec.msgpack.encode(batch)
                 )
+                self._is_failing = False
             except StoreError as exc:
+                self._is_failing = True
                 self._metrics.retries.labels("store").inc()
                 self._events.log_state_change("streams_unsaved", error=str(exc))
                 self._versions.put_back(records)
                 self._has_news.set()
                 await self._timers.sleep(RETRY_SECONDS)
             finally:
-                self._is_writing = False
+                self._written_now = frozenset()
             await self._timers.sleep(
                 WRITE_INTERVAL_SECONDS
                 + WRITE_SECONDS_PER_MEMBER * len(self._state.members)
--- a/camphorrun/gateway/tests/test_take_ups.py
+++ b/camphorrun/gateway/tests/test_take_ups.py
@@ -163,6 +163,67 @@
         run_scenario(scenario, plain=0, gateways=GATEWAYS)
 
 
+class TestMovedStreams:
+    """Streams whose first attempt failed before an event."""
+
+    def test_record_is_replaced_before_another_version_begins(self):
+        """Guards against events of a version whose record is not written yet.
+
+        The gateway that sends the stream can't write to the store.
+        """
+
+        async def scenario(cluster):
+            (first,) = await add_version(cluster, "v1")
+            (second,) = await add_version(cluster, "v2")
+            sender = cluster.daemons[SENDER]
+            await cluster.wait_until(
+                lambda: len(sender._stream_records._versions.stored) == 2
+            )
+            handle = sender._replica_pool.get(second.identifier)
+            handle.rejection_backoff_until = float("inf")
+            first.script.answer = "full"
+
+            async def let_second_serve(req, responder):
+                await cluster.wait_until(lambda: cluster.store.appended("streams"))
+                cut_from_store(cluster, SENDER)
+                handle.rejection_backoff_until = 0.0
+                await answer(req, responder)
+
+            answer, first._run = first._run, let_second_serve
+            status, body, _ = await send_stream(cluster, "s1", gateway=SENDER)
+            assert (status, body, second.runs) == (503, b"", [])
+
+        run_scenario(scenario, plain=0, gateways=GATEWAYS)
+
+    def test_same_version_is_tried_first_without_the_store(self):
+        """Guards against refusals while a replica of the recorded version serves."""
+
+        async def scenario(cluster):
+            (first, other) = await add_version(cluster, "v1", 2)
+            added = await add_version(cluster, "v2", 2)
+            sender = cluster.daemons[SENDER]
+            handles = [
+                sender._replica_pool.get(replica.identifier)
+                for replica in (other, *added)
+            ]
+            for handle in handles:
+                handle.rejection_backoff_until = float("inf")
+            first.script.answer = "full"
+
+            async def let_others_serve(req, responder):
+                cut_from_store(cluster, SENDER)
+                sender._stream_records._is_failing = True
+                for handle in handles:
+                    handle.rejection_backoff_until = 0.0
+                await answer(req, responder)
+
+            answer, first._run = first._run, let_others_serve
+            status, body, _ = await send_stream(cluster, "s1", gateway=SENDER)
+            assert (status, versions_in(body)) == (200, {b"v1"})
+
+        run_scenario(scenario, plain=0, gateways=GATEWAYS)
+
+
 class TestOutOfStep:
     """A gateway that misses a release, and gets the take-ups of the others' streams."""
 
--- a/camphorrun/routing/stream_versions.py
+++ b/camphorrun/routing/stream_versions.py
@@ -129,6 +129,10 @@
         """Whether a record is to be written."""
         return bool(self._unsaved)
 
+    def is_unsaved(self, attempt: str) -> bool:
+        """Return whether the record of a stream is to be written."""
+        return attempt in self._unsaved
+
     def begun(self, attempt: str) -> StreamStart | None:
         """Return the start of a stream that this gateway has sent, None otherwise."""
         return self._begun.get(attempt)
