Refuse requests before a planned stop ends the running ones

Cause: new requests were refused from 2.5 s after SIGTERM on. A grace of less than 3.1 s was over before, so requests that came between the end of the running ones and the end of the process were still accepted.

Change: requests are refused after half of the time that is left for them, 2.5 s at most, and in any case before the running ones are ended. With the 8 s of the deployments nothing changes.

--- a/camphorrun/gateway/daemon.py
+++ b/camphorrun/gateway/daemon.py
@@ -36,8 +36,9 @@
 # The load balancer sends new connections for about this long after a drain has started.
 BALANCER_UPDATE_SECONDS = 3.0
 # Requests that arrive later than this after the start of a drain are refused, because
-# they might not finish before the process exits.
+# they might not finish before the process exits. In a short drain it is a share.
 DRAIN_ACCEPT_SECONDS = 2.5
+MAX_DRAIN_ACCEPT_SHARE = 0.5
 FINAL_FLUSH_SECONDS = 0.1
 # The drain stops waiting for running requests this long before the process is killed.
 STOP_MARGIN_SECONDS = 0.6
@@ -287,7 +288,9 @@
         """
         await self.lifecycle.wait_for_drain()
         started_at = self.timers.now()
-        end_at = started_at + self.settings.bounds.stop_s - STOP_MARGIN_SECONDS
+        drain_s = max(0.0, self.settings.bounds.stop_s - STOP_MARGIN_SECONDS)
+        end_at = started_at + drain_s
+        accept_s = min(DRAIN_ACCEPT_SECONDS, drain_s * MAX_DRAIN_ACCEPT_SHARE)
         self._caller_server.closing = True
         leave_task = asyncio.ensure_future(self._store_sync.leave())
         self._stage_runner.retire()
@@ -301,9 +304,11 @@
                 and not self._active_peer_calls()
             ):
                 break
-            if self.timers.now() - started_at >= DRAIN_ACCEPT_SECONDS:
+            if self.timers.now() - started_at >= accept_s:
                 self._request_handler.refuse_new_requests()
             await self.timers.sleep(DRAIN_POLL_SECONDS)
+        # A request that is taken from now on would end without an answer.
+        self._request_handler.refuse_new_requests()
         self._request_handler.end_running_requests()
         await self.timers.sleep(FINAL_FLUSH_SECONDS)
         leave_task.cancel()
--- a/tests/process_rig.py
+++ b/tests/process_rig.py
@@ -134,9 +134,18 @@
     """A gateway that is started as a process, and again after each end.
 
     ``tree`` is the source tree of the program; by default that of this file.
+    ``stop_s`` is the time from SIGTERM until it would be killed.
     """
 
-    def __init__(self, number: int, folder: Path, store: str, tree: Path):
+    def __init__(
+        self,
+        number: int,
+        folder: Path,
+        store: str,
+        tree: Path = ROOT,
+        *,
+        stop_s: float = 4.0,
+    ):
         self._tree = tree
         self._addresses = _reserve_addresses(5)
         names = ("callers", "readiness", "peers", "control", "metrics")
@@ -151,7 +160,7 @@
                     "host": host,
                     "store": {"address": store},
                     "seeds": [],
-                    "bounds": {"stop_s": 4.0},
+                    "bounds": {"stop_s": stop_s},
                 }
             )
         )
