--- a/tests/process_rig.py
+++ b/tests/process_rig.py
@@ -172,6 +172,18 @@
         host, _, port = self._addresses[0].rpartition(":")
         return host, int(port)
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the process runs."""
+        return self._process is not None and self._process.returncode is None
+
+    @property
+    def peak_memory_mb(self) -> float:
+        """Peak of the resident memory of the process."""
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        line = next(row for row in status.splitlines() if row.startswith("VmHWM"))
+        return int(line.split()[1]) / 1024
+
     async def start(self) -> None:
         """Start the process and wait until it is ready."""
         with self._log.open("ab") as log:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -63,7 +63,7 @@
 class TestPlannedStop:
     """SIGTERM while requests keep coming."""
 
-    @pytest.mark.parametrize("stop_s", [1.5, 4.0])
+    @pytest.mark.parametrize("stop_s", [0.5, 1.5, 4.0])
     def test_requests_late_in_the_grace_are_answered(self, tmp_path, stop_s):
         """Guards against requests that are passed on and cut when the process ends."""
 
@@ -84,7 +84,7 @@
                     asyncio.ensure_future(rig.call_until_closed(gateway))
                     for _ in range(CALLERS)
                 ]
-                await asyncio.sleep(0.5)
+                await asyncio.sleep(1.2)
                 gateway.send_signal(signal.SIGTERM)
                 await asyncio.gather(*callers)
                 await gateway.wait()
