--- a/tests/stream_rig.py
+++ b/tests/stream_rig.py
@@ -6,21 +6,26 @@
 
 import argparse
 import asyncio
-import collections
 import contextlib
 import signal
 import sys
 import tempfile
-from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 
 from camphorrun.core import LoopTimerService
-from camphorrun.gateway.tests.cluster import HOST, KEY, STAGE, configuration, route
+from camphorrun.gateway.tests.cluster import STAGE, configuration, route
 from camphorrun.standins.platform_store import PlatformStore
 from camphorrun.standins.tcp_forwarder import TcpForwarder
 
 from .process_rig import ROOT, GatewayProcess
+from .stream_checks import (
+    DEADLINE_MS,
+    Stream,
+    StreamReport,
+    body_parts,
+    encode_attempt,
+)
 
 VERSIONS = ("v1", "v2", "v3")
 # Streams of a deployment: path, number of events, and whether they may be resumed.
@@ -31,76 +36,11 @@
 )
 MAX_ATTEMPTS = 4
 ANSWER_SECONDS = 12.0
-DEADLINE_MS = 8000
 # Share of the callers that go on reading; the others leave between two events.
 PATIENT_SHARE = 0.85
 # Share of the take-ups that go to the gateway that is out of step.
 OUT_OF_STEP_SHARE = 0.8
 COPY_AGE_SECONDS = 2.0
-PIECES = ("X-Model: m", "X-Pieces: 1", "X-Piece-Key: k", "X-Prefix-Hash: 5c:200,77:9")
-
-
-@dataclass(slots=True)
-class StreamReport:
-    """What callers have seen.
-
-    Attributes
-    ----------
-    begun, finished : int
-        Streams that had a first event, and those that were complete.
-    take_ups, went_on : int
-        Requests that take a stream up, and those that brought a further event.
-    reasons : Counter of str
-        Why take-ups were refused.
-    faults : Counter of str
-        Disruptions by kind.
-    violations : list of str
-        Streams whose events don't belong together.
-    """
-
-    begun: int = 0
-    finished: int = 0
-    take_ups: int = 0
-    went_on: int = 0
-    reasons: collections.Counter = field(default_factory=collections.Counter)
-    faults: collections.Counter = field(default_factory=collections.Counter)
-    violations: list[str] = field(default_factory=list)
-
-
-@dataclass(slots=True)
-class _Stream:
-    """Events of one stream, over all attempts of its caller."""
-
-    last: int
-    resumable: bool
-    first_attempt: str = ""
-    attempts: list[str] = field(default_factory=list)
-    number: int = 0
-    versions: set[str] = field(default_factory=set)
-    runs: set[str] = field(default_factory=set)
-    is_complete: bool = False
-    fault: str = ""
-
-    def add(self, event: str) -> None:
-        """Add an event and check that it belongs to the stream."""
-        lines = event.split("\n")
-        number = int(lines[0].removeprefix("id: "))
-        version, run, label = lines[1].removeprefix("data: ").split(" ")
-        if number != self.number + 1 or int(label) != number:
-            self.fault = f"event {number} follows {self.number}"
-        self.number = number
-        self.versions.add(version)
-        self.runs.add(run)
-        if len(self.versions) > 1:
-            self.fault = f"versions {sorted(self.versions)}"
-        if len(self.runs) > 1 and not self.resumable:
-            self.fault = f"runs {sorted(self.runs)}"
-
-    def end(self) -> None:
-        """Check that a stream which looks complete is complete."""
-        self.is_complete = True
-        if self.number != self.last:
-            self.fault = f"complete after event {self.number} of {self.last}"
 
 
 class ReplicaProcess:
@@ -398,7 +338,7 @@
         loop = asyncio.get_running_loop()
         while loop.time() < end_at:
             path, last, resumable = self._rng.choice(KINDS)
-            stream = _Stream(last, resumable)
+            stream = Stream(last, resumable)
             for _ in range(MAX_ATTEMPTS):
                 await self._attempt(path, stream)
                 may_go_on = resumable or not stream.number
@@ -407,7 +347,7 @@
                 await self._sleep(0.0, 0.4)
             self._record(stream)
 
-    def _record(self, stream: _Stream) -> None:
+    def _record(self, stream: Stream) -> None:
         self.report.begun += bool(stream.number)
         self.report.finished += stream.is_complete
         if stream.fault:
@@ -418,7 +358,7 @@
             return self._gateways[self._out_of_step]
         return self._rng.choice(self._gateways)
 
-    async def _attempt(self, path: str, stream: _Stream) -> None:
+    async def _attempt(self, path: str, stream: Stream) -> None:
         """Send one attempt and read its events."""
         is_take_up = bool(stream.number)
         gateway = self._choose_gateway(is_take_up)
@@ -431,7 +371,7 @@
         try:
             async with asyncio.timeout(ANSWER_SECONDS):
                 reader, writer = await asyncio.open_connection(*gateway.callers)
-                writer.write(_encode(path, stream, attempt))
+                writer.write(encode_attempt(path, stream, attempt))
                 await self._read_answer(reader, stream, attempt, is_take_up)
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
             pass
@@ -441,7 +381,7 @@
         self.report.went_on += is_take_up and stream.number > before
 
     async def _read_answer(
-        self, reader, stream: _Stream, attempt: str, is_take_up: bool
+        self, reader, stream: Stream, attempt: str, is_take_up: bool
     ) -> None:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         rows = (line.partition(":") for line in head.split("\r\n")[1:] if line)
@@ -457,7 +397,7 @@
         if self._rng.random() > PATIENT_SHARE:
             stays_until = self._rng.randint(1, stream.last)
         buffer = b""
-        async for part in _parts(reader, "transfer-encoding" in fields):
+        async for part in body_parts(reader, "transfer-encoding" in fields):
             *events, buffer = (buffer + part).split(b"\n\n")
             for event in events:
                 stream.add(event.decode())
@@ -469,33 +409,6 @@
         stream.end()
 
 
-def _encode(path: str, stream: _Stream, attempt: str) -> bytes:
-    lines = [
-        f"POST {path}{stream.last} HTTP/1.1",
-        f"Host: {HOST}",
-        f"Api-Key: {KEY}",
-        f"X-Attempt-Id: {attempt}",
-        f"X-Deadline-Ms: {DEADLINE_MS}",
-        "Content-Length: 0",
-        *PIECES,
-    ]
-    if stream.number:
-        lines.append(f"Resumes: {stream.first_attempt}")
-        lines.append(f"Last-Event-Id: {stream.number}")
-    return "\r\n".join([*lines, "", ""]).encode()
-
-
-async def _parts(reader: asyncio.StreamReader, is_chunked: bool):
-    """Yield the parts of a body; end only if it is complete."""
-    if not is_chunked:
-        while part := await reader.read(65536):
-            yield part
-        return
-    while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
-        part = await reader.readexactly(size + 2)
-        yield part[:-2]
-
-
 def main() -> None:
     """Play seeds and print what callers have seen."""
     parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
