Prove the start of a replica on each connection of resumable streams

The first replica broke off after 14 events, and the stream went on at the version that its registration named.

Cause: the replica had started again under its name with another version, and its registration was not read yet. Its start was proven only while several versions were known.

Change: the start is proven by one report on each connection that resumable streams use, also while one version is known. A replica whose report doesn't tell the start, or has none, is used and not proven; one that closes the connection after its report costs nothing but another connection. This replaces the proof by the age of the registrations.

Ruled out: asking the replica after it has broken off, because most of those have crashed, and their streams would end.

Cost: one report for each new connection; connections are kept.

Tests: test_replica_that_has_just_restarted failed before. RawReplica of test_slow_streams answers every request with the same bytes, a report too, and so registers no start now; its checks are unchanged.

--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -58,6 +58,7 @@
     {
         "connect_failed",
         "connect_timeout",
+        "connection_ended",
         "replica_draining",
         "replica_leaving",
         "replica_limited",
@@ -71,6 +72,7 @@
 HEALTH_NEUTRAL_CODES = frozenset(
     {
         "caller_slow",
+        "connection_ended",
         "deadline",
         "rejected",
         "replica_draining",
@@ -285,7 +287,8 @@
         A replica may start again under its identifier and address with another software
         version, before its registration tells. All requests on a connection reach the
         same process, so one report proves it for the lifetime of the connection. A
-        replica with a rate limit is not asked, because each report needs a permit.
+        replica with a rate limit is not asked, because each report needs a permit. One
+        whose report doesn't tell its start is used, and not proven.
 
         Raises
         ------
@@ -300,13 +303,18 @@
             started_ms = await with_timeout(
                 self._timers, _read_start_ms(conn, replica), PROOF_TIMEOUT_SECONDS
             )
-        except (HttpError, TimeoutError, DecodeError) as exc:
+        except DecodeError:
+            started_ms = None
+        except (HttpError, TimeoutError) as exc:
             conn.abort()
             raise AttemptFailedError("replica_unproven", not_run=True) from exc
         if started_ms not in (None, replica.started_ms):
             conn.abort()
             handle.pool.close_idle()
             raise AttemptFailedError("replica_restarted", not_run=True)
+        if not conn.reusable:
+            # The replica closes it after the report.
+            raise AttemptFailedError("connection_ended", not_run=True)
         handle.asked.add(conn)
         if started_ms is not None:
             handle.proven.add(conn)
--- a/camphorrun/gateway/stream_records.py
+++ b/camphorrun/gateway/stream_records.py
@@ -44,8 +44,6 @@
 RESTART_NOTICE_SECONDS = 3.0
 # The same, from the last confirmation of the registrations to the restart.
 REGISTRATION_DELAY_SECONDS = 1.0
-# Registrations that the store has not confirmed for this long may lack a restart.
-MAX_REGISTRATION_AGE_SECONDS = 2.0
 
 
 class StreamRecords:
@@ -139,15 +137,12 @@
         return True
 
     def needs_proof(self, ctx: RequestContext) -> bool:
-        """Return whether the version of the replica must be certain for a request."""
-        if ctx.required_version is not None:
-            return True
-        if not _can_be_taken_up(ctx):
-            return False
-        is_outdated = self._registration_age_s() > MAX_REGISTRATION_AGE_SECONDS
-        return is_outdated or self._versions.has_several(
-            ctx.service, self._timers.now()
-        )
+        """Return whether the version of the replica must be certain for a request.
+
+        Also while one version is known: a replica that has started again with another
+        one serves before its registration tells.
+        """
+        return ctx.required_version is not None or _can_be_taken_up(ctx)
 
     def _registration_age_s(self) -> float:
         """Return the time since the store last confirmed the registrations."""
--- a/camphorrun/gateway/tests/test_slow_streams.py
+++ b/camphorrun/gateway/tests/test_slow_streams.py
@@ -21,7 +21,8 @@
     """Server that answers each request with fixed bytes and closes the connection.
 
     ``%ID`` in the answer is replaced by the attempt identifier. A ``block`` is sent
-    repeatedly after the answer, until the peer closes the connection.
+    repeatedly after the answer, until the peer closes the connection. It registers no
+    start, so it is not asked for a report, which would get the same bytes.
     """
 
     def __init__(self, answer: bytes, block: bytes = b""):
@@ -34,7 +35,8 @@
         """Take the place of the first replica."""
         cluster.stream_servers.append(self._server)
         port = await self._server.start()
-        entry = cluster.replicas[0].registration("plain", Address=f"127.0.0.1:{port}")
+        address = f"127.0.0.1:{port}"
+        entry = cluster.replicas[0].registration("plain", Address=address, born=0)
         cluster.store.put("keyed.servers", cluster.replicas[0].identifier, entry)
         state = cluster.daemons[0].state
         name = cluster.replicas[0].identifier
--- a/camphorrun/gateway/tests/test_take_ups.py
+++ b/camphorrun/gateway/tests/test_take_ups.py
@@ -295,6 +295,25 @@
 
         run_scenario(scenario, plain=0, gateways=GATEWAYS)
 
+    def test_replica_that_has_just_restarted(self):
+        """Guards against an answer that two versions write while one is known.
+
+        The replica returns as v2 under its name, and its registration is late.
+        """
+
+        async def scenario(cluster):
+            (first, _) = await add_version(cluster, "v1", 2)
+            first.on_restart = None
+            first.script.label, first.script.down_s = "v2.", 0.05
+            first.script.cut_after = 2
+            first.crash()
+            await asyncio.sleep(0.2)
+            for number in range(8):
+                _, body, _ = await send_stream(cluster, f"s{number}")
+                assert versions_in(body) == {b"v1"}
+
+        run_scenario(scenario, plain=0)
+
     def test_restart_that_is_noticed_late(self):
         """Guards against streams that keep the version of an earlier start."""
 
@@ -307,7 +326,8 @@
             # The registrations of the late gateway are four seconds old.
             late._stream_records._registration_age_s = lambda: real_age_s() + 4.0
             start = versions.begun(stream_key("warm-up"))
-            versions._begun[stream_key("s1")] = replace(start, at=start.at - 4.5)
+            earlier = replace(start, at=start.at - 4.5, is_proven=False)
+            versions._begun[stream_key("s1")] = earlier
             entry = first.registration("plain", Version="v2")
             cluster.store.put("keyed.servers", first.identifier, entry)
             await cluster.wait_until(
--- a/tools/mutations_streams.py
+++ b/tools/mutations_streams.py
@@ -107,10 +107,10 @@
         OLD_KNOWLEDGE,
     ),
     Mutation(
-        "take-ups: the start is proven while registrations are old",
+        "take-ups: the start is proven while one version is known",
         RECORDS,
-        "        return is_outdated or self._versions.has_several(\n",
-        "        return self._versions.has_several(\n",
+        "        return ctx.required_version is not None or _can_be_taken_up(ctx)\n",
+        "        return ctx.required_version is not None\n",
         OLD_KNOWLEDGE,
     ),
     Mutation(
