Let new streams begin at a replica that has just started again

A connection that leads to another start than the registered one was not used until the registration was read, also for new streams, though nothing of them can be joined yet.

Change: a new stream begins there, with its version unknown: it does not go on at another replica, and its take-ups are refused. What needs a version is not sent there, as before.

--- a/camphorrun/gateway/attempts.py
+++ b/camphorrun/gateway/attempts.py
@@ -48,6 +48,9 @@
 MIN_STREAM_HEAD_TIMEOUT_SECONDS = 2.5
 MAX_REJECTIONS = 4
 PROOF_TIMEOUT_SECONDS = 0.3
+# Stands for the version of a process that has started since it registered. No replica
+# has it, so a stream that began there does not go on.
+UNKNOWN_VERSION = "\0unknown"
 # A replica that rejected a request is avoided for this time, unless no other replica is
 # available.
 REJECTION_BACKOFF_SECONDS = 0.25
@@ -266,9 +269,7 @@
         try:
             self._check_after_wait(ctx, handle, permit)
             await self._prove_start(ctx, handle, conn)
-            is_proven = conn in handle.proven
-            if not await self._streams.record_attempt(ctx, handle.replica, is_proven):
-                raise AttemptFailedError("version_unrecorded", not_run=True)
+            await self._record_version(ctx, handle, conn)
             self._check_after_wait(ctx, handle, permit)
         except (AttemptFailedError, RefusedError):
             handle.pool.release(conn)
@@ -279,6 +280,24 @@
             raise
         return conn
 
+    async def _record_version(
+        self, ctx: RequestContext, handle: ReplicaHandle, conn: ClientConnection
+    ) -> None:
+        """Record the version of the process to which a connection leads.
+
+        Raises
+        ------
+        AttemptFailedError
+            If the record could not be written in time, and the stream must not be sent.
+        """
+        replica = handle.replica
+        has_restarted = conn in handle.restarted
+        ctx.sent_version = UNKNOWN_VERSION if has_restarted else replica.version
+        version = None if has_restarted else replica.version
+        is_proven = conn in handle.proven
+        if not await self._streams.record_attempt(ctx, replica, version, is_proven):
+            raise AttemptFailedError("version_unrecorded", not_run=True)
+
     async def _prove_start(
         self, ctx: RequestContext, handle: ReplicaHandle, conn: ClientConnection
     ) -> None:
@@ -288,14 +307,18 @@
         version, before its registration tells. All requests on a connection reach the
         same process, so one report proves it for the lifetime of the connection. A
         replica with a rate limit is not asked, because each report needs a permit. One
-        whose report doesn't tell its start is used, and not proven.
+        whose report doesn't tell its start is used, and not proven. A stream may also
+        begin at one that has started again, but nothing is known of its version.
 
         Raises
         ------
         AttemptFailedError
-            If the replica has started again, or does not answer.
+            If the replica does not answer, or if it has started again and the request
+            needs a version.
         """
         replica = handle.replica
+        if conn in handle.restarted and ctx.required_version is not None:
+            raise AttemptFailedError("replica_restarted", not_run=True)
         is_known = conn in handle.asked or handle.is_limited or not replica.started_ms
         if is_known or not self._streams.needs_proof(ctx):
             return
@@ -308,7 +331,8 @@
         except (HttpError, TimeoutError) as exc:
             conn.abort()
             raise AttemptFailedError("replica_unproven", not_run=True) from exc
-        if started_ms not in (None, replica.started_ms):
+        has_restarted = started_ms not in (None, replica.started_ms)
+        if has_restarted and ctx.required_version is not None:
             conn.abort()
             handle.pool.close_idle()
             raise AttemptFailedError("replica_restarted", not_run=True)
@@ -316,7 +340,9 @@
             # The replica closes it after the report.
             raise AttemptFailedError("connection_ended", not_run=True)
         handle.asked.add(conn)
-        if started_ms is not None:
+        if has_restarted:
+            handle.restarted.add(conn)
+        elif started_ms is not None:
             handle.proven.add(conn)
 
     async def _acquire(
@@ -380,7 +406,6 @@
         could_have_run = ctx.may_have_run
         ctx.trial = None
         ctx.sent_at = now
-        ctx.sent_version = handle.replica.version
         ctx.may_have_run = True
         ctx.possible_runs += 1
         try:
--- a/camphorrun/gateway/replica_handle.py
+++ b/camphorrun/gateway/replica_handle.py
@@ -96,6 +96,8 @@
         Connections on which the replica was asked for its start.
     proven : WeakSet of ClientConnection
         Those of them that are known to lead to this start of the replica.
+    restarted : WeakSet of ClientConnection
+        Those of them that lead to another start, whose registration is not known yet.
     permit_refused_until : float
         Until when no permit is requested, if the replica has a rate limit.
     permit_expected_at : float
@@ -114,6 +116,7 @@
         "pool",
         "proven",
         "rejection_backoff_until",
+        "restarted",
         "replica",
         "recent_results",
     )
@@ -135,6 +138,7 @@
         self._on_notice = on_notice
         self.asked: WeakSet[ClientConnection] = WeakSet()
         self.proven: WeakSet[ClientConnection] = WeakSet()
+        self.restarted: WeakSet[ClientConnection] = WeakSet()
         self.permit_refused_until = float("-inf")
         self.permit_expected_at = float("-inf")
         self.rejection_backoff_until = float("-inf")
--- a/camphorrun/gateway/stream_records.py
+++ b/camphorrun/gateway/stream_records.py
@@ -94,14 +94,19 @@
     # Streams that begin
 
     async def record_attempt(
-        self, ctx: RequestContext, replica: Replica, is_proven: bool
+        self,
+        ctx: RequestContext,
+        replica: Replica,
+        version: str | None,
+        is_proven: bool,
     ) -> bool:
         """Record the version of a replica before a stream is sent to it.
 
-        ``is_proven`` tells whether its connection is known to lead to the registered
-        start of the replica. If an earlier attempt had another version, waits until its
-        record is replaced in the store: the earlier one must not be found by a take-up.
-        Returns whether the stream may be sent.
+        ``version`` is None if it isn't known. ``is_proven`` tells whether its connection
+        is known to lead to the registered start of the replica. If an earlier attempt
+        had another version, waits until its record is replaced in the store: the
+        earlier one must not be found by a take-up. Returns whether the stream may be
+        sent.
         """
         if ctx.last_event_id or not _can_be_taken_up(ctx):
             return True
@@ -110,7 +115,7 @@
             key,
             StreamStart(
                 ctx.service,
-                replica.version,
+                version,
                 replica.identifier,
                 self._timers.now(),
                 is_proven,
