--- a/camphorrun/gateway/stream_records.py
+++ b/camphorrun/gateway/stream_records.py
@@ -102,11 +102,10 @@
     ) -> bool:
         """Record the version of a replica before a stream is sent to it.
 
-        ``version`` is None if it isn't known. ``is_proven`` tells whether its connection
-        is known to lead to the registered start of the replica. If an earlier attempt
-        had another version, waits until its record is replaced in the store: the
-        earlier one must not be found by a take-up. Returns whether the stream may be
-        sent.
+        ``version`` is None if it isn't known, ``is_proven`` tells whether the process
+        that will run the stream is known to have it. If an earlier attempt had another
+        version, waits until its record is replaced in the store: the earlier one must
+        not be found by a take-up. Returns whether the stream may be sent.
         """
         if ctx.last_event_id or not _can_be_taken_up(ctx):
             return True
