--- a/tests/stream_checks.py
+++ b/tests/stream_checks.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import collections
+import re
 from dataclasses import dataclass, field
 
 from camphorrun.gateway.tests.cluster import HOST, KEY
 
 DEADLINE_MS = 8000
+EVENT = re.compile(
+    r"id: (?P<number>\d+)\ndata: (?P<version>\S+) (?P<run>\S+) (?P<label>\d+)"
+)
 PIECES = ("X-Model: m", "X-Pieces: 1", "X-Piece-Key: k", "X-Prefix-Hash: 5c:200,77:9")
 
 
@@ -53,9 +57,12 @@
 
     def add(self, event: str) -> None:
         """Add an event and check that it belongs to the stream."""
-        lines = event.split("\n")
-        number = int(lines[0].removeprefix("id: "))
-        version, run, label = lines[1].removeprefix("data: ").split(" ")
+        found = EVENT.fullmatch(event)
+        if found is None:
+            self.fault = f"event {event!r} follows {self.number}"
+            return
+        number = int(found["number"])
+        version, run, label = found["version"], found["run"], found["label"]
         if number != self.number + 1 or int(label) != number:
             self.fault = f"event {number} follows {self.number}"
         self.number = number
