Refuse responses with an invalid status code

Cause: httptools accepts any three digits, and so does aiohttp; nothing checked the range 100 to 599 of RFC 9110, section 15. A status of 000 passed the checks for success and for failure alike:

- gateway, requests of every kind: relayed as the answer; with X-Not-Executed it became 503, which promises that nothing ran;
- store: 000 for an append counted as a refusal, not as uncertain;
- other gateways: 000 counted as "not accepted", so the call could be repeated;
- endpoint client: X-Executed was believed, so the call counted as not executed;
- host list and weight store: 000 and 099 counted as success.

Change: http1.is_valid_status decides. ClientConnection, which reads replicas, stage services, reports, the store, peers and gateways asked by `camphorrun route`, fails such a response as malformed and stops the parser there, so that a valid response in the next bytes isn't taken for the answer. The older programs get their session from clients.create_session, which raises ClientResponseError. A request that may be repeated goes to another replica; any other one ends with 502. The failure counts against the replica: metric `attempts` and log line `attempt_failed`, reason `malformed`.

A stage call with status 000 failed before as well, since only 200 is accepted there; its tests are kept. tools.mutations catches both checks.

Ruled out: refusing codes that aren't registered. All codes from 200 to 599 pass through the reader, and eleven rare ones through a gateway, unchanged.

--- a/camphorrun/clients/__init__.py
+++ b/camphorrun/clients/__init__.py
@@ -12,6 +12,7 @@
 from .errors import EndpointError, PlatformError
 from .host_list import HostEntry, HostList, HostListClient
 from .log_client import AppendReply, AppendRequest, LogClient
+from .session import create_session
 from .weight_store import WeightsRefusedError, WeightStoreClient
 
 __all__ = [
@@ -32,4 +33,5 @@
     "StreamPart",
     "WeightStoreClient",
     "WeightsRefusedError",
+    "create_session",
 ]
--- a/camphorrun/daemon/base.py
+++ b/camphorrun/daemon/base.py
@@ -6,7 +6,7 @@
 import aiohttp
 from aiohttp import web
 
-from ..clients import HostEntry, LogClient
+from ..clients import HostEntry, LogClient, create_session
 from ..core import Lifecycle, LoopTimerService, Supervisor, TimerService, new_identifier
 from ..metrics import Metrics
 from ..settings import AgentSettings, EntrySettings, key_ring
@@ -65,7 +65,7 @@
             If a background task exceeded its restarts.
         """
         connector = aiohttp.TCPConnector(limit=0)
-        async with aiohttp.ClientSession(connector=connector) as session:
+        async with create_session(connector=connector) as session:
             self._build_log_components(session)
             self._build(session)
             runner = await start_server(self._application(), self.settings.host.listen)
--- a/camphorrun/demo/local_system.py
+++ b/camphorrun/demo/local_system.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from ..agent import AgentDaemon
-from ..clients import HostEntry, LogClient
+from ..clients import HostEntry, LogClient, create_session
 from ..configuration import ACCOUNTS_STREAM, FLEET_STREAM
 from ..core import LoopTimerService, TimerService
 from ..daemon import start_server
@@ -186,7 +186,7 @@
         expected = sum(len(group) for group in self.endpoints.values())
         async with (
             asyncio.timeout(timeout_s),
-            aiohttp.ClientSession() as session,
+            create_session() as session,
         ):
             for url in self.entry_urls:
                 while not await _is_linked(session, url, expected):
@@ -207,7 +207,7 @@
         }
         async with (
             asyncio.timeout(timeout_s),
-            aiohttp.ClientSession() as session,
+            create_session() as session,
         ):
             for url in self.entry_urls:
                 while not await _has_read(session, url, wanted):
--- a/camphorrun/demo/scenario_run.py
+++ b/camphorrun/demo/scenario_run.py
@@ -6,6 +6,7 @@
 import aiohttp
 from prometheus_client.parser import text_string_to_metric_families
 
+from ..clients import create_session
 from ..core import LoopTimerService
 from ..replay import (
     EndpointWork,
@@ -100,7 +101,7 @@
 
 
 def _session() -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    return create_session(connector=aiohttp.TCPConnector(limit=0))
 
 
 def _specs(scenario: Scenario) -> tuple[ServiceSpec, ...]:
--- a/camphorrun/http1/__init__.py
+++ b/camphorrun/http1/__init__.py
@@ -6,7 +6,8 @@
 
 Public: ``Headers``, ``ServerRequest``, ``ServerResponder``, ``HttpServer``,
 ``ServerLimits``, ``ClientConnection``, ``ResponseHead``, ``ConnectionPool``,
-``HttpError``, ``connect``, ``ByteLease``, ``HeldBytes``, ``ServerMemory``.
+``HttpError``, ``connect``, ``ByteLease``, ``HeldBytes``, ``ServerMemory``,
+``is_valid_status``.
 """
 
 from .client import ClientConnection, ResponseHead, connect
@@ -21,6 +22,7 @@
     ServerRequest,
     ServerResponder,
 )
+from .validity import is_valid_status
 
 __all__ = [
     "ByteLease",
@@ -37,4 +39,5 @@
     "ServerRequest",
     "ServerResponder",
     "connect",
+    "is_valid_status",
 ]
--- a/camphorrun/http1/client.py
+++ b/camphorrun/http1/client.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 from dataclasses import dataclass
+from typing import NoReturn
 
 import httptools
 
@@ -11,6 +12,7 @@
 from .errors import HttpError
 from .headers import Headers
 from .memory import ByteLease
+from .validity import is_valid_status
 
 # Reading from the socket pauses while more unread body bytes than this are buffered.
 READ_HIGH_WATER_BYTES = 256 * 1024
@@ -280,6 +282,15 @@
             self._fail(HttpError(f"invalid HTTP response: {exc}", code="malformed"))
         self.abort()
 
+    def _reject(self, text: str) -> NoReturn:
+        """Fail the response and stop the parser, which would go on with later bytes.
+
+        Called in callbacks of the parser only.
+        """
+        error = HttpError(f"invalid HTTP response: {text}", code="malformed")
+        self._fail(error)
+        raise error
+
     def eof_received(self) -> bool:
         """Complete a body that ends with the connection.
 
@@ -321,6 +332,8 @@
         if self._complete:
             return
         status = self._parser.get_status_code()
+        if not is_valid_status(status):
+            self._reject(f"status {status:03d}")
         if 100 <= status < 200:
             self._fields = []
             self._reason = b""
--- a/camphorrun/operators/context.py
+++ b/camphorrun/operators/context.py
@@ -9,7 +9,13 @@
 import aiohttp
 import msgspec
 
-from ..clients import HostEntry, HostListClient, LogClient, PlatformError
+from ..clients import (
+    HostEntry,
+    HostListClient,
+    LogClient,
+    PlatformError,
+    create_session,
+)
 from ..core import LogStore, LoopTimerService, TimerService
 from ..settings import OperatorSettings
 from .console import CommandStatus, Console, OperatorError
@@ -136,7 +142,7 @@
     settings: OperatorSettings, console: Console | None = None
 ) -> AsyncIterator[OperatorContext]:
     """Open the connections of a command and close them afterwards."""
-    async with aiohttp.ClientSession() as session:
+    async with create_session() as session:
         log = LogClient(session, settings.platform.log_url)
         timers = LoopTimerService()
         yield OperatorContext(settings, session, log, timers, console or Console())
--- a/camphorrun/standins/endpoint_server.py
+++ b/camphorrun/standins/endpoint_server.py
@@ -16,6 +16,7 @@
     KEY_HEADER,
     EndpointReply,
     StreamPart,
+    create_session,
 )
 from ..core import TimerService
 from ..pipeline import prompt_prefix
@@ -365,7 +366,7 @@
         timeout = aiohttp.ClientTimeout(total=WEIGHTS_TIMEOUT_SECONDS)
         try:
             async with (
-                aiohttp.ClientSession(timeout=timeout) as session,
+                create_session(timeout=timeout) as session,
                 session.get(f"{url}/v1/weights/{model}") as resp,
             ):
                 if resp.status != 200:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -388,6 +388,20 @@
         "",
         HTTP,
     ),
+    Mutation(
+        "a response with an invalid status code is refused",
+        "camphorrun/http1/client.py",
+        "        if not is_valid_status(status):\n",
+        "        if False:\n",
+        HTTP,
+    ),
+    Mutation(
+        "a call with an invalid status code fails",
+        "camphorrun/clients/session.py",
+        "    if is_valid_status(resp.status):\n        return\n",
+        "    return\n",
+        "camphorrun/clients/tests",
+    ),
     Mutation(
         "a body without length that is reset is incomplete",
         "camphorrun/http1/client.py",
