Test replicas that send field names with a blank or a control byte

The current code handles this already, so nothing else changes.

Evidence: the parser of httptools accepts only tokens as names, in heads, interim responses and trailers, and the connection fails the response as malformed. They send 16 lines at three places of a response, in one piece and byte by byte; two of them for each kind of request through a gateway, where the caller gets 502 or the answer of another replica; on a kept connection; and to a stage call. A property checks that heads with unusual names, values and reason phrases that are valid are accepted unchanged.

The older programs read with aiohttp, which refuses a blank or control byte inside a name or before its colon. It strips a blank at the start of the first line; no client of ours passes on a field by its name, so no caller gets that line.

--- a/camphorrun/clients/tests/test_broken_answers.py
+++ b/camphorrun/clients/tests/test_broken_answers.py
@@ -120,3 +120,14 @@
         with pytest.raises(CamphorrunError) as caught:
             asyncio.run(_call("log append", _framed(BODIES["log append"], b"000")))
         assert caught.value.code == "append_uncertain"
+
+
+class TestInvalidNames:
+    """Names of fields with a blank or a control byte."""
+
+    @pytest.mark.parametrize("line", [b"X A: b", b"X : b", b"X\x01A: b", b"X\x7f: b"])
+    @pytest.mark.parametrize("name", CALLS)
+    def test_call_fails(self, name, line):
+        """Guards against a result that is taken from an invalid answer."""
+        with pytest.raises(CamphorrunError):
+            asyncio.run(_call(name, _framed(BODIES[name], line=line)))
--- a/camphorrun/gateway/tests/test_broken_heads.py
+++ b/camphorrun/gateway/tests/test_broken_heads.py
@@ -35,6 +35,12 @@
 KINDS = {**ONCE, **REPEATABLE}
 INVALID_CODES = (b"000", b"600")
 RARE_CODES = (207, 226, 299, 300, 399, 418, 451, 499, 507, 520, 599)
+INVALID_LINES = (b"X A: b", b"X\x01A: b")
+STAGE_RESULTS = b'{"Items":[{"Handle":"127.0.0.1:9/a"}]}'
+
+
+def answer_with_line(line: bytes, body: bytes = SOUND_BODY) -> bytes:
+    return framed_answer(body, b"HTTP/1.1 200 OK\r\n" + line)
 
 
 def answer_with_code(code: bytes) -> bytes:
@@ -152,8 +158,7 @@
         """Guards against stage results from an invalid answer."""
 
         async def scenario(cluster):
-            items = b'{"Items":[{"Handle":"127.0.0.1:9/a"}]}'
-            answer = framed_answer(items, b"HTTP/1.1 000 Any")
+            answer = framed_answer(STAGE_RESULTS, b"HTTP/1.1 000 Any")
             raw = RawReplica(RawAnswer(answer), service="stage")
             await raw.register(cluster)
             response = await call(cluster, "/staged/x", *STAGED)
@@ -177,6 +182,59 @@
         run_scenario(scenario, plain=1, stage=1)
 
 
+class TestInvalidNames:
+    """Names of fields with a blank or a control byte."""
+
+    @pytest.mark.parametrize("line", INVALID_LINES)
+    @pytest.mark.parametrize("kind", KINDS)
+    def test_only_replica(self, kind, line):
+        """Guards against a head that callers read differently than the gateway."""
+
+        async def scenario(cluster):
+            answer = answer_with_line(line)
+            await check_only_broken(cluster, kind, RawAnswer(answer))
+
+        run_scenario(scenario, plain=0, stage=1)
+
+    @pytest.mark.parametrize("kind", REPEATABLE)
+    def test_beside_a_sound_replica(self, kind):
+        """Guards against a failure although another replica may be asked."""
+
+        async def scenario(cluster):
+            answer = RawAnswer(answer_with_line(b"X A: b"), is_split=True)
+            await check_beside_sound(cluster, kind, answer)
+
+        run_scenario(scenario, plain=1)
+
+    def test_kept_connection(self):
+        """Guards against a check that only the first answer of a connection gets."""
+
+        async def scenario(cluster):
+            answer = RawAnswer(answer_with_line(b"X\x01A: b"), is_split=True)
+            raw = RawReplica(answer, sound_requests=1)
+            await raw.register(cluster)
+            responses = [await call(cluster, "/unsafe/x") for _ in range(2)]
+            assert [r.status for r in responses] == [200, 502]
+            assert (raw.connections, len(raw.requests)) == (1, 1)
+
+        run_scenario(scenario, plain=0)
+
+    def test_stage_replica(self):
+        """Guards against stage results from an invalid answer."""
+
+        async def scenario(cluster):
+            answer = answer_with_line(b"X A: b", STAGE_RESULTS)
+            raw = RawReplica(RawAnswer(answer), service="stage")
+            await raw.register(cluster)
+            response = await call(cluster, "/staged/x", *STAGED)
+            assert raw.requests
+            # The request itself was sent to no replica.
+            assert response.status == 503
+            assert calls_of(cluster.replicas) == 0
+
+        run_scenario(scenario, plain=1)
+
+
 class TestOtherReaders:
     """The store and other gateways."""
 
--- a/camphorrun/http1/tests/test_response_heads.py
+++ b/camphorrun/http1/tests/test_response_heads.py
@@ -4,12 +4,44 @@
 from unittest.mock import Mock
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from ...core import ManualTimerService
 from .. import ClientConnection, HttpError, ResponseHead
 
 MAX_BODY_BYTES = 10_000
 FRAMED_BODY = b"Content-Length: 2\r\n\r\nok"
+# Lines whose field name is not a token (RFC 9110, section 5.1).
+INVALID_LINES = [
+    b"X A: b",
+    b"X : b",
+    b" X: b",
+    b"\tX: b",
+    b"X\t: b",
+    b"X\x00: b",
+    b"X\x01A: b",
+    b"X\x1f: b",
+    b"X\x7f: b",
+    b"X\x80: b",
+    b"X\rA: b",
+    b"X(A): b",
+    b": b",
+    b"X",
+    b"Content-Length : 1",
+    b"Content-\x01Length: 1",
+]
+SEPARATORS = b'"(),/:;<=>?@[\\]{}'
+TOKEN_BYTES = bytes(b for b in range(0x21, 0x7F) if b not in SEPARATORS)
+VALUE_BYTES = bytes([9, *range(0x20, 0x7F), *range(0x80, 0x100)])
+# Fields with a meaning for the reader are not generated.
+FRAMING_FIELDS = {b"content-length", b"transfer-encoding", b"connection", b"upgrade"}
+names = st.lists(st.sampled_from(TOKEN_BYTES), min_size=1, max_size=8).map(bytes)
+values = st.lists(st.sampled_from(VALUE_BYTES), max_size=8).map(bytes)
+field_lists = st.lists(
+    st.tuples(names, values).filter(lambda f: f[0].lower() not in FRAMING_FIELDS),
+    max_size=4,
+)
 SOUND = b"HTTP/1.1 200 OK\r\n" + FRAMED_BODY
 
 
@@ -86,3 +118,46 @@
         interim = b"HTTP/1.1 %d Any\r\nX-A: b\r\n\r\n" % code
         head, body = read_response(interim + SOUND)
         assert (head.status, body) == (200, b"ok")
+
+
+class TestFieldNames:
+    """Names of fields that are no tokens."""
+
+    @pytest.mark.parametrize("line", INVALID_LINES)
+    def test_head(self, line):
+        """Guards against a line that a caller would read differently."""
+        status_line = b"HTTP/1.1 200 OK\r\n"
+        check_malformed(status_line + line + b"\r\n" + FRAMED_BODY)
+        framing, body = b"X-A: b\r\nContent-Length: 2\r\n", b"\r\nok"
+        check_malformed(status_line + framing + line + b"\r\n" + body)
+
+    @pytest.mark.parametrize("line", INVALID_LINES)
+    def test_interim_response(self, line):
+        """Guards against an answer behind an interim response that is not valid."""
+        check_malformed(b"HTTP/1.1 103 Any\r\n" + line + b"\r\n\r\n" + SOUND)
+
+    @pytest.mark.parametrize("line", INVALID_LINES)
+    def test_trailers(self, line):
+        """Guards against a body that ends with trailers that are not valid."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        check_malformed(head + b"2\r\nok\r\n0\r\n" + line + b"\r\n\r\n")
+
+
+class TestAnyHead:
+    """Properties of all heads; the fields that frame the body are valid."""
+
+    @given(st.integers(200, 599), values, field_lists, st.booleans())
+    def test_valid_head_is_accepted(self, code, reason, fields, is_split):
+        """Guards against a refusal of a head that is only unusual."""
+        status_line = b"HTTP/1.1 %d %b\r\n" % (code, reason)
+        lines = b"".join(b"%b: %b\r\n" % field for field in fields)
+        body = b"" if code in (204, 304) else b"ok"
+        framing = b"\r\n" if code in (204, 304) else FRAMED_BODY
+        data = status_line + lines + framing
+        head, received = read_response(*(split_bytes(data) if is_split else [data]))
+        assert (head.status, received) == (code, body)
+        found = [field for field in head.headers if field[0] != b"Content-Length"]
+        assert [name for name, _ in found] == [name for name, _ in fields]
+        assert [v.strip(b" \t") for _, v in found] == [
+            v.strip(b" \t") for _, v in fields
+        ]
