Refuse control bytes in reason phrases and other versions of HTTP

What callers saw: the reason phrase of a replica was relayed with control bytes, NUL among them, so that the status line was not valid HTTP/1.1. Found by a property over heads: what the reader accepts must be valid.

Cause: as for status codes, the parsers are more lenient than the grammar. httptools checks names and values of fields, but no byte of a reason phrase, and takes HTTP/0.9 and HTTP/2.0 for versions of its protocol. aiohttp accepts control bytes in reason phrases and in values.

Change: http1.is_valid_text decides for both readers; ClientConnection also accepts only HTTP/1.0 and HTTP/1.1. Such a response is malformed, like one with an invalid code.

Ruled out: replacing the phrase and relaying the rest. Control bytes in a head show that the replica, or what is between, is in trouble; those in values have always failed the response. Phrases that are missing, empty, or hold tabs or bytes above 127 are still relayed.

Not checked: a response that names RTSP or ICE instead of HTTP is still accepted by httptools, which doesn't tell the name; callers get it as HTTP/1.1.

--- a/camphorrun/clients/tests/test_broken_answers.py
+++ b/camphorrun/clients/tests/test_broken_answers.py
@@ -122,6 +122,28 @@
         assert caught.value.code == "append_uncertain"
 
 
+class TestControlBytes:
+    """Control bytes in field values and reason phrases."""
+
+    @pytest.mark.parametrize("byte", [0, 1, 8, 11, 31, 127])
+    @pytest.mark.parametrize("name", CALLS)
+    def test_call_fails(self, name, byte):
+        """Guards against a result that is taken from an invalid answer."""
+        control = b"%c" % byte
+        for answer in (
+            _framed(BODIES[name], line=b"X-A: a" + control + b"b"),
+            _framed(BODIES[name], b"200 O" + control + b"K"),
+        ):
+            with pytest.raises(CamphorrunError):
+                asyncio.run(_call(name, answer))
+
+    @pytest.mark.parametrize("name", CALLS)
+    def test_unusual_bytes_are_valid(self, name):
+        """Guards against a refusal of tabs and of bytes above 127."""
+        answer = _framed(BODIES[name], b"200 O\t\xc3\xa9\xff", b"X-A: a\tb\xff\xc3\xa9")
+        assert asyncio.run(_call(name, answer)) is not None
+
+
 class TestInvalidNames:
     """Names of fields with a blank or a control byte."""
 
--- a/camphorrun/gateway/tests/test_broken_heads.py
+++ b/camphorrun/gateway/tests/test_broken_heads.py
@@ -235,6 +235,33 @@
         run_scenario(scenario, plain=1)
 
 
+class TestInvalidReasons:
+    """Reason phrases with a control byte."""
+
+    @pytest.mark.parametrize("kind", KINDS)
+    def test_only_replica(self, kind):
+        """Guards against a status line that callers can't read."""
+
+        async def scenario(cluster):
+            answer = framed_answer(SOUND_BODY, b"HTTP/1.1 200 O\x00\x01K")
+            await check_only_broken(cluster, kind, RawAnswer(answer))
+
+        run_scenario(scenario, plain=0, stage=1)
+
+    @pytest.mark.parametrize("reason", [b"", b" ", b" O\tK", b" \xc3\xa9"])
+    def test_valid_reason_is_relayed(self, reason):
+        """Guards against a refusal of reason phrases that are only unusual."""
+
+        async def scenario(cluster):
+            answer = framed_answer(SOUND_BODY, b"HTTP/1.1 200" + reason)
+            raw = RawReplica(RawAnswer(answer))
+            await raw.register(cluster)
+            response = await call(cluster, "/unsafe/x")
+            assert (response.status, response.body) == (200, SOUND_BODY)
+
+        run_scenario(scenario, plain=0)
+
+
 class TestOtherReaders:
     """The store and other gateways."""
 
--- a/camphorrun/http1/__init__.py
+++ b/camphorrun/http1/__init__.py
@@ -7,7 +7,7 @@
 Public: ``Headers``, ``ServerRequest``, ``ServerResponder``, ``HttpServer``,
 ``ServerLimits``, ``ClientConnection``, ``ResponseHead``, ``ConnectionPool``,
 ``HttpError``, ``connect``, ``ByteLease``, ``HeldBytes``, ``ServerMemory``,
-``is_valid_status``.
+``is_valid_status``, ``is_valid_text``.
 """
 
 from .client import ClientConnection, ResponseHead, connect
@@ -22,7 +22,7 @@
     ServerRequest,
     ServerResponder,
 )
-from .validity import is_valid_status
+from .validity import is_valid_status, is_valid_text
 
 __all__ = [
     "ByteLease",
@@ -40,4 +40,5 @@
     "ServerResponder",
     "connect",
     "is_valid_status",
+    "is_valid_text",
 ]
--- a/camphorrun/http1/client.py
+++ b/camphorrun/http1/client.py
@@ -12,7 +12,7 @@
 from .errors import HttpError
 from .headers import Headers
 from .memory import ByteLease
-from .validity import is_valid_status
+from .validity import HTTP_VERSIONS, is_valid_status, is_valid_text
 
 # Reading from the socket pauses while more unread body bytes than this are buffered.
 READ_HIGH_WATER_BYTES = 256 * 1024
@@ -332,8 +332,7 @@
         if self._complete:
             return
         status = self._parser.get_status_code()
-        if not is_valid_status(status):
-            self._reject(f"status {status:03d}")
+        self._check_status_line(status)
         if 100 <= status < 200:
             self._fields = []
             self._reason = b""
@@ -349,6 +348,15 @@
         self._update_persistence(headers)
         self._head = ResponseHead(status, self._reason, headers)
 
+    def _check_status_line(self, status: int) -> None:
+        """Refuse what the parser accepts although it is not valid."""
+        if (version := self._parser.get_http_version()) not in HTTP_VERSIONS:
+            self._reject(f"version {version}")
+        if not is_valid_status(status):
+            self._reject(f"status {status:03d}")
+        if not is_valid_text(self._reason):
+            self._reject("control byte in the reason phrase")
+
     def _update_persistence(self, headers: Headers) -> None:
         if not self._parser.should_keep_alive() or self._body_ends_at_close:
             self._keep_alive = False
--- a/camphorrun/http1/tests/test_response_heads.py
+++ b/camphorrun/http1/tests/test_response_heads.py
@@ -1,10 +1,11 @@
 """Tests of response heads that are valid or not, without a socket."""
 
 import asyncio
+import re
 from unittest.mock import Mock
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from ...core import ManualTimerService
@@ -120,6 +121,27 @@
         assert (head.status, body) == (200, b"ok")
 
 
+class TestStatusLine:
+    """Versions and reason phrases."""
+
+    @pytest.mark.parametrize("byte", [*range(9), 11, 12, *range(14, 32), 127])
+    def test_reason_with_a_control_byte(self, byte):
+        """Guards against control bytes that callers get in the status line."""
+        status_line = b"HTTP/1.1 200 O%cK\r\n" % byte
+        check_malformed(status_line + FRAMED_BODY)
+        check_malformed(status_line.replace(b"200", b"103") + b"\r\n" + SOUND)
+
+    @pytest.mark.parametrize("version", [b"0.9", b"2.0"])
+    def test_version(self, version):
+        """Guards against a message of another protocol that is taken for an answer."""
+        check_malformed(b"HTTP/" + version + b" 200 OK\r\n" + FRAMED_BODY)
+
+    def test_earlier_version(self):
+        """Guards against a refusal of HTTP/1.0."""
+        head, body = read_response(b"HTTP/1.0 200 OK\r\n" + FRAMED_BODY)
+        assert (head.status, body) == (200, b"ok")
+
+
 class TestFieldNames:
     """Names of fields that are no tokens."""
 
@@ -161,3 +183,27 @@
         assert [v.strip(b" \t") for _, v in found] == [
             v.strip(b" \t") for _, v in fields
         ]
+
+    @given(
+        st.integers(0, 40),
+        st.binary(min_size=1, max_size=3),
+        st.booleans(),
+        st.booleans(),
+    )
+    @example(13, b"A\x01", True, False)
+    @example(9, b"000", True, False)
+    def test_accepted_head_is_valid(self, position, data, is_replaced, is_split):
+        """Guards against a head that callers get although it is not valid."""
+        head = b"HTTP/1.1 200 OK\r\nX-First: b\r\nX-Second: c d\r\n"
+        end = position + len(data) if is_replaced else position
+        response = head[:position] + data + head[end:] + FRAMED_BODY
+        parts = split_bytes(response) if is_split else [response]
+        try:
+            received, _ = read_response(*parts)
+        except HttpError:
+            return
+        assert 200 <= received.status <= 599
+        assert re.fullmatch(rb"[%b]*" % re.escape(VALUE_BYTES), received.reason)
+        for name, value in received.headers:
+            assert re.fullmatch(rb"[%b]+" % re.escape(TOKEN_BYTES), name)
+            assert re.fullmatch(rb"[%b]*" % re.escape(VALUE_BYTES), value)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -395,11 +395,18 @@
         "        if False:\n",
         HTTP,
     ),
+    Mutation(
+        "control bytes in a reason phrase are refused",
+        "camphorrun/http1/client.py",
+        "        if not is_valid_text(self._reason):\n",
+        "        if False:\n",
+        HTTP,
+    ),
     Mutation(
         "a call with an invalid status code fails",
         "camphorrun/clients/session.py",
-        "    if is_valid_status(resp.status):\n        return\n",
-        "    return\n",
+        "    if not is_valid_status(resp.status):\n",
+        "    if False:\n",
         "camphorrun/clients/tests",
     ),
     Mutation(
