Refuse interim responses with a body

What callers saw: a replica sent an interim response (104 to 199) with a length and a body before its answer, and the caller got the bytes of both as the replica's body, with its stamp. Found while checking what else the reader takes from a head that is not valid.

Cause: an interim response ends with its head (RFC 9112, section 6.3). httptools follows that for 100 to 103 only, and returns a body for the other codes; the connection put it into the buffer of the answer.

Change: body bytes and chunk headers before the final head make the response malformed. `Content-Length: 0` tells nothing else and is still skipped.

--- a/camphorrun/gateway/tests/test_broken_heads.py
+++ b/camphorrun/gateway/tests/test_broken_heads.py
@@ -262,6 +262,21 @@
         run_scenario(scenario, plain=0)
 
 
+class TestInterimBodies:
+    """Interim responses with a body, which must not have one."""
+
+    @pytest.mark.parametrize("kind", KINDS)
+    def test_only_replica(self, kind):
+        """Guards against an answer that begins with bytes of an interim response."""
+
+        async def scenario(cluster):
+            interim = b"HTTP/1.1 199 Any\r\nContent-Length: 6\r\n\r\nfirst "
+            answer = RawAnswer(interim + framed_answer(SOUND_BODY))
+            await check_only_broken(cluster, kind, answer)
+
+        run_scenario(scenario, plain=0, stage=1)
+
+
 class TestOtherReaders:
     """The store and other gateways."""
 
--- a/camphorrun/http1/client.py
+++ b/camphorrun/http1/client.py
@@ -357,6 +357,11 @@
         if not is_valid_text(self._reason):
             self._reject("control byte in the reason phrase")
 
+    def _check_has_head(self) -> None:
+        """Refuse an interim response with a body, which the parser accepts."""
+        if self._head is None:
+            self._reject("interim response with a body")
+
     def _update_persistence(self, headers: Headers) -> None:
         if not self._parser.should_keep_alive() or self._body_ends_at_close:
             self._keep_alive = False
@@ -367,10 +372,12 @@
 
     def on_chunk_header(self) -> None:
         """Restart the count of framing bytes at each chunk."""
+        self._check_has_head()
         self._overhead_bytes = 0
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body to the buffer."""
+        self._check_has_head()
         self._overhead_bytes = max(0, self._overhead_bytes - len(body))
         if not self._complete:
             self._body_buffer += body
--- a/camphorrun/http1/tests/test_response_heads.py
+++ b/camphorrun/http1/tests/test_response_heads.py
@@ -142,6 +142,30 @@
         assert (head.status, body) == (200, b"ok")
 
 
+class TestInterimBodies:
+    """Interim responses end with their head (RFC 9112, section 6.3)."""
+
+    @pytest.mark.parametrize("code", [100, 102, 103, 104, 150, 199])
+    @pytest.mark.parametrize(
+        "rest",
+        [
+            b"Content-Length: 2\r\n\r\nab",
+            b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        ],
+    )
+    def test_body(self, code, rest):
+        """Guards against bytes of an interim response in the body of the answer."""
+        check_malformed(b"HTTP/1.1 %d Any\r\n" % code + rest + SOUND)
+
+    @pytest.mark.parametrize("code", [100, 103, 199])
+    def test_empty_body(self, code):
+        """Guards against a refusal of a length that tells nothing else."""
+        interim = b"HTTP/1.1 %d Any\r\nContent-Length: 0\r\n\r\n" % code
+        head, body = read_response(interim + SOUND)
+        assert (head.status, body) == (200, b"ok")
+
+
 class TestFieldNames:
     """Names of fields that are no tokens."""
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -395,6 +395,13 @@
         "        if False:\n",
         HTTP,
     ),
+    Mutation(
+        "an interim response with a body is refused",
+        "camphorrun/http1/client.py",
+        '            self._reject("interim response with a body")\n',
+        "            pass\n",
+        HTTP,
+    ),
     Mutation(
         "control bytes in a reason phrase are refused",
         "camphorrun/http1/client.py",
