Take an early answer without a length for whole only after the upload

What callers saw: a replica answered a long upload at once with a 200 that had no length, sent a part of its body, ended its side of the connection and reset it while the upload was still being written.

Cause: the end of the connection made such a body complete. But a peer that fails may end its direction first (a process whose socket is shut down, or whose buffer is empty at that moment) and reset the connection when more of the request comes. The kernel then reports the end to the reader, and the reset only to a writer or when it is asked for the error of the socket; the connection did neither.

Change: the end proves a whole body only once the peer has acknowledged the whole request: nothing is left in the buffer of the transport or of the kernel (TIOCOUTQ), and the socket has no pending error. Until then the connection stays open for writing and is checked every 10 ms; the waits of the callers bound this, and the kernel ends a stalled upload after 4 s. A reset makes the body incomplete: another replica is asked where that is allowed, otherwise the caller gets 502, or a stream that is cut.

Handled before, and kept as tests: a reset or a close with unread bytes that no end precedes.

Ruled out: refusing all early answers. Still relayed: those whose replica reads the rest of the upload, those with a length although a reset follows, rejections (their head says that nothing ran), and bodies without a length after the upload.

The older programs read with aiohttp, which takes any end for a whole body. Their bodies prove it themselves: JSON ends with its brace, a stream with a last line.

Not proved by this: a rest of the upload that lies in the peer's kernel, unread by its process. It is acknowledged, and nothing tells it from one that was read.

--- a/camphorrun/clients/tests/test_broken_answers.py
+++ b/camphorrun/clients/tests/test_broken_answers.py
@@ -24,8 +24,6 @@
 CALL = EndpointCall("c", "op", "", msgspec.Raw(b"1"))
 CONTENTS = b'{"models":["a"],"adapters":[],"role":""}'
 LINES = b'{"sequence":0,"text":"a"}\n{"sequence":1,"end":true}\n'
-# Larger than the buffers of the kernel.
-UPLOAD_BYTES = 16 * 1024 * 1024
 CLOSE_SECONDS = 0.02
 
 
@@ -153,3 +151,32 @@
         """Guards against a result that is taken from an invalid answer."""
         with pytest.raises(CamphorrunError):
             asyncio.run(_call(name, _framed(BODIES[name], line=line)))
+
+
+class TestCutBodies:
+    """Bodies without a length that are cut, which aiohttp takes for whole.
+
+    A body of JSON ends with its last brace, and a stream with a line that says so.
+    """
+
+    @pytest.mark.parametrize("is_reset", [True, False])
+    @pytest.mark.parametrize("name", sorted(set(CALLS) - {"weights"}))
+    def test_call_fails(self, name, is_reset):
+        """Guards against a part of a body that is taken for the whole."""
+
+        async def scenario():
+            body = BODIES[name].rstrip()
+            cuts = range(0, len(body), 3)
+            answers = [b"HTTP/1.1 200 OK\r\n\r\n" + body[:cut] for cut in cuts]
+            calls = (_call(name, answer, is_reset=is_reset) for answer in answers)
+            return await asyncio.gather(*calls, return_exceptions=True)
+
+        results = asyncio.run(scenario())
+        assert results
+        assert all(isinstance(result, CamphorrunError) for result in results)
+
+    @pytest.mark.parametrize("name", CALLS)
+    def test_whole_body(self, name):
+        """Guards against a refusal of answers that end with their connection."""
+        answer = b"HTTP/1.1 200 OK\r\n\r\n" + BODIES[name]
+        assert asyncio.run(_call(name, answer)) is not None
--- a/camphorrun/gateway/tests/raw_replica.py
+++ b/camphorrun/gateway/tests/raw_replica.py
@@ -19,9 +19,23 @@
 ATTEMPT_FIELDS = b"X-Attempt-Id: %ID\r\nX-Replica-Stamp: raw\r\n"
 SOUND_BODY = b"the whole answer"
 EVENTS = event_bytes(1, 2, 3, 4, 5)
+STAGED = ("X-Model: m", "X-Pieces: 1,1", "X-Piece-Key: k")
+# Kinds of requests that may run once: path and further header fields.
+ONCE = {
+    "unsafe": ("/unsafe/x", ()),
+    "stream": ("/stream/x", ("X-Model: m",)),
+    "staged": ("/staged/x", STAGED),
+}
+REPEATABLE = {
+    "safe": ("/safe/x", ()),
+    "resumable": ("/resume/x", ("X-Model: m",)),
+    "resumed": ("/resume/x", ("X-Model: m", "Last-Event-Id: 2")),
+}
+KINDS = {**ONCE, **REPEATABLE}
 # Pause between the parts of an answer, so that they arrive one by one.
 STEP_SECONDS = 0.02
 CALL_TIMEOUT_SECONDS = 6.0
+RECEIVE_BUFFER_BYTES = 64 * 1024
 
 
 def framed_answer(body: bytes, status_line: bytes = b"HTTP/1.1 200 OK") -> bytes:
@@ -45,7 +59,8 @@
         The answer; ``%ID`` is replaced by the attempt identifier.
     end : str
         ``keep`` (the connection stays open), ``close`` (closed with both directions),
-        ``reset``, ``half_close_reset`` (the sending direction is closed first), or
+        ``reset``, ``half_close`` (the sending direction is closed, and both at once
+        after it), ``half_close_reset`` (the same with a pause and a reset), or
         ``linger`` (the sending direction is closed, and the rest of the request is read
         before the connection is closed).
     body_share : float
@@ -125,6 +140,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        # Without a fixed size, the kernel would buffer much of an upload.
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sound = RawAnswer(framed_answer(SOUND_BODY))
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             for number in itertools.count():
@@ -165,11 +183,11 @@
 async def _end(
     end: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
 ) -> None:
-    if end == "close":
+    if end in ("half_close", "linger", "half_close_reset"):
+        writer.write_eof()
+    if end in ("close", "half_close"):
         writer.close()
         return
-    if end in ("linger", "half_close_reset"):
-        writer.write_eof()
     await asyncio.sleep(STEP_SECONDS)
     if end == "linger":
         while await reader.read(65536):
@@ -220,6 +238,22 @@
     return parse_response(received)
 
 
+async def call_until_reached(
+    cluster: LocalCluster, raw: RawReplica, path: str, *lines: str, body: bytes = b""
+) -> list[ReceivedResponse]:
+    """Send pairs of requests until one has reached ``raw``; return all responses.
+
+    Of two requests at the same time, each replica gets one.
+    """
+    for replica in cluster.replicas:
+        replica.script.work_s = 0.05
+    responses = []
+    while not raw.requests:
+        pair = (call(cluster, path, *lines, body=body) for _ in range(2))
+        responses += await asyncio.gather(*pair)
+    return responses
+
+
 def parse_response(received: bytes) -> ReceivedResponse:
     """Return the one response in the bytes of a connection.
 
--- a/camphorrun/gateway/tests/test_broken_heads.py
+++ b/camphorrun/gateway/tests/test_broken_heads.py
@@ -13,26 +13,18 @@
 from .raw_replica import (
     ATTEMPT_FIELDS,
     EVENTS,
+    KINDS,
+    ONCE,
+    REPEATABLE,
     SOUND_BODY,
+    STAGED,
     RawAnswer,
     RawReplica,
     call,
+    call_until_reached,
     framed_answer,
 )
 
-STAGED = ("X-Model: m", "X-Pieces: 1,1", "X-Piece-Key: k")
-# Kinds of requests that may run once: path and further header fields.
-ONCE = {
-    "unsafe": ("/unsafe/x", ()),
-    "stream": ("/stream/x", ("X-Model: m",)),
-    "staged": ("/staged/x", STAGED),
-}
-REPEATABLE = {
-    "safe": ("/safe/x", ()),
-    "resumable": ("/resume/x", ("X-Model: m",)),
-    "resumed": ("/resume/x", ("X-Model: m", "Last-Event-Id: 2")),
-}
-KINDS = {**ONCE, **REPEATABLE}
 INVALID_CODES = (b"000", b"600")
 RARE_CODES = (207, 226, 299, 300, 399, 418, 451, 499, 507, 520, 599)
 INVALID_LINES = (b"X A: b", b"X\x01A: b")
@@ -66,20 +58,6 @@
     assert 'code="malformed"' in rendered
 
 
-async def call_until_reached(cluster, raw: RawReplica, path: str, *lines: str):
-    """Send pairs of requests until one has reached ``raw``; return all responses.
-
-    Of two requests at the same time, each replica gets one.
-    """
-    for replica in cluster.replicas:
-        replica.script.work_s = 0.05
-    responses = []
-    while not raw.requests:
-        pair = (call(cluster, path, *lines) for _ in range(2))
-        responses += await asyncio.gather(*pair)
-    return responses
-
-
 async def check_beside_sound(cluster, kind: str, answer: RawAnswer) -> None:
     """Check repeatable requests of which one of two replicas sends a broken answer."""
     path, lines = KINDS[kind]
--- a/camphorrun/http1/client.py
+++ b/camphorrun/http1/client.py
@@ -8,10 +8,11 @@
 
 import httptools
 
-from ..core import TimerService
+from ..core import Subscription, TimerService
 from .errors import HttpError
 from .headers import Headers
 from .memory import ByteLease
+from .socket_state import take_socket_error, unacknowledged_bytes
 from .validity import HTTP_VERSIONS, is_valid_status, is_valid_text
 
 # Reading from the socket pauses while more unread body bytes than this are buffered.
@@ -26,6 +27,8 @@
 MAX_HEADER_FIELDS = 256
 MAX_INTERIM_RESPONSES = 8
 OVERSIZED = "oversized"
+# Interval of checks whether the peer, which has ended its response, takes the request.
+UPLOAD_CHECK_SECONDS = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +70,8 @@
         self._in_use = False
         self._keep_alive = True
         self._has_unexpected_bytes = False
+        self._has_peer_ended = False
+        self._upload_check: Subscription | None = None
         self.idle_since = timers.now()
         self.peer_idle_timeout_s = 0.0
         self.requests = 0
@@ -94,6 +99,7 @@
         return (
             self._transport is not None
             and not self._transport.is_closing()
+            and not self._has_peer_ended
             and self._error is None
         )
 
@@ -292,17 +298,48 @@
         raise error
 
     def eof_received(self) -> bool:
-        """Complete a body that ends with the connection.
+        """Complete a body that ends with the connection, if it is whole.
 
-        Any other response that is unfinished at this point stays incomplete.
+        Any other response that is unfinished at this point stays incomplete. A peer
+        that fails may end the connection before it resets it, and a reset follows if it
+        gets more of the request than it reads. So the end proves a whole body only once
+        the peer has received the request. Until then the connection stays open for
+        writing.
         """
-        if self._body_ends_at_close and self._head is not None:
-            self._complete = True
+        self._has_peer_ended = True
         self._keep_alive = False
-        return False
+        if not self._body_ends_at_close:
+            return False
+        self._complete_if_request_received()
+        if self._complete or self._error is not None:
+            return False
+        self._upload_check = self._timers.subscribe(
+            UPLOAD_CHECK_SECONDS, self._complete_if_request_received
+        )
+        return True
+
+    def _complete_if_request_received(self) -> None:
+        """End the response that the peer has ended, or wait for the next check."""
+        error = take_socket_error(self._transport)
+        if error is not None:
+            self._fail(HttpError(f"connection reset after its end: {error}"))
+        elif not unacknowledged_bytes(self._transport):
+            self._complete = True
+        else:
+            return
+        if self._upload_check is not None:
+            self._stop_upload_check()
+            self._transport.abort()
+        self._wake_waiter()
+
+    def _stop_upload_check(self) -> None:
+        if self._upload_check is not None:
+            self._upload_check.cancel()
+            self._upload_check = None
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail a pending ``request`` or ``read``."""
+        self._stop_upload_check()
         self._keep_alive = False
         self._fail(HttpError(f"connection lost: {exc or 'closed by the peer'}"))
         self._wake_waiter()
--- a/camphorrun/http1/tests/test_response_heads.py
+++ b/camphorrun/http1/tests/test_response_heads.py
@@ -55,6 +55,8 @@
     async def scenario():
         transport = Mock()
         transport.is_closing.return_value = False
+        transport.get_write_buffer_size.return_value = 0
+        transport.get_extra_info.return_value = None
         transport.abort.side_effect = lambda: transport.is_closing.configure_mock(
             return_value=True
         )
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -395,6 +395,20 @@
         "        if False:\n",
         HTTP,
     ),
+    Mutation(
+        "an end during the upload proves no whole body",
+        "camphorrun/http1/client.py",
+        "        elif not unacknowledged_bytes(self._transport):\n",
+        "        elif True:\n",
+        HTTP,
+    ),
+    Mutation(
+        "a reset that follows the end is noticed",
+        "camphorrun/http1/client.py",
+        "        error = take_socket_error(self._transport)\n",
+        "        error = None\n",
+        HTTP,
+    ),
     Mutation(
         "an interim response with a body is refused",
         "camphorrun/http1/client.py",
