--- a/camphorrun/gateway/tests/raw_replica.py
+++ b/camphorrun/gateway/tests/raw_replica.py
@@ -113,6 +113,10 @@
         self._sound_requests = sound_requests
         self._server = StreamServer(self._serve)
 
+    def next_answer(self, head: str) -> RawAnswer:
+        """Return the answer to the request with this head."""
+        return self._answer
+
     async def register(self, cluster: LocalCluster) -> None:
         """Listen, and wait until the gateways know this replica.
 
@@ -147,11 +151,14 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             for number in itertools.count():
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-                answer = self._answer if number >= self._sound_requests else sound
-                size = int(int(_field(head, "content-length") or 0) * answer.body_share)
+                is_sound = number < self._sound_requests
+                answer = sound if is_sound else self.next_answer(head)
+                size = int(
+                    int(request_field(head, "content-length") or 0) * answer.body_share
+                )
                 await reader.readexactly(size)
-                attempt_id = _field(head, "x-attempt-id")
-                if answer is self._answer:
+                attempt_id = request_field(head, "x-attempt-id")
+                if not is_sound:
                     self.requests.append(attempt_id)
                     self.received_bytes += size
                 await _send(answer, attempt_id, writer)
@@ -160,7 +167,7 @@
                     return
 
 
-def _field(head: str, name: str) -> str:
+def request_field(head: str, name: str) -> str:
     """Return the value of a field in a request head, empty if it is missing."""
     match = re.search(rf"(?im)^{name}:[ \t]*(.*?)\r$", head)
     return match[1] if match else ""
